Describe the design and add the package skeleton

Cause: the project has no code yet, and several parts need shared types. Conclusion: parts can now be built side by side against these types.

--- /dev/null
+++ b/egretrouter/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the cli part of egretrouter."""
--- /dev/null
+++ b/egretrouter/core/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the core part of egretrouter."""
--- /dev/null
+++ b/egretrouter/core/calls/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the calls part of egretrouter."""
--- /dev/null
+++ b/egretrouter/core/configuration/_configuration.py
@@ -0,0 +1,104 @@
+"""Collect operators' files into one configuration with a generation."""
+
+import json
+from collections.abc import Mapping
+
+import msgspec
+from pydantic import TypeAdapter
+
+from egretrouter.core.configuration._files import (
+    DeploymentFile,
+    ModelServiceFile,
+    OperatorFile,
+    PlainServiceFile,
+)
+from egretrouter.core.digests import content_digest
+from egretrouter.core.errors import ValidationError
+from egretrouter.core.identifiers import Digest, Generation, PublicationId, ServiceName
+
+DEPLOYMENT_PART = "deployment"
+SERVICE_PART_PREFIX = "service/"
+
+FILE_ADAPTER: TypeAdapter[DeploymentFile | ModelServiceFile | PlainServiceFile] = TypeAdapter(
+    OperatorFile
+)
+
+
+class ConfigurationError(ValidationError):
+    """The parts of a configuration don't fit together."""
+
+
+class ConfigurationIndex(msgspec.Struct, frozen=True, kw_only=True):
+    """List the parts of one generation by digest."""
+
+    generation: Generation
+    publication_id: PublicationId
+    parts: dict[str, Digest]
+
+    def to_json(self) -> bytes:
+        """Encode the index with sorted keys."""
+        return msgspec.json.encode(self, order="deterministic")
+
+    @classmethod
+    def from_json(cls, content: bytes) -> "ConfigurationIndex":
+        """Decode an index.
+
+        Raises ConfigurationError if the content is no index.
+        """
+        try:
+            return msgspec.json.decode(content, type=cls)
+        except msgspec.MsgspecError as error:
+            raise ConfigurationError(f"configuration index is malformed: {error}") from error
+
+
+class Configuration(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold one whole generation as it is in force."""
+
+    index: ConfigurationIndex
+    deployment: DeploymentFile
+    services: dict[ServiceName, ModelServiceFile | PlainServiceFile]
+
+    @property
+    def generation(self) -> Generation:
+        """Return the generation's number."""
+        return self.index.generation
+
+    def model_services(self) -> list[ModelServiceFile]:
+        """Return the services whose endpoints are model engines."""
+        return [s for s in self.services.values() if isinstance(s, ModelServiceFile)]
+
+
+def encode_part(part: DeploymentFile | ModelServiceFile | PlainServiceFile) -> bytes:
+    """Encode one part canonically, so that equal parts have equal digests."""
+    values = part.model_dump(mode="json")
+    return json.dumps(values, sort_keys=True, separators=(",", ":")).encode()
+
+
+def part_name(part: DeploymentFile | ModelServiceFile | PlainServiceFile) -> str:
+    """Return the name of a part in the index."""
+    if isinstance(part, DeploymentFile):
+        return DEPLOYMENT_PART
+    return SERVICE_PART_PREFIX + part.name
+
+
+def assemble(index: ConfigurationIndex, contents: Mapping[Digest, bytes]) -> Configuration:
+    """Build the whole generation from its parts.
+
+    Raises ConfigurationError if a part is missing, malformed or has another digest.
+    """
+    deployment: DeploymentFile | None = None
+    services: dict[ServiceName, ModelServiceFile | PlainServiceFile] = {}
+    for name, digest in index.parts.items():
+        content = contents.get(digest)
+        if content is None:
+            raise ConfigurationError(f"part {name!r} ({digest}) is missing")
+        if content_digest(content) != digest:
+            raise ConfigurationError(f"part {name!r} does not match its digest {digest}")
+        part = FILE_ADAPTER.validate_json(content)
+        if isinstance(part, DeploymentFile):
+            deployment = part
+        else:
+            services[ServiceName(part.name)] = part
+    if deployment is None:
+        raise ConfigurationError(f"generation {index.generation} has no deployment part")
+    return Configuration(index=index, deployment=deployment, services=services)
--- /dev/null
+++ b/egretrouter/core/configuration/_files.py
@@ -0,0 +1,146 @@
+"""Define the short JSON files that operators write beside each service's code."""
+
+from enum import Enum
+from typing import Annotated, Literal
+
+from pydantic import BaseModel, ConfigDict, Field, model_validator
+
+Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
+HexDigest = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
+
+
+class FileModel(BaseModel):
+    """Reject unknown fields, so that a misspelt one is an error."""
+
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class Objective(Enum):
+    """Name what a copy of weights optimizes."""
+
+    TIME = "time"
+    ORIGIN_BYTES = "origin-bytes"
+
+
+class EngineRole(Enum):
+    """Name the phases of a model call that an engine serves."""
+
+    PREFILL = "prefill"
+    DECODE = "decode"
+    BOTH = "both"
+
+
+class ZoneFile(FileModel):
+    """Describe one availability zone."""
+
+    name: Name
+    region: Name
+
+
+class WorkspaceFile(FileModel):
+    """Describe one workspace, its share and its limits."""
+
+    name: Name
+    weight: int = Field(default=1, ge=1, le=1000)
+    requests_per_second: float = Field(default=50.0, gt=0)
+    tokens_per_second: float = Field(default=10_000.0, gt=0)
+    concurrent_calls: int = Field(default=64, ge=1)
+    token_sha256: tuple[HexDigest, ...] = ()
+
+
+class DistributionFile(FileModel):
+    """Describe how weights are copied and what that may cost."""
+
+    objective: Objective = Objective.TIME
+    origin_bytes_per_minute: int = Field(default=64 * 1024**2, ge=1024)
+    link_share: float = Field(default=0.8, gt=0, le=1)
+    inter_region_bits_per_second: int = Field(default=10_000_000, ge=1000)
+    inter_region_share: float = Field(default=0.5, gt=0, le=1)
+    instance_link_bytes_per_second: int = Field(default=16 * 1024**2, ge=1024)
+    serve_after_load_seconds: float = Field(default=120.0, ge=0)
+
+
+class DeploymentFile(FileModel):
+    """Describe what all services of a deployment share."""
+
+    kind: Literal["deployment"]
+    name: Name
+    zones: tuple[ZoneFile, ...] = Field(min_length=1)
+    workspaces: tuple[WorkspaceFile, ...] = Field(min_length=1)
+    distribution: DistributionFile = DistributionFile()
+
+
+class PlacementFile(FileModel):
+    """State how many replicas an availability zone runs."""
+
+    zone: Name
+    replicas: int = Field(ge=0, le=10_000)
+
+
+class AdapterFile(FileModel):
+    """Describe an adapter that is loaded beside its base model."""
+
+    model: Name
+    version: Name
+    manifest_digest: HexDigest | None = None
+
+
+class EndpointFile(FileModel):
+    """State what the endpoints of a service check and report."""
+
+    checks_fencing: bool = False
+    checks_order_giver: bool = False
+    reports_load: bool = False
+    resumes_streams: bool = False
+
+
+class ServiceFile(FileModel):
+    """Hold the fields that every kind of service has."""
+
+    name: Name
+    placement: tuple[PlacementFile, ...] = Field(min_length=1)
+    hosts: tuple[str, ...] = ()
+    prefixes: tuple[str, ...] = ()
+    workspaces: tuple[Name, ...] = ()
+    deadline_seconds: float = Field(default=30.0, gt=0, le=3600)
+    endpoint: EndpointFile = EndpointFile()
+
+
+class ModelServiceFile(ServiceFile):
+    """Describe a service whose endpoints are model engines."""
+
+    kind: Literal["model"]
+    model: Name
+    version: Name
+    manifest_digest: HexDigest | None = None
+    adapters: tuple[AdapterFile, ...] = ()
+    engine_role: EngineRole = EngineRole.BOTH
+    min_ready: int = Field(default=1, ge=0)
+    halt_after_failures: int = Field(default=3, ge=1)
+
+
+class IdempotencyRule(FileModel):
+    """State whether calls of a method below a path may be repeated."""
+
+    method: Literal["GET", "HEAD", "OPTIONS", "PUT", "DELETE", "POST", "PATCH", "*"] = "*"
+    path_prefix: str = Field(default="/", pattern=r"^/")
+    header: str | None = None
+    idempotent: bool
+
+
+class PlainServiceFile(ServiceFile):
+    """Describe a service whose endpoints answer plain HTTP calls."""
+
+    kind: Literal["plain"]
+    idempotency: tuple[IdempotencyRule, ...] = ()
+
+    @model_validator(mode="after")
+    def _check_reachable(self) -> "PlainServiceFile":
+        if not self.hosts and not self.prefixes:
+            raise ValueError("a plain service needs at least one entry in 'hosts' or 'prefixes'")
+        return self
+
+
+OperatorFile = Annotated[
+    DeploymentFile | ModelServiceFile | PlainServiceFile, Field(discriminator="kind")
+]
--- /dev/null
+++ b/egretrouter/core/limits/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the limits part of egretrouter."""
--- /dev/null
+++ b/egretrouter/core/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the membership part of egretrouter."""
--- /dev/null
+++ b/egretrouter/core/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the rollout part of egretrouter."""
--- /dev/null
+++ b/egretrouter/core/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the routing part of egretrouter."""
--- /dev/null
+++ b/egretrouter/core/weights/_manifest.py
@@ -0,0 +1,104 @@
+"""Describe a version of weights by its chunks."""
+
+import hashlib
+from collections.abc import Iterable
+
+import msgspec
+
+from egretrouter.core.digests import content_digest
+from egretrouter.core.errors import CorruptedChunkError, ManifestMismatchError
+from egretrouter.core.identifiers import ChunkIndex, Digest, ModelName, VersionName
+
+DEFAULT_CHUNK_BYTES = 256 * 1024
+
+
+class ChunkSpec(msgspec.Struct, frozen=True, kw_only=True):
+    """State the length and digest of one chunk."""
+
+    length_bytes: int
+    digest: Digest
+
+
+class Manifest(msgspec.Struct, frozen=True, kw_only=True):
+    """List the ordered chunks of one version of weights."""
+
+    model: ModelName
+    version: VersionName
+    chunks: tuple[ChunkSpec, ...]
+    weights_digest: Digest
+
+    @property
+    def weight_bytes(self) -> int:
+        """Return the length of the whole."""
+        return sum(chunk.length_bytes for chunk in self.chunks)
+
+    @property
+    def digest(self) -> Digest:
+        """Return the digest that the configuration pins."""
+        return content_digest(self.to_json())
+
+    def to_json(self) -> bytes:
+        """Encode the manifest with sorted keys."""
+        return msgspec.json.encode(self, order="deterministic")
+
+    @classmethod
+    def from_json(cls, content: bytes, *, pinned_digest: Digest | None = None) -> "Manifest":
+        """Decode a manifest and check it against the pinned digest.
+
+        Raises ManifestMismatchError if the content is malformed or has another digest.
+        """
+        if pinned_digest is not None and content_digest(content) != pinned_digest:
+            raise ManifestMismatchError(
+                f"manifest has digest {content_digest(content)}, "
+                f"but the configuration pins {pinned_digest}"
+            )
+        try:
+            return msgspec.json.decode(content, type=cls)
+        except msgspec.MsgspecError as error:
+            raise ManifestMismatchError(f"manifest is malformed: {error}") from error
+
+    def verify_chunk(self, index: ChunkIndex, content: bytes) -> None:
+        """Check one chunk.
+
+        Raises CorruptedChunkError if its length or digest differs.
+        """
+        spec = self.chunks[index]
+        if len(content) != spec.length_bytes or content_digest(content) != spec.digest:
+            raise CorruptedChunkError(
+                f"chunk {index} of {self.model}/{self.version} does not match digest {spec.digest}"
+            )
+
+    def verify_whole(self, contents: Iterable[bytes]) -> None:
+        """Check all chunks together, in order.
+
+        Raises CorruptedChunkError if the whole has another digest.
+        """
+        hasher = hashlib.blake2b(digest_size=32)
+        for content in contents:
+            hasher.update(content)
+        if hasher.hexdigest() != self.weights_digest:
+            raise CorruptedChunkError(
+                f"weights of {self.model}/{self.version} do not match digest {self.weights_digest}"
+            )
+
+
+def build_manifest(
+    *,
+    model: ModelName,
+    version: VersionName,
+    content: bytes,
+    chunk_bytes: int = DEFAULT_CHUNK_BYTES,
+) -> Manifest:
+    """Split content into chunks and describe them."""
+    chunks = tuple(
+        ChunkSpec(length_bytes=len(piece), digest=content_digest(piece))
+        for piece in split_chunks(content, chunk_bytes=chunk_bytes)
+    )
+    return Manifest(
+        model=model, version=version, chunks=chunks, weights_digest=content_digest(content)
+    )
+
+
+def split_chunks(content: bytes, *, chunk_bytes: int) -> list[bytes]:
+    """Split content into chunks of equal length but for the last."""
+    return [content[start : start + chunk_bytes] for start in range(0, len(content), chunk_bytes)]
--- /dev/null
+++ b/egretrouter/daemons/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the daemons part of egretrouter."""
--- /dev/null
+++ b/egretrouter/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the protocol part of egretrouter."""
--- /dev/null
+++ b/egretrouter/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the standins part of egretrouter."""
