--- /dev/null
+++ b/egretrouter/daemons/_link.py
@@ -0,0 +1,162 @@
+"""Carry all calls between one router and one agent over one gRPC stream."""
+
+import asyncio
+import contextlib
+from enum import Enum
+from typing import Any, Protocol
+
+import grpc
+from mode import Service
+
+from egretrouter.core.identifiers import CallId, Epoch, InstanceId
+from egretrouter.daemons._rpc import ChannelPool
+from egretrouter.protocol import egretrouter_pb2 as pb
+from egretrouter.protocol import egretrouter_pb2_grpc as pb_grpc
+
+RECONNECT_DELAY_SECONDS = 0.2
+RECONNECT_DELAY_LIMIT_SECONDS = 2.0
+SETTLE_TIMEOUT_SECONDS = 2.0
+
+
+class LinkState(Enum):
+    """Name the states of a link."""
+
+    CONNECTING = "connecting"
+    UP = "up"
+    CLOSED = "closed"
+
+
+class CallSink(Protocol):
+    """Receive what a link brings for one call."""
+
+    def frame_arrived(self, frame: pb.AnswerFrame) -> None:
+        """Take one frame of the answer."""
+
+    def link_lost(self) -> None:
+        """Learn that the link broke; frames may be missing."""
+
+    def link_restored(self, epoch: Epoch) -> None:
+        """Learn that the link works again with an agent of this epoch."""
+
+
+class AgentLink(Service):
+    """Keep a stream to one agent open and distribute its frames to calls."""
+
+    def __init__(
+        self, *, address: str, router_id: InstanceId, channels: ChannelPool, **kwargs: Any
+    ) -> None:
+        super().__init__(**kwargs)
+        self.address = address
+        self.state = LinkState.CONNECTING
+        self.epoch: Epoch | None = None
+        self._router_id = router_id
+        self._channels = channels
+        self._sinks: dict[str, CallSink] = {}
+        self._outgoing: list[pb.CallFrame] = []
+        self._wakeup = asyncio.Event()
+        self._up = asyncio.Event()
+
+    def __repr__(self) -> str:
+        """Name the agent's address."""
+        return f"<AgentLink {self.address} {self.state.value}>"
+
+    def attach(self, call_id: CallId, sink: CallSink) -> None:
+        """Send the frames of a call to its sink."""
+        self._sinks[call_id] = sink
+
+    def detach(self, call_id: CallId) -> None:
+        """Forget a call."""
+        self._sinks.pop(call_id, None)
+
+    def send(self, frame: pb.CallFrame) -> None:
+        """Queue a frame; frames of one loop turn share a message."""
+        self._outgoing.append(frame)
+        self._wakeup.set()
+
+    async def wait_until_up(self, *, timeout_seconds: float) -> bool:
+        """Wait for the link and tell whether it is up."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_seconds):
+                await self._up.wait()
+        return self.state is LinkState.UP
+
+    async def settle(self, call_id: CallId, epoch: Epoch) -> pb.SettleReply | None:
+        """Ask the agent what became of a call; None means that it did not answer."""
+        stub = pb_grpc.AgentCallsStub(self._channels.channel(self.address))
+        try:
+            return await stub.Settle(
+                pb.SettleRequest(call_id=call_id, epoch=epoch),
+                metadata=self._channels.metadata,
+                timeout=SETTLE_TIMEOUT_SECONDS,
+            )
+        except grpc.aio.AioRpcError:
+            return None
+
+    @Service.task
+    async def _keep_connected(self) -> None:
+        delay_seconds = RECONNECT_DELAY_SECONDS
+        while not self.should_stop:
+            was_up = await self._run_stream()
+            if was_up:
+                delay_seconds = RECONNECT_DELAY_SECONDS
+            self._lose()
+            await self.sleep(delay_seconds)
+            delay_seconds = min(delay_seconds * 2, RECONNECT_DELAY_LIMIT_SECONDS)
+
+    async def _run_stream(self) -> bool:
+        stub = pb_grpc.AgentCallsStub(self._channels.channel(self.address))
+        stream = stub.Attach(metadata=self._channels.metadata)
+        writer: asyncio.Task[None] | None = None
+        try:
+            await stream.write(pb.RouterMessage(router_id=self._router_id))
+            while True:
+                message = await stream.read()
+                if message is grpc.aio.EOF:
+                    break
+                if writer is None:
+                    self._rise(Epoch(message.epoch))
+                    writer = asyncio.create_task(self._write(stream))
+                self._distribute(message)
+        except (grpc.aio.AioRpcError, asyncio.InvalidStateError):
+            pass
+        finally:
+            if writer is not None:
+                writer.cancel()
+            stream.cancel()
+        return writer is not None
+
+    async def _write(self, stream: Any) -> None:
+        while True:
+            await self._wakeup.wait()
+            self._wakeup.clear()
+            frames, self._outgoing = self._outgoing, []
+            if frames:
+                await stream.write(pb.RouterMessage(frames=frames))
+
+    def _distribute(self, message: pb.AgentMessage) -> None:
+        sinks = self._sinks
+        for frame in message.frames:
+            sink = sinks.get(frame.call_id)
+            if sink is not None:
+                sink.frame_arrived(frame)
+
+    def _rise(self, epoch: Epoch) -> None:
+        self.state = LinkState.UP
+        self.epoch = epoch
+        self._up.set()
+        for sink in list(self._sinks.values()):
+            sink.link_restored(epoch)
+
+    def _lose(self) -> None:
+        # Frames queued for the broken stream must not reach the agent later: their calls have
+        # been told that the link is lost and decide anew.
+        self._outgoing.clear()
+        self._up.clear()
+        was_up, self.state = self.state is LinkState.UP, LinkState.CONNECTING
+        if was_up:
+            for sink in list(self._sinks.values()):
+                sink.link_lost()
+
+    async def on_stop(self) -> None:
+        """Mark the link as closed."""
+        self.state = LinkState.CLOSED
