Add stand-ins for the platform and their HTTP clients

Cause: the daemons need the platform's systems to run against, and clients for them. Change: in-process aiohttp stand-ins for the object API, origin, weight store, instance list, model engine and plain service, with settable faults. HTTP clients implement the ports; Engine.load also takes weights_digest, which the engine checks. aiohttp resends PUT and DELETE by itself when a connection breaks; the clients refuse that, since it hides a lost answer. Conclusion: a write without an answer raises LostAnswerError, and a write that was refused or never sent raises BackendUnavailableError.

--- a/egretrouter/backends/__init__.py
+++ b/egretrouter/backends/__init__.py
@@ -1,5 +1,8 @@
 """Offer the ports to the platform's systems and their HTTP clients."""
 
+from egretrouter.backends._engine import HttpEngine
+from egretrouter.backends._instance_list import HttpInstanceList
+from egretrouter.backends._object_store import HttpObjectStore
 from egretrouter.backends._ports import (
     Engine,
     EngineReport,
@@ -11,10 +14,15 @@
     StoredObject,
     WeightSource,
 )
+from egretrouter.backends._weight_source import HttpWeightSource
 
 __all__ = [
     "Engine",
     "EngineReport",
+    "HttpEngine",
+    "HttpInstanceList",
+    "HttpObjectStore",
+    "HttpWeightSource",
     "InstanceList",
     "InstanceState",
     "ListedInstance",
--- a/egretrouter/backends/_ports.py
+++ b/egretrouter/backends/_ports.py
@@ -44,11 +44,14 @@
     async def delete(self, key: str, *, expected_version: int | None = None) -> None:
         """Delete one object.
 
-        Raises what put raises.
+        Raises what put raises, and ObjectMissingError.
         """
 
     async def list(self, prefix: str) -> list[StoredObject]:
-        """Read all objects below a prefix."""
+        """Read all objects below a prefix.
+
+        Raises RateLimitedError or BackendUnavailableError.
+        """
 
     def watch(self, key: str, *, after_version: int) -> AsyncIterator[StoredObject]:
         """Yield the object each time it is newer than the version seen last.
@@ -137,13 +140,15 @@
         model: ModelName,
         version: VersionName,
         manifest_digest: Digest,
+        weights_digest: Digest,
         content: AsyncIterator[bytes],
         fencing_number: int,
         base_model: ModelName | None = None,
     ) -> None:
-        """Load a version from its content.
+        """Load a version from its content, whose digest the engine checks.
 
-        Raises StaleFencingNumberError, OrderError or BackendUnavailableError.
+        Raises StaleFencingNumberError, OrderError, BackendUnavailableError, LostAnswerError (ask
+        for a report before another order) or what the iteration of content raises.
         """
 
     async def unload(self, *, model: ModelName, version: VersionName, fencing_number: int) -> None:
--- a/egretrouter/core/errors.py
+++ b/egretrouter/core/errors.py
@@ -35,6 +35,10 @@
         self.retry_after_seconds = retry_after_seconds
 
 
+class MalformedAnswerError(BackendUnavailableError):
+    """The platform's system answered against its protocol."""
+
+
 class LostAnswerError(BackendError):
     """The answer of a write was lost, so the write may have taken effect."""
 
--- /dev/null
+++ b/egretrouter/standins/_base.py
@@ -0,0 +1,127 @@
+"""Hold what every stand-in shares: the server, dropped connections and rates."""
+
+import asyncio
+import time
+from collections.abc import Awaitable, Callable
+from enum import Enum
+
+from aiohttp import web
+
+Handler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
+
+class Outage(Enum):
+    """Name the ways in which a stand-in can be out."""
+
+    REFUSE = "refuse"
+    """Answer 503."""
+    DROP = "drop"
+    """Close the connection without an answer."""
+    HANG = "hang"
+    """Accept the request and never answer."""
+
+
+class TokenBucket:
+    """Limit a rate; a rate of None does not limit."""
+
+    def __init__(self, *, per_second: float | None = None) -> None:
+        """Start with a full bucket, which holds one second's worth."""
+        self._per_second = per_second
+        self._tokens = per_second or 0.0
+        self._updated_seconds = time.monotonic()
+
+    @property
+    def per_second(self) -> float | None:
+        """Return the rate."""
+        return self._per_second
+
+    @per_second.setter
+    def per_second(self, value: float | None) -> None:
+        self._per_second = value
+        self._tokens = value or 0.0
+        self._updated_seconds = time.monotonic()
+
+    def take(self, amount: float = 1.0) -> float:
+        """Take tokens and return 0, or return the seconds until they are there."""
+        if self._per_second is None:
+            return 0.0
+        now = time.monotonic()
+        earned = (now - self._updated_seconds) * self._per_second
+        self._tokens = min(max(1.0, self._per_second), self._tokens + earned)
+        self._updated_seconds = now
+        if self._tokens >= amount:
+            self._tokens -= amount
+            return 0.0
+        return (amount - self._tokens) / self._per_second
+
+
+class Standin:
+    """Serve one of the platform's systems in-process."""
+
+    def __init__(self) -> None:
+        """Prepare a server that is not started."""
+        self.url = ""
+        self.outage: Outage | None = None
+        self.latency_seconds = 0.0
+        self._runner: web.AppRunner | None = None
+        self._transports: set[asyncio.Transport] = set()
+
+    async def start(self, host: str = "127.0.0.1", port: int = 0) -> str:
+        """Listen and return the URL; with port 0 the kernel chooses the port."""
+        application = web.Application(middlewares=[self._guard], client_max_size=1 << 30)
+        self._add_routes(application.router)
+        self._runner = web.AppRunner(
+            application, access_log=None, shutdown_timeout=0.05, handler_cancellation=True
+        )
+        await self._runner.setup()
+        await web.TCPSite(self._runner, host, port).start()
+        self.url = f"http://{host}:{self._runner.addresses[0][1]}"
+        return self.url
+
+    async def stop(self) -> None:
+        """Break the open connections and stop listening."""
+        self.break_connections()
+        if self._runner is not None:
+            await self._runner.cleanup()
+            self._runner = None
+
+    def break_connections(self) -> None:
+        """Reset every connection with a request in progress."""
+        for transport in list(self._transports):
+            transport.abort()
+
+    def _add_routes(self, router: web.UrlDispatcher) -> None:
+        raise NotImplementedError
+
+    @web.middleware
+    async def _guard(self, request: web.Request, handler: Handler) -> web.StreamResponse:
+        transport = request.transport
+        if transport is not None:
+            self._transports.add(transport)
+        try:
+            if self.latency_seconds:
+                await asyncio.sleep(self.latency_seconds)
+            if self.outage is Outage.REFUSE:
+                return web.Response(status=503, text="out of service")
+            if self.outage is Outage.DROP:
+                return drop(request)
+            if self.outage is Outage.HANG:
+                await asyncio.Event().wait()
+            return await handler(request)
+        finally:
+            if transport is not None:
+                self._transports.discard(transport)
+
+
+def drop(request: web.Request) -> web.Response:
+    """Reset the connection; the returned answer is never sent."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response(status=500)
+
+
+def too_many_requests(*, retry_after_seconds: float) -> web.Response:
+    """Answer 429 with the delay in seconds."""
+    return web.Response(
+        status=429, text="rate limit", headers={"Retry-After": f"{retry_after_seconds:.3f}"}
+    )
--- /dev/null
+++ b/egretrouter/standins/_object_api.py
@@ -0,0 +1,154 @@
+"""Stand in for the platform's object API."""
+
+import asyncio
+import base64
+import time
+from collections import Counter
+
+from aiohttp import web
+
+from egretrouter.standins._base import Standin, TokenBucket, drop, too_many_requests
+
+MAX_OBJECT_BYTES = 1024 * 1024
+MAX_WATCH_SECONDS = 60.0
+
+
+class ObjectApiStandin(Standin):
+    """Serve versioned objects with conditional updates and long-poll watches.
+
+    Versions come from one counter for the whole store, so an object that is deleted and
+    created again has a higher version than before.
+    """
+
+    def __init__(self) -> None:
+        """Start empty and without faults."""
+        super().__init__()
+        self.lose_answers = 0
+        """Number of next writes that take effect but whose connection is reset."""
+        self.stale_seconds = 0.0
+        """Age of the content that reads return."""
+        self.break_watches = False
+        """Reset the connection of every watch."""
+        self.write_rate = TokenBucket()
+        self.read_rate = TokenBucket()
+        self.calls: Counter[str] = Counter()
+        """Calls by kind: get, put, delete, list and watch; refused calls count too."""
+        self.waiting_watches = 0
+        self._revision = 0
+        self._objects: dict[str, tuple[int, bytes]] = {}
+        self._history: dict[str, list[tuple[float, tuple[int, bytes] | None]]] = {}
+        self._changed = asyncio.Condition()
+
+    def content(self, key: str) -> bytes | None:
+        """Return an object's content without counting a call."""
+        entry = self._objects.get(key)
+        return None if entry is None else entry[1]
+
+    def version(self, key: str) -> int:
+        """Return an object's version, 0 if it does not exist."""
+        return self._objects.get(key, (0, b""))[0]
+
+    def _add_routes(self, router: web.UrlDispatcher) -> None:
+        router.add_get("/objects", self._list)
+        router.add_get("/objects/{key:.+}", self._get)
+        router.add_put("/objects/{key:.+}", self._put)
+        router.add_delete("/objects/{key:.+}", self._delete)
+
+    async def _list(self, request: web.Request) -> web.StreamResponse:
+        self.calls["list"] += 1
+        if wait_seconds := self.read_rate.take():
+            return too_many_requests(retry_after_seconds=wait_seconds)
+        prefix = request.query.get("prefix", "")
+        entries = [
+            {"key": key, "version": entry[0], "content": base64.b64encode(entry[1]).decode()}
+            for key in sorted(self._history)
+            if key.startswith(prefix) and (entry := self._visible(key)) is not None
+        ]
+        return web.json_response({"objects": entries})
+
+    async def _get(self, request: web.Request) -> web.StreamResponse:
+        if "watch" in request.query:
+            return await self._watch(request)
+        self.calls["get"] += 1
+        if wait_seconds := self.read_rate.take():
+            return too_many_requests(retry_after_seconds=wait_seconds)
+        entry = self._visible(request.match_info["key"])
+        if entry is None:
+            return web.Response(status=404, text="no such object")
+        return web.Response(body=entry[1], headers={"ETag": f'"{entry[0]}"'})
+
+    async def _watch(self, request: web.Request) -> web.StreamResponse:
+        self.calls["watch"] += 1
+        if wait_seconds := self.read_rate.take():
+            return too_many_requests(retry_after_seconds=wait_seconds)
+        if self.break_watches:
+            return drop(request)
+        key = request.match_info["key"]
+        after_version = int(request.query["watch"])
+        wait_seconds = min(float(request.query.get("wait_seconds", "30")), MAX_WATCH_SECONDS)
+        self.waiting_watches += 1
+        try:
+            async with asyncio.timeout(wait_seconds), self._changed:
+                await self._changed.wait_for(lambda: self.version(key) > after_version)
+        except TimeoutError:
+            return web.Response(status=304)
+        finally:
+            self.waiting_watches -= 1
+        version, content = self._objects[key]
+        return web.Response(body=content, headers={"ETag": f'"{version}"'})
+
+    async def _put(self, request: web.Request) -> web.StreamResponse:
+        content = await request.read()
+        self.calls["put"] += 1
+        if len(content) > MAX_OBJECT_BYTES:
+            return web.Response(status=413, text=f"at most {MAX_OBJECT_BYTES} bytes")
+        if refusal := self._refusal(request):
+            return refusal
+        self._revision += 1
+        await self._store(request.match_info["key"], (self._revision, content))
+        if self._loses_answer():
+            return drop(request)
+        return web.Response(status=200, headers={"ETag": f'"{self._revision}"'})
+
+    async def _delete(self, request: web.Request) -> web.StreamResponse:
+        self.calls["delete"] += 1
+        if refusal := self._refusal(request):
+            return refusal
+        if request.match_info["key"] not in self._objects:
+            return web.Response(status=404, text="no such object")
+        await self._store(request.match_info["key"], None)
+        return drop(request) if self._loses_answer() else web.Response(status=204)
+
+    def _refusal(self, request: web.Request) -> web.Response | None:
+        if wait_seconds := self.write_rate.take():
+            return too_many_requests(retry_after_seconds=wait_seconds)
+        version = self.version(request.match_info["key"])
+        expected = request.headers.get("If-Match")
+        must_be_absent = request.headers.get("If-None-Match") == "*"
+        if (must_be_absent and version) or (expected is not None and expected != f'"{version}"'):
+            return web.Response(status=412, headers={"ETag": f'"{version}"'})
+        return None
+
+    def _loses_answer(self) -> bool:
+        if self.lose_answers <= 0:
+            return False
+        self.lose_answers -= 1
+        return True
+
+    def _visible(self, key: str) -> tuple[int, bytes] | None:
+        """Return the entry as reads see it, which may be stale."""
+        if not self.stale_seconds:
+            return self._objects.get(key)
+        horizon = time.monotonic() - self.stale_seconds
+        older = [entry for at, entry in self._history.get(key, []) if at <= horizon]
+        return older[-1] if older else None
+
+    async def _store(self, key: str, entry: tuple[int, bytes] | None) -> None:
+        if entry is None:
+            self._objects.pop(key, None)
+        else:
+            self._objects[key] = entry
+        # 64 earlier states per object bound the memory; stale reads look back seconds.
+        self._history[key] = [*self._history.get(key, [])[-63:], (time.monotonic(), entry)]
+        async with self._changed:
+            self._changed.notify_all()
--- /dev/null
+++ b/egretrouter/standins/_origin.py
@@ -0,0 +1,165 @@
+"""Stand in for the origin of weights and for the weight store."""
+
+import asyncio
+import random
+import re
+import time
+from collections import Counter
+
+from aiohttp import web
+
+from egretrouter.core.identifiers import ModelName, VersionName
+from egretrouter.core.weights import DEFAULT_CHUNK_BYTES, Manifest, build_manifest
+from egretrouter.standins._base import Standin, TokenBucket, too_many_requests
+
+SLICE_BYTES = 16 * 1024
+"""Bytes that one answer sends before the next answer's turn on the link."""
+
+
+class OriginStandin(Standin):
+    """Serve manifests and byte ranges of added versions over one rate-limited link."""
+
+    def __init__(self, *, link_bytes_per_second: float | None = None, seed: int = 0) -> None:
+        """Start without versions and faults; None does not limit the link."""
+        super().__init__()
+        self.link_bytes_per_second = link_bytes_per_second
+        self.request_rate = TokenBucket()
+        self.refuse_next = 0
+        """Number of next requests that are answered 429."""
+        self.retry_after_seconds = 1.0
+        self.corrupt_next = 0
+        """Number of next content answers with one damaged byte."""
+        self.corrupted_share = 0.0
+        """Share of further content answers with one damaged byte."""
+        self.stall_next = 0
+        """Number of next content answers that stop halfway until the client gives up."""
+        self.requests: Counter[str] = Counter()
+        """Requests by kind: manifest and content; refused requests count too."""
+        self.sent_bytes = 0
+        self.sent_bytes_by_second: Counter[int] = Counter()
+        """Bytes by whole second of the monotonic clock."""
+        self._random = random.Random(seed)
+        self._versions: dict[tuple[str, str], tuple[bytes, bytes]] = {}
+        self._link_free_seconds = 0.0
+
+    def add_version(
+        self,
+        model: str,
+        version: str,
+        content: bytes,
+        *,
+        chunk_bytes: int = DEFAULT_CHUNK_BYTES,
+    ) -> Manifest:
+        """Serve a version and return its manifest."""
+        manifest = build_manifest(
+            model=ModelName(model),
+            version=VersionName(version),
+            content=content,
+            chunk_bytes=chunk_bytes,
+        )
+        self._versions[model, version] = (manifest.to_json(), content)
+        return manifest
+
+    def change_content(self, model: str, version: str, content: bytes) -> None:
+        """Serve other content under the same name and the old manifest."""
+        self._versions[model, version] = (self._versions[model, version][0], content)
+
+    def _add_routes(self, router: web.UrlDispatcher) -> None:
+        router.add_get("/weights/{model}/{version}/manifest", self._manifest)
+        router.add_get("/weights/{model}/{version}/content", self._content)
+
+    async def _manifest(self, request: web.Request) -> web.StreamResponse:
+        self.requests["manifest"] += 1
+        found = self._found(request)
+        if isinstance(found, web.Response):
+            return found
+        return await self._send(request, found[0], status=200)
+
+    async def _content(self, request: web.Request) -> web.StreamResponse:
+        self.requests["content"] += 1
+        found = self._found(request)
+        if isinstance(found, web.Response):
+            return found
+        match = re.fullmatch(r"bytes=(\d+)-(\d+)", request.headers.get("Range", ""))
+        if match is None:
+            return web.Response(status=400, text="a Range header with first and last byte is due")
+        first, last = int(match[1]), int(match[2])
+        piece = found[1][first : last + 1]
+        if not piece:
+            return web.Response(status=416, text="range outside the content")
+        return await self._send(
+            request,
+            self._damaged(piece),
+            status=206,
+            headers={"Content-Range": f"bytes {first}-{last}/{len(found[1])}"},
+            may_stall=True,
+        )
+
+    def _found(self, request: web.Request) -> tuple[bytes, bytes] | web.Response:
+        if self.refuse_next > 0:
+            self.refuse_next -= 1
+            return too_many_requests(retry_after_seconds=self.retry_after_seconds)
+        if wait_seconds := self.request_rate.take():
+            return too_many_requests(retry_after_seconds=wait_seconds)
+        found = self._versions.get((request.match_info["model"], request.match_info["version"]))
+        return found or web.Response(status=404, text="no such version")
+
+    def _damaged(self, piece: bytes) -> bytes:
+        if self.corrupt_next > 0:
+            self.corrupt_next -= 1
+        elif not (self.corrupted_share and self._random.random() < self.corrupted_share):
+            return piece
+        position = self._random.randrange(len(piece))
+        return piece[:position] + bytes([piece[position] ^ 0xFF]) + piece[position + 1 :]
+
+    async def _send(
+        self,
+        request: web.Request,
+        content: bytes,
+        *,
+        status: int,
+        headers: dict[str, str] | None = None,
+        may_stall: bool = False,
+    ) -> web.StreamResponse:
+        stalls = may_stall and self.stall_next > 0
+        if stalls:
+            self.stall_next -= 1
+        response = web.StreamResponse(status=status, headers=headers)
+        response.content_length = len(content)
+        await response.prepare(request)
+        for start in range(0, len(content), SLICE_BYTES):
+            if stalls and start * 2 >= len(content):
+                await asyncio.Event().wait()
+            piece = content[start : start + SLICE_BYTES]
+            await self._wait_for_link(len(piece))
+            await response.write(piece)
+            self.sent_bytes += len(piece)
+            self.sent_bytes_by_second[int(time.monotonic())] += len(piece)
+            if stalls and len(content) <= SLICE_BYTES:
+                await asyncio.Event().wait()
+        await response.write_eof()
+        return response
+
+    async def _wait_for_link(self, length_bytes: int) -> None:
+        """Wait for this slice's turn on the link, which all answers share."""
+        if self.link_bytes_per_second is None:
+            return
+        now = time.monotonic()
+        self._link_free_seconds = max(now, self._link_free_seconds)
+        self._link_free_seconds += length_bytes / self.link_bytes_per_second
+        await asyncio.sleep(self._link_free_seconds - now)
+
+
+class WeightStoreStandin(OriginStandin):
+    """Serve the origin's protocol with a limited rate of requests."""
+
+    def __init__(
+        self,
+        *,
+        requests_per_second: float = 100.0,
+        link_bytes_per_second: float | None = None,
+        seed: int = 0,
+    ) -> None:
+        """Limit requests and, unless None, the link."""
+        super().__init__(link_bytes_per_second=link_bytes_per_second, seed=seed)
+        self.request_rate.per_second = requests_per_second
--- /dev/null
+++ b/tests/test_backends.py
@@ -0,0 +1,291 @@
+"""Test the HTTP clients against the stand-ins."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import aiohttp
+import pytest
+from helpers import wait_until
+
+from egretrouter.backends import (
+    HttpEngine,
+    HttpInstanceList,
+    HttpObjectStore,
+    HttpWeightSource,
+    InstanceState,
+)
+from egretrouter.backends._http import parse_retry_after
+from egretrouter.core.digests import content_digest
+from egretrouter.core.errors import (
+    BackendUnavailableError,
+    LostAnswerError,
+    MalformedAnswerError,
+    ObjectMissingError,
+    OrderError,
+    RateLimitedError,
+    StaleFencingNumberError,
+    ValidationError,
+    VersionConflictError,
+)
+from egretrouter.core.identifiers import ChunkIndex, EndpointId, ModelName, VersionName
+from egretrouter.standins import (
+    EngineStandin,
+    InstanceListStandin,
+    ObjectApiStandin,
+    OriginStandin,
+    Outage,
+)
+
+MODEL, VERSION = ModelName("cotacoes"), VersionName("v1")
+CONTENT = bytes(range(256)) * 400
+
+
+async def pieces(*contents: bytes) -> AsyncIterator[bytes]:
+    for content in contents:
+        yield content
+
+
+class TestHttpObjectStore:
+    """Guard against lost updates and against taking a lost answer for a refusal."""
+
+    @pytest.fixture
+    async def api(self) -> AsyncIterator[ObjectApiStandin]:
+        api = ObjectApiStandin()
+        await api.start()
+        yield api
+        await api.stop()
+
+    @pytest.fixture
+    def store(self, api: ObjectApiStandin, session: aiohttp.ClientSession) -> HttpObjectStore:
+        return HttpObjectStore(session, base_url=api.url, timeout_seconds=0.5, watch_seconds=0.05)
+
+    async def test_refuses_a_conditional_update_of_another_version(
+        self, store: HttpObjectStore
+    ) -> None:
+        version = await store.put("a/b", b"one", expected_version=0)
+        with pytest.raises(VersionConflictError) as caught:
+            await store.put("a/b", b"two", expected_version=0)
+        assert caught.value.actual_version == version
+        newer = await store.put("a/b", b"two", expected_version=version)
+        with pytest.raises(VersionConflictError):
+            await store.delete("a/b", expected_version=version)
+        assert [entry.version for entry in await store.list("a/")] == [newer]
+        await store.delete("a/b", expected_version=newer)
+        with pytest.raises(ObjectMissingError):
+            await store.get("a/b")
+
+    async def test_does_not_resend_a_write_whose_answer_was_lost(
+        self, api: ObjectApiStandin, store: HttpObjectStore
+    ) -> None:
+        await store.put("other", b"opens the connection that is reused")
+        api.lose_answers = 1
+        with pytest.raises(LostAnswerError):
+            await store.put("key", b"one", expected_version=0)
+        assert (await store.get("key")).content == b"one"
+        assert api.calls["put"] == 2
+
+    @pytest.mark.parametrize("outage", [Outage.DROP, Outage.HANG])
+    async def test_tells_a_read_without_answer_from_a_write_without_answer(
+        self, api: ObjectApiStandin, store: HttpObjectStore, outage: Outage
+    ) -> None:
+        api.outage = outage
+        with pytest.raises(LostAnswerError):
+            await store.put("key", b"one")
+        with pytest.raises(BackendUnavailableError):
+            await store.get("key")
+
+    async def test_knows_that_a_refused_write_had_no_effect(
+        self, api: ObjectApiStandin, store: HttpObjectStore
+    ) -> None:
+        port = int(api.url.rsplit(":", 1)[1])
+        await api.stop()
+        with pytest.raises(BackendUnavailableError):
+            await store.put("key", b"one")
+        await api.start(port=port)
+        api.outage = Outage.REFUSE
+        with pytest.raises(BackendUnavailableError):
+            await store.put("key", b"one")
+
+    async def test_reports_the_delay_of_a_rate_limit(
+        self, api: ObjectApiStandin, store: HttpObjectStore
+    ) -> None:
+        api.write_rate.per_second = 0.5
+        api.read_rate.per_second = 0.5
+        for call in (store.put("key", b""), store.get("key"), store.list("")):
+            with pytest.raises(RateLimitedError) as caught:
+                await call
+            assert 0 < caught.value.retry_after_seconds <= 2
+
+    async def test_watch_survives_its_polls_and_reports_a_break(
+        self, api: ObjectApiStandin, store: HttpObjectStore
+    ) -> None:
+        version = await store.put("key", b"one")
+        watch = store.watch("key", after_version=version)
+        seen = asyncio.ensure_future(anext(watch))
+        await wait_until(lambda: api.calls["watch"] >= 3)
+        await store.put("key", b"two")
+        assert (await seen).content == b"two"
+        api.break_watches = True
+        with pytest.raises(BackendUnavailableError):
+            await anext(watch)
+
+    async def test_returns_stale_content_with_its_own_version(
+        self, api: ObjectApiStandin, store: HttpObjectStore
+    ) -> None:
+        version = await store.put("key", b"one")
+        api.stale_seconds = 0.05
+        await asyncio.sleep(0.1)
+        await store.put("key", b"two")
+        assert (await store.get("key")).version == version
+
+    @pytest.mark.parametrize("key", ["", "a//b", "../a", "a/."])
+    async def test_refuses_a_key_that_names_another_path(
+        self, store: HttpObjectStore, key: str
+    ) -> None:
+        with pytest.raises(ValidationError, match="segment"):
+            await store.get(key)
+
+
+class TestHttpWeightSource:
+    """Guard against endless waits and oversized answers during a copy."""
+
+    @pytest.fixture
+    async def origin(self) -> AsyncIterator[OriginStandin]:
+        origin = OriginStandin()
+        await origin.start()
+        origin.add_version(MODEL, VERSION, CONTENT)
+        yield origin
+        await origin.stop()
+
+    @pytest.fixture
+    def source(self, origin: OriginStandin, session: aiohttp.ClientSession) -> HttpWeightSource:
+        return HttpWeightSource(session, base_url=origin.url, stall_seconds=0.1)
+
+    async def test_reads_byte_ranges(self, origin: OriginStandin, source: HttpWeightSource) -> None:
+        piece = await source.chunk(MODEL, VERSION, ChunkIndex(0), offset=100, length=500)
+        assert piece == CONTENT[100:600]
+        assert origin.sent_bytes == 500
+
+    async def test_ends_a_stalled_fetch(
+        self, origin: OriginStandin, source: HttpWeightSource
+    ) -> None:
+        origin.stall_next = 1
+        with pytest.raises(BackendUnavailableError):
+            await source.chunk(MODEL, VERSION, ChunkIndex(0), offset=0, length=len(CONTENT))
+        assert 0 < origin.sent_bytes < len(CONTENT)
+
+    async def test_maps_refusals(self, origin: OriginStandin, source: HttpWeightSource) -> None:
+        origin.refuse_next = 1
+        with pytest.raises(RateLimitedError):
+            await source.manifest(MODEL, VERSION)
+        with pytest.raises(ObjectMissingError):
+            await source.manifest(MODEL, VersionName("v2"))
+        with pytest.raises(MalformedAnswerError):
+            await source.chunk(MODEL, VERSION, ChunkIndex(9), offset=len(CONTENT), length=1)
+
+
+class TestHttpInstanceList:
+    """Guard against a list entry that is misread."""
+
+    async def test_reads_the_list(self, session: aiohttp.ClientSession) -> None:
+        platform = InstanceListStandin()
+        client = HttpInstanceList(session, base_url=await platform.start())
+        platform.add("i-1", zone="serra-z1", role="agent", address="127.0.0.1:1", state="leaving")
+        assert [entry.state for entry in await client.instances()] == [InstanceState.LEAVING]
+        platform.add("i-2", zone="serra-z1", role="agent", address="127.0.0.1:2", state="lost")
+        with pytest.raises(MalformedAnswerError, match="lost"):
+            await client.instances()
+        await platform.stop()
+
+
+class TestHttpEngine:
+    """Guard against orders that are taken for carried out when they were not."""
+
+    @pytest.fixture
+    async def standin(self) -> AsyncIterator[EngineStandin]:
+        standin = EngineStandin(checks_fencing=True, order_giver="agent-1")
+        await standin.start()
+        yield standin
+        await standin.stop()
+
+    @pytest.fixture
+    def engine(self, standin: EngineStandin, session: aiohttp.ClientSession) -> HttpEngine:
+        return HttpEngine(
+            session,
+            base_url=standin.url,
+            endpoint_id=EndpointId("e-1"),
+            order_giver="agent-1",
+            timeout_seconds=0.5,
+        )
+
+    async def load(
+        self, engine: HttpEngine, content: AsyncIterator[bytes], *, fencing_number: int = 5
+    ) -> None:
+        await engine.load(
+            model=MODEL,
+            version=VERSION,
+            manifest_digest=content_digest(b"manifest"),
+            weights_digest=content_digest(CONTENT),
+            content=content,
+            fencing_number=fencing_number,
+        )
+
+    async def test_loads_and_unloads(self, engine: HttpEngine) -> None:
+        await self.load(engine, pieces(CONTENT[:1000], CONTENT[1000:]))
+        report = await engine.report()
+        assert [entry.version for entry in report.loaded] == [VERSION]
+        assert report.fencing_number == 5
+        await engine.unload(model=MODEL, version=VERSION, fencing_number=5)
+        assert (await engine.report()).loaded == ()
+
+    async def test_reports_a_stale_fencing_number(self, engine: HttpEngine) -> None:
+        await self.load(engine, pieces(CONTENT), fencing_number=7)
+        with pytest.raises(StaleFencingNumberError):
+            await self.load(engine, pieces(CONTENT), fencing_number=6)
+
+    async def test_engine_refuses_mixed_content(self, engine: HttpEngine) -> None:
+        with pytest.raises(OrderError, match="digest_mismatch"):
+            await self.load(engine, pieces(CONTENT[:-1], b"x"))
+        assert (await engine.report()).loaded == ()
+
+    async def test_failing_content_keeps_its_own_error(self, engine: HttpEngine) -> None:
+        async def failing() -> AsyncIterator[bytes]:
+            yield CONTENT[:1000]
+            raise LookupError("chunk 1 was evicted")
+
+        with pytest.raises(LookupError, match="evicted"):
+            await self.load(engine, failing())
+        assert (await engine.report()).loaded == ()
+
+    async def test_refused_order_giver(
+        self, engine: HttpEngine, standin: EngineStandin, session: aiohttp.ClientSession
+    ) -> None:
+        stranger = HttpEngine(session, base_url=standin.url, endpoint_id=EndpointId("e-1"))
+        with pytest.raises(OrderError, match="order_giver"):
+            await stranger.unload(model=MODEL, version=VERSION, fencing_number=1)
+
+    async def test_an_order_without_answer_is_not_a_refusal(
+        self, engine: HttpEngine, standin: EngineStandin
+    ) -> None:
+        standin.outage = Outage.HANG
+        with pytest.raises(LostAnswerError):
+            await engine.unload(model=MODEL, version=VERSION, fencing_number=1)
+
+
+class TestParseRetryAfter:
+    """Guard against a header that stops or crashes a client."""
+
+    @pytest.mark.parametrize(
+        ("value", "seconds"),
+        [
+            ("2.5", 2.5),
+            ("-1", 0.0),
+            ("nan", 1.0),
+            ("inf", 3600.0),
+            ("soon", 1.0),
+            (None, 1.0),
+            ("Thu, 01 Jan 1970 00:00:00 GMT", 0.0),
+        ],
+    )
+    def test_bounds_the_delay(self, value: str | None, seconds: float) -> None:
+        assert parse_retry_after(value) == seconds
