Add the choice of endpoint for each call

Cause: routers need a pure decision that picks an endpoint from late and missing reports. Change: EndpointSelector scores a few candidates by estimated wait (aged report, own calls, likely calls of other routers, prefill not in the prefix cache, distance), with slow start, outlier ejection down to a floor, version and adapter pins, and typed refusals. Conclusion: the interface is usable by the daemons; the parameters are not tuned yet.

--- /dev/null
+++ b/egretrouter/core/routing/_load.py
@@ -0,0 +1,94 @@
+"""Estimate an endpoint's backlog from late reports and own calls."""
+
+import math
+from collections import deque
+
+from egretrouter.core.routing._messages import SelectorSettings
+
+RECENT_CALLS_LIMIT = 64
+LEARNING_SHARE = 0.1
+QUICK_SHARE = 0.35
+
+
+class LoadEstimate:
+    """Estimate the wait before a new call's prefill starts, in seconds.
+
+    The level is the last known backlog. It comes from load reports and from the wait that own
+    calls saw, whichever is fresher, and loses its weight with age against the long-run mean.
+    """
+
+    def __init__(self, settings: SelectorSettings) -> None:
+        """Start with an empty backlog and initial service times."""
+        self._settings = settings
+        self.service_seconds = settings.initial_service_seconds
+        self.token_seconds = settings.initial_token_seconds
+        self.mean_seconds = 0.0
+        self.level_seconds = 0.0
+        self.level_at_seconds = -math.inf
+        self.report_at_seconds: float | None = None
+        self._finished: tuple[float, int, int] | None = None
+        self._recent: deque[tuple[float, float]] = deque(maxlen=RECENT_CALLS_LIMIT)
+
+    def report(
+        self, *, queued_calls: int, finished_calls_total: int | None, measured_at_seconds: float
+    ) -> None:
+        """Take in a load report; one that is older than the last is ignored."""
+        if self.report_at_seconds is not None and measured_at_seconds <= self.report_at_seconds:
+            return
+        self.report_at_seconds = measured_at_seconds
+        if finished_calls_total is not None:
+            self._learn_service(queued_calls, finished_calls_total, measured_at_seconds)
+        self._observe(queued_calls * self.service_seconds, measured_at_seconds, weight=1.0)
+
+    def call_sent(self, *, work_seconds: float, now_seconds: float) -> None:
+        """Count an own call with the prefill work that it brings."""
+        self._recent.append((now_seconds, work_seconds))
+
+    def first_token(
+        self, *, wait_seconds: float, uncached_tokens: int, sent_at_seconds: float
+    ) -> None:
+        """Learn from the wait that an own call saw between sending and first token."""
+        if uncached_tokens > 0:
+            sample = wait_seconds / uncached_tokens
+            # A wait also holds queueing, so the estimate follows low samples faster than high ones.
+            share = QUICK_SHARE if sample < self.token_seconds else 0.01
+            self.token_seconds += share * (sample - self.token_seconds)
+            work = uncached_tokens * self.token_seconds
+            self.service_seconds += LEARNING_SHARE * 0.2 * (work - self.service_seconds)
+        queueing = max(0.0, wait_seconds - uncached_tokens * self.token_seconds)
+        self._observe(queueing, sent_at_seconds, weight=0.7)
+
+    def backlog_seconds(self, *, routers: int, now_seconds: float) -> float:
+        """Return the estimated wait before the prefill of a call sent now."""
+        settings = self._settings
+        level = self._aged_level(now_seconds)
+        pressure = 0.0
+        for sent_at, work in self._recent:
+            age = now_seconds - sent_at
+            if sent_at > self.level_at_seconds:
+                pressure += work * math.exp(-age / settings.own_memory_seconds)
+        return level + pressure * (1.0 + settings.others_weight * (routers - 1))
+
+    def _aged_level(self, now_seconds: float) -> float:
+        if self.level_at_seconds == -math.inf:
+            return self.mean_seconds
+        age = max(0.0, now_seconds - self.level_at_seconds)
+        share = math.exp(-age / self._settings.report_memory_seconds)
+        return self.mean_seconds + (self.level_seconds - self.mean_seconds) * share
+
+    def _observe(self, level_seconds: float, at_seconds: float, *, weight: float) -> None:
+        self.mean_seconds += LEARNING_SHARE * (level_seconds - self.mean_seconds)
+        if at_seconds < self.level_at_seconds:
+            return
+        predicted = self._aged_level(at_seconds)
+        self.level_seconds = predicted + weight * (level_seconds - predicted)
+        self.level_at_seconds = at_seconds
+
+    def _learn_service(self, queued_calls: int, finished: int, at_seconds: float) -> None:
+        last = self._finished
+        self._finished = (at_seconds, queued_calls, finished)
+        if last is None or finished <= last[2] or min(queued_calls, last[1]) < 1:
+            return
+        # Between two reports with a queue the endpoint was busy, so its pace is its capacity.
+        sample = (at_seconds - last[0]) / (finished - last[2])
+        self.service_seconds += QUICK_SHARE * (sample - self.service_seconds)
--- /dev/null
+++ b/egretrouter/core/routing/_selector.py
@@ -0,0 +1,359 @@
+"""Choose the endpoint of each call."""
+
+import math
+import random
+from functools import singledispatchmethod
+
+import msgspec
+
+from egretrouter.core.identifiers import CallId, EndpointId, RegionId, ZoneId
+from egretrouter.core.routing._load import LoadEstimate
+from egretrouter.core.routing._messages import (
+    CacheEvent,
+    CallEnded,
+    CallFailed,
+    CallSent,
+    Choice,
+    EndpointEjected,
+    EndpointGone,
+    EndpointSeen,
+    EndpointState,
+    FirstTokenSeen,
+    LoadReported,
+    Refusal,
+    RefusalReason,
+    RouteRequest,
+    RoutersCounted,
+    RoutingMessage,
+    SelectorSettings,
+)
+from egretrouter.core.routing._outliers import OutlierDetector
+from egretrouter.core.routing._pools import Pool, Pools
+from egretrouter.core.routing._prefix_index import PrefixIndex
+
+LINK_WINDOW_SECONDS = 1.0
+SLOW_START_FLOOR = 0.1
+NO_ENDPOINT_RETRY_SECONDS = 1.0
+SECOND_LOOK_CANDIDATES = 32
+
+
+class _OpenCall:
+    __slots__ = ("endpoint_id", "prompt_tokens", "sent_at_seconds", "uncached_tokens", "waiting")
+
+    def __init__(self, sent: CallSent, *, uncached_tokens: int, now_seconds: float) -> None:
+        self.endpoint_id = sent.endpoint_id
+        self.prompt_tokens = sent.prompt_tokens
+        self.sent_at_seconds = now_seconds
+        self.uncached_tokens = uncached_tokens
+        self.waiting = True
+
+
+class _Scored(msgspec.Struct, frozen=True, kw_only=True):
+    endpoint: EndpointSeen
+    cost_seconds: float
+    wait_seconds: float
+    cached_tokens: int
+
+
+class EndpointSelector:
+    """Choose endpoints by estimated wait among a few candidates.
+
+    A request is pinned to endpoints that loaded the wanted version and adapter. Candidates are
+    the holders of its prefix, the places that all routers give to a new prefix, and a few random
+    endpoints. Random candidates and the estimate of other routers' calls keep routers with
+    the same old reports from sending to the same endpoint.
+    """
+
+    def __init__(
+        self,
+        *,
+        zone: ZoneId,
+        region: RegionId,
+        random_generator: random.Random,
+        settings: SelectorSettings | None = None,
+    ) -> None:
+        """Start without endpoints."""
+        self._zone = zone
+        self._region = region
+        self._random = random_generator
+        self._settings = settings or SelectorSettings()
+        self._pools = Pools(zone=zone)
+        self._index = PrefixIndex(limit_entries=self._settings.index_entries)
+        self._outliers = OutlierDetector(self._settings)
+        self._loads: dict[EndpointId, LoadEstimate] = {}
+        self._started: dict[EndpointId, float] = {}
+        self._calls: dict[CallId, _OpenCall] = {}
+        self._routers = 1
+        self._link_bytes = 0.0
+        self._link_at_seconds = 0.0
+
+    @singledispatchmethod
+    def handle(self, message: RoutingMessage, *, now_seconds: float) -> list[EndpointEjected]:
+        """Take in one message; a message about an unknown endpoint or call is ignored."""
+        raise TypeError(f"{type(message).__name__} is no message of EndpointSelector")
+
+    @handle.register
+    def _(self, message: EndpointSeen, *, now_seconds: float) -> list[EndpointEjected]:
+        known = self._pools.endpoints.get(message.endpoint_id)
+        if known is None:
+            self._loads[message.endpoint_id] = LoadEstimate(self._settings)
+            self._index.add_endpoint(message.endpoint_id)
+        if known is not None and known.version_digests != message.version_digests:
+            self._index.clear(message.endpoint_id)
+        if message.loaded_age_seconds is not None:
+            self._started[message.endpoint_id] = now_seconds - message.loaded_age_seconds
+        elif known is not None and message.version_digests - known.version_digests:
+            self._started[message.endpoint_id] = now_seconds
+        self._pools.put(message)
+        return []
+
+    @handle.register
+    def _(self, message: EndpointGone, *, now_seconds: float) -> list[EndpointEjected]:
+        self._pools.remove(message.endpoint_id)
+        self._index.forget(message.endpoint_id)
+        self._outliers.forget(message.endpoint_id)
+        self._loads.pop(message.endpoint_id, None)
+        self._started.pop(message.endpoint_id, None)
+        return []
+
+    @handle.register
+    def _(self, message: LoadReported, *, now_seconds: float) -> list[EndpointEjected]:
+        load = self._loads.get(message.endpoint_id)
+        if load is not None:
+            load.report(
+                queued_calls=message.queued_calls,
+                finished_calls_total=message.finished_calls_total,
+                measured_at_seconds=now_seconds - max(0.0, message.age_seconds),
+            )
+        return []
+
+    @handle.register
+    def _(self, message: CacheEvent, *, now_seconds: float) -> list[EndpointEjected]:
+        self._index.apply_event(
+            message.endpoint_id,
+            sequence=message.sequence,
+            stored=message.stored,
+            evicted=message.evicted,
+            cleared=message.cleared,
+        )
+        return []
+
+    @handle.register
+    def _(self, message: RoutersCounted, *, now_seconds: float) -> list[EndpointEjected]:
+        self._routers = max(1, message.routers)
+        return []
+
+    @handle.register
+    def _(self, message: CallSent, *, now_seconds: float) -> list[EndpointEjected]:
+        endpoint = self._pools.endpoints.get(message.endpoint_id)
+        if endpoint is None:
+            return []
+        cached = self._cached_tokens(
+            message.endpoint_id, message.prompt_blocks, message.prompt_tokens
+        )
+        uncached = message.prompt_tokens - cached
+        load = self._loads[message.endpoint_id]
+        work = uncached * load.token_seconds if message.prompt_tokens else load.service_seconds
+        load.call_sent(work_seconds=work, now_seconds=now_seconds)
+        self._index.store(message.endpoint_id, message.prompt_blocks)
+        self._calls[message.call_id] = _OpenCall(
+            message, uncached_tokens=uncached, now_seconds=now_seconds
+        )
+        if endpoint.region != self._region:
+            self._link_bytes = self._recent_link_bytes(now_seconds) + message.request_bytes
+            self._link_at_seconds = now_seconds
+        return []
+
+    @handle.register
+    def _(self, message: FirstTokenSeen, *, now_seconds: float) -> list[EndpointEjected]:
+        call = self._calls.get(message.call_id)
+        if call is None or not call.waiting:
+            return []
+        call.waiting = False
+        load = self._loads.get(call.endpoint_id)
+        if load is None:
+            return []
+        uncached = call.uncached_tokens
+        if message.cached_tokens is not None:
+            uncached = max(0, call.prompt_tokens - message.cached_tokens)
+        load.first_token(
+            wait_seconds=now_seconds - call.sent_at_seconds,
+            uncached_tokens=uncached,
+            sent_at_seconds=call.sent_at_seconds,
+        )
+        return []
+
+    @handle.register
+    def _(self, message: CallEnded, *, now_seconds: float) -> list[EndpointEjected]:
+        call = self._calls.pop(message.call_id, None)
+        if call is not None:
+            self._outliers.succeeded(call.endpoint_id, now_seconds=now_seconds)
+        return []
+
+    @handle.register
+    def _(self, message: CallFailed, *, now_seconds: float) -> list[EndpointEjected]:
+        call = self._calls.pop(message.call_id, None)
+        endpoint = self._pools.endpoints.get(call.endpoint_id) if call is not None else None
+        if endpoint is None:
+            return []
+        until = self._outliers.failed(
+            endpoint.endpoint_id,
+            pool=self._pools.service_members(endpoint.service),
+            now_seconds=now_seconds,
+        )
+        if until is None:
+            return []
+        # Whatever ended the calls may have ended the cache as well.
+        self._index.clear(endpoint.endpoint_id)
+        return [EndpointEjected(endpoint_id=endpoint.endpoint_id, until_seconds=until)]
+
+    def choose(self, request: RouteRequest, *, now_seconds: float) -> Choice | Refusal:
+        """Choose the endpoint with the least estimated wait among the candidates."""
+        pool = self._pools.pool(request)
+        if not pool.endpoints:
+            return Refusal(
+                reason=self._pools.explain(request), retry_after_seconds=NO_ENDPOINT_RETRY_SECONDS
+            )
+        best = self._best(self._candidates(pool, request, now_seconds), request, now_seconds)
+        deadline = request.deadline_seconds
+        if best is None or (deadline is not None and best.wait_seconds > deadline):
+            best = self._best(self._second_look(pool, request), request, now_seconds)
+        if best is None:
+            return Refusal(
+                reason=RefusalReason.ALL_EXCLUDED, retry_after_seconds=NO_ENDPOINT_RETRY_SECONDS
+            )
+        if deadline is not None and best.wait_seconds > deadline:
+            return Refusal(
+                reason=RefusalReason.OVERLOADED,
+                retry_after_seconds=best.wait_seconds - deadline,
+            )
+        return Choice(
+            endpoint_id=best.endpoint.endpoint_id,
+            address=best.endpoint.address,
+            estimated_wait_seconds=best.wait_seconds,
+            cached_tokens=best.cached_tokens,
+            other_zone=best.endpoint.zone != self._zone,
+        )
+
+    def state(self, endpoint_id: EndpointId, *, now_seconds: float) -> EndpointState:
+        """Return an endpoint's state in this router's view."""
+        if self._pools.endpoints[endpoint_id].draining:
+            return EndpointState.DRAINING
+        if self._outliers.is_ejected(endpoint_id, now_seconds=now_seconds):
+            return EndpointState.EJECTED
+        if self._slow_start_share(endpoint_id, now_seconds) < 1.0:
+            return EndpointState.SLOW_START
+        return EndpointState.READY
+
+    def snapshot(self, *, now_seconds: float) -> dict[str, object]:
+        """Return the view for the state dump."""
+        return {
+            "routers": self._routers,
+            "open_calls": len(self._calls),
+            "index_entries": len(self._index),
+            "index_gaps": self._index.gaps,
+            "endpoints": {
+                endpoint_id: {
+                    "state": self.state(endpoint_id, now_seconds=now_seconds).value,
+                    "zone": self._pools.endpoints[endpoint_id].zone,
+                    "backlog_seconds": load.backlog_seconds(
+                        routers=self._routers, now_seconds=now_seconds
+                    ),
+                    "service_seconds": load.service_seconds,
+                    "report_age_seconds": None
+                    if load.report_at_seconds is None
+                    else now_seconds - load.report_at_seconds,
+                }
+                for endpoint_id, load in self._loads.items()
+            },
+        }
+
+    def _candidates(
+        self, pool: Pool, request: RouteRequest, now_seconds: float
+    ) -> list[EndpointId]:
+        settings = self._settings
+        found: dict[EndpointId, None] = {}
+        if request.prompt_blocks:
+            holders = self._index.longest_holders(
+                request.prompt_blocks, limit=settings.holder_candidates
+            )
+            found.update(dict.fromkeys(h for h in holders if h in pool.endpoints))
+            ring = pool.local_ring if pool.local else pool.whole_ring
+            places = ring.place(request.prompt_blocks[-1], limit=settings.affinity_candidates)
+            found.update(dict.fromkeys(places))
+        for group in (pool.local, pool.remote):
+            count = min(settings.random_candidates, len(group))
+            found.update(dict.fromkeys(self._random.sample(group, count)))
+        usable = [e for e in found if self._is_usable(e, request, now_seconds)]
+        warm = [e for e in usable if self._passes_slow_start(e, now_seconds)]
+        return warm or usable
+
+    def _second_look(self, pool: Pool, request: RouteRequest) -> list[EndpointId]:
+        # Ejected endpoints count here: a probable failure is better than a certain refusal.
+        left = [e for e in pool.endpoints if e not in request.excluded]
+        if len(left) > SECOND_LOOK_CANDIDATES:
+            left = self._random.sample(left, SECOND_LOOK_CANDIDATES)
+        return left
+
+    def _is_usable(self, endpoint_id: EndpointId, request: RouteRequest, now: float) -> bool:
+        return endpoint_id not in request.excluded and not self._outliers.is_ejected(
+            endpoint_id, now_seconds=now
+        )
+
+    def _slow_start_share(self, endpoint_id: EndpointId, now_seconds: float) -> float:
+        started = self._started.get(endpoint_id)
+        if started is None:
+            return 1.0
+        share = (now_seconds - started) / self._settings.slow_start_seconds
+        return min(1.0, max(SLOW_START_FLOOR, share))
+
+    def _passes_slow_start(self, endpoint_id: EndpointId, now_seconds: float) -> bool:
+        share = self._slow_start_share(endpoint_id, now_seconds)
+        return share >= 1.0 or self._random.random() < share
+
+    def _best(
+        self, candidates: list[EndpointId], request: RouteRequest, now_seconds: float
+    ) -> _Scored | None:
+        scored = [self._score(e, request, now_seconds) for e in candidates]
+        return min(scored, key=lambda s: s.cost_seconds, default=None)
+
+    def _score(self, endpoint_id: EndpointId, request: RouteRequest, now_seconds: float) -> _Scored:
+        endpoint = self._pools.endpoints[endpoint_id]
+        load = self._loads[endpoint_id]
+        cached = self._cached_tokens(endpoint_id, request.prompt_blocks, request.prompt_tokens)
+        prefill = (request.prompt_tokens - cached) * load.token_seconds
+        backlog = load.backlog_seconds(routers=self._routers, now_seconds=now_seconds)
+        distance = self._distance_seconds(endpoint, request, now_seconds)
+        wait = backlog + prefill + distance
+        margin = self._settings.spill_margin_seconds if endpoint.zone != self._zone else 0.0
+        return _Scored(
+            endpoint=endpoint,
+            wait_seconds=wait,
+            cost_seconds=wait + margin + self._settings.cached_work_weight * prefill,
+            cached_tokens=cached,
+        )
+
+    def _distance_seconds(
+        self, endpoint: EndpointSeen, request: RouteRequest, now_seconds: float
+    ) -> float:
+        if endpoint.zone == self._zone:
+            return 0.0
+        if endpoint.region == self._region:
+            return self._settings.zone_round_trip_seconds
+        rate = self._settings.region_link_bytes_per_second
+        used = self._recent_link_bytes(now_seconds) / (rate * LINK_WINDOW_SECONDS)
+        transfer = request.request_bytes / rate
+        # Waiting for a link grows without bound as it fills up; 0.02 keeps the value finite.
+        return self._settings.region_round_trip_seconds + transfer / max(0.02, 1.0 - used)
+
+    def _recent_link_bytes(self, now_seconds: float) -> float:
+        age = max(0.0, now_seconds - self._link_at_seconds)
+        return self._link_bytes * math.exp(-age / LINK_WINDOW_SECONDS)
+
+    def _cached_tokens(
+        self, endpoint_id: EndpointId, blocks: tuple[int, ...], prompt_tokens: int
+    ) -> int:
+        if not blocks:
+            return 0
+        matched = self._index.matched_blocks(endpoint_id, blocks)
+        return min(prompt_tokens, matched * self._settings.block_tokens)
