Add workspace limits, fair queueing, budgets and the circuit breaker

Cause: routers need bounded, fair admission, and retries that cause no storm. Change: Admission combines each router's share of the workspace limits, a weighted fair queue with deadlines and early refusal, and adaptive concurrency. RetryBudget, HedgingBudget, Backoff and CircuitBreaker stand alone. Conclusion: limits are usable by the daemons; goodput past saturation is not measured yet.

--- a/egretrouter/core/limits/__init__.py
+++ b/egretrouter/core/limits/__init__.py
@@ -1,1 +1,52 @@
-"""Hold the limits part of egretrouter."""
+"""Offer workspace limits, fair queueing, budgets and the circuit breaker."""
+
+from egretrouter.core.limits._admission import Admission
+from egretrouter.core.limits._budgets import (
+    Backoff,
+    CircuitBreaker,
+    CircuitState,
+    HedgingBudget,
+    RetryBudget,
+)
+from egretrouter.core.limits._concurrency import AdaptiveConcurrency
+from egretrouter.core.limits._fair_queue import FairQueue
+from egretrouter.core.limits._messages import (
+    CallArrived,
+    CallReleased,
+    CallStartedAnswer,
+    LimitReason,
+    LimitsChanged,
+    LimitsCommand,
+    LimitsMessage,
+    LimitsTick,
+    LiveRoutersCounted,
+    RefuseCall,
+    StartCall,
+    WorkspaceLimits,
+)
+from egretrouter.core.limits._workspaces import TokenBucket, WorkspaceLimiter
+
+__all__ = [
+    "AdaptiveConcurrency",
+    "Admission",
+    "Backoff",
+    "CallArrived",
+    "CallReleased",
+    "CallStartedAnswer",
+    "CircuitBreaker",
+    "CircuitState",
+    "FairQueue",
+    "HedgingBudget",
+    "LimitReason",
+    "LimitsChanged",
+    "LimitsCommand",
+    "LimitsMessage",
+    "LimitsTick",
+    "LiveRoutersCounted",
+    "RefuseCall",
+    "RetryBudget",
+    "StartCall",
+    "TokenBucket",
+    "WorkspaceLimiter",
+    "WorkspaceLimits",
+]
--- /dev/null
+++ b/egretrouter/core/limits/_admission.py
@@ -0,0 +1,141 @@
+"""Admit calls within limits, fairly and only as fast as the endpoints can take them."""
+
+from functools import singledispatchmethod
+
+from egretrouter.core.identifiers import CallId, WorkspaceId
+from egretrouter.core.limits._concurrency import AdaptiveConcurrency
+from egretrouter.core.limits._fair_queue import FairQueue
+from egretrouter.core.limits._messages import (
+    CallArrived,
+    CallReleased,
+    CallStartedAnswer,
+    LimitReason,
+    LimitsChanged,
+    LimitsCommand,
+    LimitsMessage,
+    LimitsTick,
+    LiveRoutersCounted,
+    RefuseCall,
+    StartCall,
+)
+from egretrouter.core.limits._workspaces import WorkspaceLimiter
+
+
+class _Admitted:
+    __slots__ = ("running", "tokens", "workspace_id")
+
+    def __init__(self, workspace_id: WorkspaceId, tokens: int) -> None:
+        self.workspace_id = workspace_id
+        self.tokens = tokens
+        self.running = False
+
+
+class Admission:
+    """Decide for each call of one service whether it starts, waits or is refused."""
+
+    def __init__(
+        self, *, queue_limit_calls: int = 256, concurrency: AdaptiveConcurrency | None = None
+    ) -> None:
+        """Start without workspaces; calls are refused until limits are in force."""
+        self._limiter = WorkspaceLimiter()
+        self._queue = FairQueue(limit_calls=queue_limit_calls)
+        self._concurrency = concurrency or AdaptiveConcurrency()
+        self._calls: dict[CallId, _Admitted] = {}
+
+    @singledispatchmethod
+    def handle(self, message: LimitsMessage, *, now_seconds: float) -> list[LimitsCommand]:
+        """Take in one message and return the calls to start or refuse."""
+        raise TypeError(f"{type(message).__name__} is no message of Admission")
+
+    @handle.register
+    def _(self, message: LimitsChanged, *, now_seconds: float) -> list[LimitsCommand]:
+        self._limiter.change_limits(message.workspaces, now_seconds=now_seconds)
+        return []
+
+    @handle.register
+    def _(self, message: LiveRoutersCounted, *, now_seconds: float) -> list[LimitsCommand]:
+        self._limiter.count_routers(message.routers, now_seconds=now_seconds)
+        return []
+
+    @handle.register
+    def _(self, message: CallArrived, *, now_seconds: float) -> list[LimitsCommand]:
+        if message.call_id in self._calls:
+            return []
+        refusal = self._limiter.admit(
+            message.workspace_id, tokens=message.tokens, now_seconds=now_seconds
+        )
+        if refusal is not None:
+            return [_refuse(message.call_id, *refusal)]
+        self._calls[message.call_id] = _Admitted(message.workspace_id, message.tokens)
+        result = self._queue.offer(
+            message.call_id,
+            message.workspace_id,
+            weight=self._limiter.weight(message.workspace_id),
+            priority=message.priority,
+            deadline_at_seconds=now_seconds + message.deadline_seconds,
+            now_seconds=now_seconds,
+        )
+        commands: list[LimitsCommand] = []
+        if isinstance(result, tuple):
+            self._release(message.call_id)
+            commands.append(_refuse(message.call_id, *result))
+        elif result is not None:
+            self._release(result)
+            wait = self._queue.estimated_wait_seconds(message.workspace_id, weight=1)
+            commands.append(_refuse(result, LimitReason.QUEUE_FULL, wait))
+        return commands + self._start(now_seconds)
+
+    @handle.register
+    def _(self, message: CallStartedAnswer, *, now_seconds: float) -> list[LimitsCommand]:
+        self._concurrency.first_token_seen(
+            wait_seconds=message.wait_seconds, now_seconds=now_seconds
+        )
+        return self._start(now_seconds)
+
+    @handle.register
+    def _(self, message: CallReleased, *, now_seconds: float) -> list[LimitsCommand]:
+        call = self._calls.get(message.call_id)
+        if call is None:
+            return []
+        self._queue.remove(message.call_id)
+        if call.running:
+            self._concurrency.ended(overloaded=message.overloaded, now_seconds=now_seconds)
+        self._release(message.call_id, used_tokens=message.tokens if call.running else 0)
+        return self._start(now_seconds)
+
+    @handle.register
+    def _(self, message: LimitsTick, *, now_seconds: float) -> list[LimitsCommand]:
+        return self._start(now_seconds)
+
+    def snapshot(self) -> dict[str, object]:
+        """Return limits, queue and concurrency for the state dump."""
+        return {
+            "limits": self._limiter.snapshot(),
+            "queue": self._queue.snapshot(),
+            "concurrency": self._concurrency.snapshot(),
+        }
+
+    def _start(self, now_seconds: float) -> list[LimitsCommand]:
+        commands: list[LimitsCommand] = []
+        for call_id in self._queue.expire(now_seconds=now_seconds):
+            call = self._calls[call_id]
+            wait = self._queue.estimated_wait_seconds(call.workspace_id, weight=1)
+            self._release(call_id)
+            commands.append(_refuse(call_id, LimitReason.DEADLINE, wait))
+        while len(self._queue) and self._concurrency.has_room():
+            next_id = self._queue.take(now_seconds=now_seconds)
+            if next_id is None:
+                break
+            self._calls[next_id].running = True
+            self._concurrency.started()
+            commands.append(StartCall(call_id=next_id))
+        return commands
+
+    def _release(self, call_id: CallId, *, used_tokens: int | None = 0) -> None:
+        call = self._calls.pop(call_id)
+        used = call.tokens if used_tokens is None else used_tokens
+        self._limiter.release(call.workspace_id, unused_tokens=call.tokens - used)
+
+
+def _refuse(call_id: CallId, reason: LimitReason, retry_after_seconds: float) -> RefuseCall:
+    return RefuseCall(call_id=call_id, reason=reason, retry_after_seconds=retry_after_seconds)
--- /dev/null
+++ b/egretrouter/core/limits/_budgets.py
@@ -0,0 +1,160 @@
+"""Bound retries and hedges, and space them out."""
+
+import random
+from enum import Enum
+
+BUDGET_LIMIT = 20.0
+WAIT_STEP_SHARE = 0.05
+
+
+class _ShareBudget:
+    """Allow extra calls as a share of the calls made, in a bounded token bucket."""
+
+    def __init__(self, *, share: float) -> None:
+        self._share = share
+        # An empty start keeps the share exact from the first call on.
+        self._tokens = 0.0
+
+    def call_made(self) -> None:
+        """Earn a part of an extra call from a caller's call."""
+        self._tokens = min(BUDGET_LIMIT, self._tokens + self._share)
+
+    def try_spend(self) -> bool:
+        """Take one extra call from the budget, if there is one."""
+        # 1e-9 absorbs the rounding error of adding the share up.
+        if self._tokens < 1.0 - 1e-9:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def snapshot(self) -> dict[str, object]:
+        """Return the budget for the state dump."""
+        return {"share": self._share, "tokens": self._tokens}
+
+
+class RetryBudget(_ShareBudget):
+    """Allow retries up to a tenth of the calls, so that an outage causes no retry storm."""
+
+    def __init__(self, *, share: float = 0.1) -> None:
+        """Start without retries; every call earns a part of one."""
+        super().__init__(share=share)
+
+
+class HedgingBudget(_ShareBudget):
+    """Allow hedges of idempotent calls that wait longer than most."""
+
+    def __init__(
+        self, *, share: float = 0.05, quantile: float = 0.95, initial_delay_seconds: float = 1.0
+    ) -> None:
+        """Start without hedges; every call earns a part of one."""
+        super().__init__(share=share)
+        self._quantile = quantile
+        self.delay_seconds = initial_delay_seconds
+        """Wait for a first token after which a hedge is worth its cost."""
+
+    def first_token_seen(self, *, wait_seconds: float) -> None:
+        """Move the delay towards the wait's quantile."""
+        # Steps in the ratio quantile : 1 - quantile balance at the quantile itself.
+        step = WAIT_STEP_SHARE * self.delay_seconds
+        if wait_seconds > self.delay_seconds:
+            self.delay_seconds += step * self._quantile
+        else:
+            self.delay_seconds -= step * (1.0 - self._quantile)
+        self.delay_seconds = max(0.001, self.delay_seconds)
+
+
+class Backoff:
+    """Choose jittered delays that grow with the attempt."""
+
+    def __init__(
+        self,
+        random_generator: random.Random,
+        *,
+        base_seconds: float = 0.05,
+        limit_seconds: float = 5.0,
+    ) -> None:
+        """Keep the bounds."""
+        self._random = random_generator
+        self._base_seconds = base_seconds
+        self._limit_seconds = limit_seconds
+
+    def delay_seconds(self, attempt: int, *, retry_after_seconds: float = 0.0) -> float:
+        """Return the delay before a retry; attempt 0 is the first retry.
+
+        The jitter covers the whole range, because callers that failed together must not
+        return together. What the other side asked for is a lower bound.
+        """
+        ceiling = min(self._limit_seconds, self._base_seconds * 2.0 ** min(attempt, 30))
+        return retry_after_seconds + self._random.uniform(0.0, ceiling)
+
+
+class CircuitState(Enum):
+    """Name the states of a circuit breaker."""
+
+    CLOSED = "closed"
+    OPEN = "open"
+    HALF_OPEN = "half_open"
+
+
+class CircuitBreaker:
+    """Stop calls to a failing system, and probe it with one call at a time."""
+
+    def __init__(
+        self,
+        random_generator: random.Random,
+        *,
+        failures_to_open: int = 5,
+        open_seconds: float = 1.0,
+        limit_seconds: float = 30.0,
+        probe_timeout_seconds: float = 10.0,
+    ) -> None:
+        """Start closed."""
+        self._random = random_generator
+        self._failures_to_open = failures_to_open
+        self._open_seconds = open_seconds
+        self._limit_seconds = limit_seconds
+        self._probe_timeout_seconds = probe_timeout_seconds
+        self._failures = 0
+        self._openings = 0
+        self._next_probe_seconds = 0.0
+        self.state = CircuitState.CLOSED
+
+    def allow(self, *, now_seconds: float) -> bool:
+        """Tell whether a call may be made now; an allowed call must report its outcome."""
+        if self.state is CircuitState.CLOSED:
+            return True
+        if now_seconds < self._next_probe_seconds:
+            return False
+        self.state = CircuitState.HALF_OPEN
+        # A probe whose outcome is never reported must not block the next one for ever.
+        self._next_probe_seconds = now_seconds + self._probe_timeout_seconds
+        return True
+
+    def retry_after_seconds(self, *, now_seconds: float) -> float:
+        """Return the time until the next call may be allowed."""
+        if self.state is CircuitState.CLOSED:
+            return 0.0
+        return max(0.0, self._next_probe_seconds - now_seconds)
+
+    def succeeded(self) -> None:
+        """Close the circuit."""
+        self.state = CircuitState.CLOSED
+        self._failures = 0
+        self._openings = 0
+
+    def failed(self, *, now_seconds: float) -> None:
+        """Count a failure; open after several in a row, or at once after a failed probe."""
+        self._failures += 1
+        if self.state is CircuitState.OPEN:
+            return
+        if self.state is CircuitState.CLOSED and self._failures < self._failures_to_open:
+            return
+        ceiling = min(self._limit_seconds, self._open_seconds * 2.0 ** min(self._openings, 30))
+        self._openings += 1
+        self.state = CircuitState.OPEN
+        # Many processes see the same outage; jitter keeps their probes apart.
+        self._next_probe_seconds = now_seconds + ceiling * self._random.uniform(0.5, 1.0)
+
+    def snapshot(self) -> dict[str, object]:
+        """Return the breaker for the state dump."""
+        return {"state": self.state.value, "failures": self._failures, "openings": self._openings}
--- /dev/null
+++ b/egretrouter/core/limits/_concurrency.py
@@ -0,0 +1,72 @@
+"""Adapt the number of calls in flight to what the endpoints can take."""
+
+INCREASE_CALLS = 1.0
+DECREASE_FACTOR = 0.9
+
+
+class AdaptiveConcurrency:
+    """Bound calls in flight by additive increase and multiplicative decrease.
+
+    The signal is the wait for first tokens: calls that wait longer at the endpoints than the
+    target only move the queue from the router, where it is fair, to the endpoint.
+    """
+
+    def __init__(
+        self,
+        *,
+        target_wait_seconds: float = 0.25,
+        initial_calls: float = 8.0,
+        minimum_calls: float = 1.0,
+        maximum_calls: float = 1024.0,
+        window_seconds: float = 0.5,
+    ) -> None:
+        """Start with the initial limit."""
+        self._target_wait_seconds = target_wait_seconds
+        self._minimum_calls = minimum_calls
+        self._maximum_calls = maximum_calls
+        self._window_seconds = window_seconds
+        self._window_end_seconds = 0.0
+        self._waits: list[float] = []
+        self._overloaded = False
+        self._was_full = False
+        self.limit_calls = initial_calls
+        self.in_flight = 0
+
+    def has_room(self) -> bool:
+        """Tell whether another call may start."""
+        room = self.in_flight + 1 <= self.limit_calls
+        self._was_full = self._was_full or not room
+        return room
+
+    def started(self) -> None:
+        """Count a call that starts."""
+        self.in_flight += 1
+
+    def first_token_seen(self, *, wait_seconds: float, now_seconds: float) -> None:
+        """Take in the wait of one call."""
+        self._waits.append(wait_seconds)
+        self._adapt(now_seconds)
+
+    def ended(self, *, overloaded: bool, now_seconds: float) -> None:
+        """Count a call that ended; a refusal for overload lowers the limit."""
+        self.in_flight = max(0, self.in_flight - 1)
+        self._overloaded = self._overloaded or overloaded
+        self._adapt(now_seconds)
+
+    def snapshot(self) -> dict[str, object]:
+        """Return the limit for the state dump."""
+        return {"limit_calls": self.limit_calls, "in_flight": self.in_flight}
+
+    def _adapt(self, now_seconds: float) -> None:
+        if now_seconds < self._window_end_seconds or not (self._waits or self._overloaded):
+            return
+        self._window_end_seconds = now_seconds + self._window_seconds
+        mean = sum(self._waits) / len(self._waits) if self._waits else 0.0
+        if self._overloaded or mean > self._target_wait_seconds:
+            self.limit_calls = max(self._minimum_calls, self.limit_calls * DECREASE_FACTOR)
+        elif self._was_full:
+            # Without the demand to fill it, a growing limit would say nothing about capacity.
+            self.limit_calls = min(self._maximum_calls, self.limit_calls + INCREASE_CALLS)
+        self._waits.clear()
+        self._overloaded = False
+        self._was_full = False
--- /dev/null
+++ b/egretrouter/core/limits/_workspaces.py
@@ -0,0 +1,150 @@
+"""Enforce this router's share of each workspace's limits."""
+
+import math
+
+from egretrouter.core.identifiers import WorkspaceId
+from egretrouter.core.limits._messages import LimitReason, WorkspaceLimits
+
+BURST_SECONDS = 1.0
+
+
+class TokenBucket:
+    """Allow a rate with a bounded burst; the level may go below zero by a late charge."""
+
+    def __init__(self, *, rate_per_second: float, burst: float, now_seconds: float) -> None:
+        """Start full."""
+        self.rate_per_second = rate_per_second
+        self.burst = burst
+        self._level = burst
+        self._at_seconds = now_seconds
+
+    def change(self, *, rate_per_second: float, burst: float, now_seconds: float) -> None:
+        """Change rate and burst without handing out a new burst."""
+        self._refill(now_seconds)
+        self.rate_per_second = rate_per_second
+        self.burst = burst
+        self._level = min(self._level, burst)
+
+    def wait_seconds(self, amount: float, *, now_seconds: float) -> float:
+        """Return the time until an amount is allowed; more than a burst waits for a full one."""
+        self._refill(now_seconds)
+        missing = min(amount, self.burst) - self._level
+        # 1e-9 absorbs the rounding error of refilling.
+        return 0.0 if missing <= 1e-9 else missing / self.rate_per_second
+
+    def charge(self, amount: float) -> None:
+        """Take an amount, or give back a negative one."""
+        self._level = min(self.burst, self._level - amount)
+
+    def _refill(self, now_seconds: float) -> None:
+        passed = max(0.0, now_seconds - self._at_seconds)
+        self._at_seconds = max(self._at_seconds, now_seconds)
+        self._level = min(self.burst, self._level + passed * self.rate_per_second)
+
+
+class _Usage:
+    def __init__(self, limits: WorkspaceLimits, *, routers: int, now_seconds: float) -> None:
+        self.concurrent_calls = 0
+        self.requests = TokenBucket(rate_per_second=1.0, burst=1.0, now_seconds=now_seconds)
+        self.tokens = TokenBucket(rate_per_second=1.0, burst=1.0, now_seconds=now_seconds)
+        self.change(limits, routers=routers, now_seconds=now_seconds)
+        self.requests.charge(-self.requests.burst)
+        self.tokens.charge(-self.tokens.burst)
+
+    def change(self, limits: WorkspaceLimits, *, routers: int, now_seconds: float) -> None:
+        self.limits = limits
+        requests = limits.requests_per_second / routers
+        tokens = limits.tokens_per_second / routers
+        self.requests.change(
+            rate_per_second=requests,
+            burst=max(1.0, requests * BURST_SECONDS),
+            now_seconds=now_seconds,
+        )
+        self.tokens.change(
+            rate_per_second=tokens, burst=tokens * BURST_SECONDS, now_seconds=now_seconds
+        )
+        self.concurrency_share = math.ceil(limits.concurrent_calls / routers)
+
+
+class WorkspaceLimiter:
+    """Enforce 1/n of each limit, where n is the number of live routers last known.
+
+    Error bound, with R routers running, each of which counts at least m routers, a limit L and
+    a burst of BURST_SECONDS: in any period of T seconds all routers together admit at most
+    (R / m) x L x (T + BURST_SECONDS) calls, plus R calls because a burst is at least one call.
+    Tokens have the same bound, plus one call's tokens per router, because a call larger than
+    the burst is admitted from a full bucket. Concurrency is at most (R / m) x L + R, because
+    shares round up. During a partition counts stay as they were, so R / m is 1 unless routers
+    join unseen. A workspace whose calls reach the routers unevenly gets less than its limit: no
+    router admits more than L / n, whatever part of the calls it receives.
+    """
+
+    def __init__(self) -> None:
+        """Start without workspaces and with one router."""
+        self._usage: dict[WorkspaceId, _Usage] = {}
+        self._routers = 1
+
+    def change_limits(self, workspaces: tuple[WorkspaceLimits, ...], *, now_seconds: float) -> None:
+        """Put limits in force; usage of a workspace that stays is kept."""
+        usage: dict[WorkspaceId, _Usage] = {}
+        for limits in workspaces:
+            kept = self._usage.get(limits.workspace_id)
+            if kept is None:
+                kept = _Usage(limits, routers=self._routers, now_seconds=now_seconds)
+            else:
+                kept.change(limits, routers=self._routers, now_seconds=now_seconds)
+            usage[limits.workspace_id] = kept
+        self._usage = usage
+
+    def count_routers(self, routers: int, *, now_seconds: float) -> None:
+        """Change this router's share."""
+        self._routers = max(1, routers)
+        for usage in self._usage.values():
+            usage.change(usage.limits, routers=self._routers, now_seconds=now_seconds)
+
+    def weight(self, workspace_id: WorkspaceId) -> int:
+        """Return a workspace's weight; one without limits weighs 1."""
+        usage = self._usage.get(workspace_id)
+        return usage.limits.weight if usage else 1
+
+    def admit(
+        self, workspace_id: WorkspaceId, *, tokens: int, now_seconds: float
+    ) -> tuple[LimitReason, float] | None:
+        """Charge a call, or return why it is refused and when another try makes sense."""
+        usage = self._usage.get(workspace_id)
+        if usage is None:
+            return LimitReason.UNKNOWN_WORKSPACE, 60.0
+        if usage.concurrent_calls >= usage.concurrency_share:
+            return LimitReason.CONCURRENCY, 1.0
+        wait = usage.requests.wait_seconds(1.0, now_seconds=now_seconds)
+        if wait > 0.0:
+            return LimitReason.RATE, wait
+        wait = usage.tokens.wait_seconds(tokens, now_seconds=now_seconds)
+        if wait > 0.0:
+            return LimitReason.TOKENS, wait
+        usage.requests.charge(1.0)
+        usage.tokens.charge(tokens)
+        usage.concurrent_calls += 1
+        return None
+
+    def release(self, workspace_id: WorkspaceId, *, unused_tokens: int) -> None:
+        """Settle a call that is over; tokens that it did not use are given back."""
+        usage = self._usage.get(workspace_id)
+        if usage is not None:
+            usage.concurrent_calls = max(0, usage.concurrent_calls - 1)
+            usage.tokens.charge(-unused_tokens)
+
+    def snapshot(self) -> dict[str, object]:
+        """Return the usage for the state dump."""
+        return {
+            "routers": self._routers,
+            "workspaces": {
+                name: {
+                    "concurrent_calls": usage.concurrent_calls,
+                    "concurrency_share": usage.concurrency_share,
+                    "requests_per_second": usage.requests.rate_per_second,
+                    "tokens_per_second": usage.tokens.rate_per_second,
+                }
+                for name, usage in self._usage.items()
+            },
+        }
