Add the configuration and publication aggregates

Change: ConfigurationState applies generations whole and only upwards, takes parts from the source that showed the index, asks three peers when the store is silent and keeps watch duty with two members a zone. Conclusion: configuration decisions are ready for the daemons and the CLI.

--- /dev/null
+++ b/egretrouter/core/configuration/_collection.py
@@ -0,0 +1,265 @@
+"""Collect operators' files and check the rules that span them."""
+
+import json
+from collections import Counter
+from collections.abc import Callable, Iterable, Mapping
+from typing import Any
+
+import msgspec
+from pydantic import ValidationError as PydanticError
+from pydantic_core import ErrorDetails
+
+from egretrouter.core.configuration._configuration import (
+    FILE_ADAPTER,
+    ConfigurationError,
+    encode_part,
+    part_name,
+)
+from egretrouter.core.configuration._files import (
+    AdapterFile,
+    DeploymentFile,
+    ModelServiceFile,
+    PlainServiceFile,
+)
+from egretrouter.core.digests import content_digest
+from egretrouter.core.identifiers import Digest, ModelName, ServiceName, VersionName
+
+MAXIMUM_PART_BYTES = 1024**2
+"""The object API holds values up to 1 MB."""
+
+WeightSizes = Mapping[tuple[ModelName, VersionName], int]
+"""Bytes of the weights of each model and version, as far as they are known."""
+
+_Service = ModelServiceFile | PlainServiceFile
+_KINDS: dict[Any, Any] = {
+    "deployment": DeploymentFile,
+    "model": ModelServiceFile,
+    "plain": PlainServiceFile,
+}
+
+
+class Mistake(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe one mistake in one operator's file."""
+
+    file: str
+    path: str
+    value: str
+    reason: str
+
+    def __str__(self) -> str:
+        """Return one line for a terminal."""
+        return f"{self.file}: {self.path}: {self.value}: {self.reason}"
+
+
+class FilesRejectedError(ConfigurationError):
+    """Operators' files break rules; every mistake is listed."""
+
+    def __init__(self, mistakes: list[Mistake]) -> None:
+        """Keep all mistakes."""
+        super().__init__("\n".join(map(str, mistakes)))
+        self.mistakes = mistakes
+
+
+class Collection(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold checked files with their encoded parts."""
+
+    deployment: DeploymentFile
+    services: dict[ServiceName, _Service]
+    parts: dict[str, Digest]
+    contents: dict[Digest, bytes]
+
+
+def collect(files: Mapping[str, bytes], *, weight_sizes: WeightSizes | None = None) -> Collection:
+    """Parse and check all files of a deployment together.
+
+    Raises FilesRejectedError, which lists every mistake with file, path, value and accepted values.
+    """
+    checker = _Checker(weight_sizes or {})
+    for name, content in sorted(files.items()):
+        checker.parse(name, content)
+    deployment = checker.check()
+    if checker.mistakes or deployment is None:
+        raise FilesRejectedError(checker.mistakes)
+    parts: dict[str, Digest] = {}
+    contents: dict[Digest, bytes] = {}
+    for part in (deployment, *(service for _, service in checker.services)):
+        content = encode_part(part)
+        digest = content_digest(content)
+        parts[part_name(part)] = digest
+        contents[digest] = content
+    return Collection(
+        deployment=deployment,
+        services={ServiceName(s.name): s for _, s in checker.services},
+        parts=parts,
+        contents=contents,
+    )
+
+
+class _Checker:
+    """Gather mistakes, so that an operator sees all of them at once."""
+
+    def __init__(self, weight_sizes: WeightSizes) -> None:
+        self.mistakes: list[Mistake] = []
+        self.services: list[tuple[str, _Service]] = []
+        self._deployments: list[tuple[str, DeploymentFile]] = []
+        self._broken_deployment = False
+        self._weight_sizes = weight_sizes
+
+    def add(self, file: str, path: str, value: object, reason: str) -> None:
+        self.mistakes.append(Mistake(file=file, path=path, value=_quote(value), reason=reason))
+
+    def parse(self, file: str, content: bytes) -> None:
+        if len(content) > MAXIMUM_PART_BYTES:
+            self.add(file, "$", f"{len(content)} bytes", f"at most {MAXIMUM_PART_BYTES} bytes")
+            return
+        try:
+            part = FILE_ADAPTER.validate_json(content)
+        except PydanticError as error:
+            kind = _kind(content)
+            self._broken_deployment |= kind in (None, "deployment")
+            for detail in error.errors(include_url=False):
+                self.mistakes.append(_mistake(file, kind, detail))
+            return
+        if len(encode_part(part)) > MAXIMUM_PART_BYTES:
+            self.add(file, "$", part.name, f"encodes to more than {MAXIMUM_PART_BYTES} bytes")
+        if isinstance(part, DeploymentFile):
+            self._deployments.append((file, part))
+        else:
+            self.services.append((file, part))
+
+    def check(self) -> DeploymentFile | None:
+        self._check_services()
+        self._check_versions()
+        if not self._deployments:
+            if not self._broken_deployment:
+                self.add("(all files)", "$.kind", "none", "one file of kind 'deployment' is needed")
+            return None
+        for file, extra in self._deployments[1:]:
+            reason = f"{self._deployments[0][0]} already is the one file of kind 'deployment'"
+            self.add(file, "$.kind", extra.kind, reason)
+        file, deployment = self._deployments[0]
+        self._check_deployment(file, deployment)
+        for service_file, service in self.services:
+            self._check_references(service_file, service, deployment)
+        return deployment
+
+    def _unique(self, file: str, path: str, values: Iterable[str]) -> None:
+        for value, count in Counter(values).items():
+            if count > 1:
+                self.add(file, path, value, f"must be unique, but appears {count} times")
+
+    def _check_deployment(self, file: str, deployment: DeploymentFile) -> None:
+        self._unique(file, "$.zones[*].name", (z.name for z in deployment.zones))
+        self._unique(file, "$.workspaces[*].name", (w.name for w in deployment.workspaces))
+        tokens = (token for w in deployment.workspaces for token in w.token_sha256)
+        self._unique(file, "$.workspaces[*].token_sha256", tokens)
+
+    def _check_services(self) -> None:
+        names: dict[str, str] = {}
+        routes: dict[tuple[str, str], str] = {}
+        for file, service in self.services:
+            other = names.setdefault(service.name, file)
+            if other != file:
+                self.add(
+                    file, "$.name", service.name, f"{other} already has a service of this name"
+                )
+            for host in service.hosts or ("",):
+                for prefix in service.prefixes or ("",):
+                    other = routes.setdefault((host, prefix), file)
+                    if (host or prefix) and other != file:
+                        path = "$.hosts" if host else "$.prefixes"
+                        self.add(file, path, host + prefix, f"{other} already takes these calls")
+
+    def _check_versions(self) -> None:
+        pinned: dict[tuple[str, str], tuple[str, str]] = {}
+        for file, service in self.services:
+            if not isinstance(service, ModelServiceFile):
+                continue
+            self._unique(file, "$.adapters[*].model", (a.model for a in service.adapters))
+            items: list[tuple[str, ModelServiceFile | AdapterFile]] = [("$", service)]
+            items += [(f"$.adapters[{i}]", adapter) for i, adapter in enumerate(service.adapters)]
+            for path, item in items:
+                digest = item.manifest_digest
+                if digest is None:
+                    continue
+                key = (item.model, item.version)
+                other_file, other = pinned.setdefault(key, (file, digest))
+                if other != digest:
+                    reason = f"{other_file} pins {item.model}/{item.version} to {other}"
+                    self.add(file, f"{path}.manifest_digest", digest, reason)
+
+    def _check_references(self, file: str, service: _Service, deployment: DeploymentFile) -> None:
+        zones = [zone.name for zone in deployment.zones]
+        self._unique(file, "$.placement[*].zone", (p.zone for p in service.placement))
+        for i, placement in enumerate(service.placement):
+            if placement.zone not in zones:
+                self.add(file, f"$.placement[{i}].zone", placement.zone, _one_of(zones))
+        workspaces = [workspace.name for workspace in deployment.workspaces]
+        for i, workspace in enumerate(service.workspaces):
+            if workspace not in workspaces:
+                self.add(file, f"$.workspaces[{i}]", workspace, _one_of(workspaces))
+        if isinstance(service, ModelServiceFile):
+            replicas = [p.replicas for p in service.placement if p.replicas]
+            if replicas and service.min_ready > min(replicas):
+                reason = f"at most {min(replicas)}, the fewest replicas of a zone that has any"
+                self.add(file, "$.min_ready", service.min_ready, reason)
+            self._check_memory(file, service, deployment.distribution.weight_memory_bytes)
+
+    def _check_memory(self, file: str, service: ModelServiceFile, memory: int | None) -> None:
+        if memory is None:
+            return
+        versions = [(service.model, service.version)]
+        versions += [(adapter.model, adapter.version) for adapter in service.adapters]
+        size = sum(self._weight_sizes.get((ModelName(m), VersionName(v)), 0) for m, v in versions)
+        if size > memory:
+            reason = f"weights of at most {memory} bytes fit ('weight_memory_bytes')"
+            self.add(file, "$.version", f"{service.version} of {size} bytes", reason)
+
+
+def _kind(content: bytes) -> str | None:
+    try:
+        values = json.loads(content)
+    except ValueError:
+        return None
+    kind = values.get("kind") if isinstance(values, dict) else None
+    return kind if isinstance(kind, str) and kind in _KINDS else None
+
+
+def _mistake(file: str, kind: str | None, detail: ErrorDetails) -> Mistake:
+    location = list(detail["loc"])
+    if location and location[0] == kind:
+        del location[0]
+    path = "$" + "".join(f"[{p}]" if isinstance(p, int) else f".{p}" for p in location)
+    reason = detail["msg"]
+    if detail["type"] == "extra_forbidden":
+        reason = "unknown field; " + _one_of(_fields(kind, location[:-1]))
+    elif detail["type"].startswith("union_tag"):
+        path, reason = "$.kind", _one_of(sorted(_KINDS))
+    elif detail["type"] == "missing":
+        reason = "required field is missing"
+    value = "(absent)" if detail["type"] == "missing" else _quote(detail["input"])
+    return Mistake(file=file, path=path, value=value, reason=reason)
+
+
+def _fields(kind: str | None, location: list[int | str]) -> list[str]:
+    """Return the field names that are accepted at a location."""
+    model: Any = _KINDS.get(kind)
+    for step in location:
+        if isinstance(step, int) or model is None:
+            continue
+        annotation = model.model_fields[step].annotation
+        candidates = (annotation, *getattr(annotation, "__args__", ()))
+        model = next((c for c in candidates if hasattr(c, "model_fields")), None)
+    return sorted(model.model_fields) if model is not None else []
+
+
+def _one_of(values: Iterable[str]) -> str:
+    return "accepted values are " + ", ".join(map(repr, values))
+
+
+_encode: Callable[[object], str] = json.JSONEncoder(default=str).encode
+
+
+def _quote(value: object) -> str:
+    text = value if isinstance(value, str) and " " in value else _encode(value)
+    return text if len(text) <= 120 else text[:117] + "..."
--- a/egretrouter/core/configuration/_configuration.py
+++ b/egretrouter/core/configuration/_configuration.py
@@ -34,6 +34,8 @@
     generation: Generation
     publication_id: PublicationId
     parts: dict[str, Digest]
+    earlier_publications: tuple[PublicationId, ...] = ()
+    """The publications before this one, latest first; they settle a lost answer."""
 
     def to_json(self) -> bytes:
         """Encode the index with sorted keys."""
--- a/egretrouter/core/configuration/_files.py
+++ b/egretrouter/core/configuration/_files.py
@@ -58,6 +58,7 @@
     inter_region_share: float = Field(default=0.5, gt=0, le=1)
     instance_link_bytes_per_second: int = Field(default=16 * 1024**2, ge=1024)
     serve_after_load_seconds: float = Field(default=120.0, ge=0)
+    weight_memory_bytes: int | None = Field(default=None, ge=1024)
 
 
 class DeploymentFile(FileModel):
--- /dev/null
+++ b/tests/test_configuration_publication.py
@@ -0,0 +1,164 @@
+"""Test publications that race, lose answers and repeat."""
+
+import random
+from collections.abc import Callable
+
+import pytest
+from configuration_samples import sample
+
+from egretrouter.core.configuration import (
+    INDEX_KEY,
+    AnswerLost,
+    Begin,
+    Collection,
+    ConfigurationIndex,
+    CreatePart,
+    IndexConflicted,
+    IndexRead,
+    IndexUpdated,
+    PartStored,
+    Publication,
+    PublicationCommand,
+    PublicationDone,
+    PublicationEnded,
+    PublicationMessage,
+    PublicationUnsettledError,
+    ReadIndex,
+    Tick,
+    UpdateIndex,
+)
+from egretrouter.core.errors import PublishConflictError
+from egretrouter.core.identifiers import PublicationId
+
+
+class FakeStore:
+    """Keep objects with versions, and lose answers on demand."""
+
+    def __init__(self, seed: int = 0, *, loss: float = 0.0) -> None:
+        self.objects: dict[str, tuple[bytes, int]] = {}
+        self.rng = random.Random(seed)
+        self.loss = loss
+        self.writes: list[bytes] = []
+
+    def execute(self, command: PublicationCommand) -> PublicationMessage:
+        lost_before, lost_after = self.rng.random() < self.loss, self.rng.random() < self.loss
+        if lost_before:
+            return AnswerLost(reason="timeout")
+        answer = self._carry_out(command)
+        return AnswerLost(reason="timeout") if lost_after else answer
+
+    def _carry_out(self, command: PublicationCommand) -> PublicationMessage:
+        content, version = self.objects.get(INDEX_KEY, (None, 0))
+        if isinstance(command, ReadIndex):
+            return IndexRead(content=content, version=version)
+        if isinstance(command, CreatePart):
+            self.objects.setdefault(command.key, (command.content, 1))
+            return PartStored(digest=command.digest)
+        assert isinstance(command, UpdateIndex)
+        if version != command.expected_version:
+            return IndexConflicted()
+        self.objects[INDEX_KEY] = (command.content, version + 1)
+        self.writes.append(command.content)
+        return IndexUpdated()
+
+    def index(self) -> ConfigurationIndex:
+        return ConfigurationIndex.from_json(self.objects[INDEX_KEY][0])
+
+
+class Operator:
+    """Carry out one publication step by step."""
+
+    def __init__(self, name: str, collection: Collection, store: FakeStore, seed: int = 0) -> None:
+        self.publication = Publication(
+            collection=collection, publication_id=PublicationId(name), rng=random.Random(seed)
+        )
+        self.store = store
+        self.now_seconds = 0.0
+        self.commands = self.publication.handle(Begin(), now_seconds=0.0)
+        self.result: PublicationDone | PublicationEnded | None = None
+
+    def step(self) -> None:
+        self.now_seconds += 1.0
+        commands, self.commands = self.commands, []
+        if not commands:
+            self.commands = self.publication.handle(Tick(), now_seconds=self.now_seconds)
+        for command in commands:
+            if isinstance(command, PublicationDone | PublicationEnded):
+                self.result = command
+                continue
+            answer = self.store.execute(command)
+            self.commands += self.publication.handle(answer, now_seconds=self.now_seconds)
+
+    def run(self, until: Callable[["Operator"], bool] = lambda _: False) -> "Operator":
+        for _ in range(1000):
+            if self.result is not None or until(self):
+                return self
+            self.step()
+        raise AssertionError("publication did not end")
+
+
+def about_to_update(operator: Operator) -> bool:
+    return any(isinstance(command, UpdateIndex) for command in operator.commands)
+
+
+class TestPublication:
+    """Guard against lost, doubled and silently overwritten publications."""
+
+    def test_creates_parts_before_the_index_and_reuses_them(self) -> None:
+        store = FakeStore()
+        Operator("one", sample(1), store).run()
+        assert len(store.objects) == 4
+        Operator("two", sample(2), store).run()
+        assert len(store.objects) == 5
+        assert store.index().generation == 2
+
+    def test_repeating_makes_no_new_generation(self) -> None:
+        store = FakeStore()
+        Operator("one", sample(1), store).run()
+        result = Operator("two", sample(1), store).run().result
+        assert result == PublicationDone(generation=store.index().generation, created=False)
+        assert len(store.writes) == 1
+
+    def test_one_of_two_racing_operators_gets_a_conflict(self) -> None:
+        store = FakeStore()
+        late = Operator("late", sample(1), store).run(about_to_update)
+        Operator("early", sample(2), store).run()
+        result = late.run().result
+        assert isinstance(result, PublicationEnded)
+        assert isinstance(result.error, PublishConflictError)
+        assert result.error.generation == 1
+        assert store.index().publication_id == "early"
+
+    def test_settles_a_lost_answer_after_later_publications(self) -> None:
+        store = FakeStore()
+        first = Operator("first", sample(1), store).run(about_to_update)
+        store._carry_out(first.commands.pop())
+        first.publication.handle(AnswerLost(reason="timeout"), now_seconds=0.0)
+        for number in range(2, 6):
+            Operator(f"later-{number}", sample(number), store).run()
+        assert first.run().result == PublicationDone(generation=1, created=True)
+
+    def test_reports_an_unsettled_update(self) -> None:
+        store = FakeStore()
+        operator = Operator("one", sample(1), store).run(about_to_update)
+        store.loss = 1.0
+        result = operator.run().result
+        assert isinstance(result, PublicationEnded)
+        assert isinstance(result.error, PublicationUnsettledError)
+
+    @pytest.mark.parametrize("seed", range(100))
+    def test_results_agree_with_the_store_under_loss(self, seed: int) -> None:
+        store = FakeStore(seed, loss=0.3)
+        operators = [Operator(f"op-{n}", sample(n), store, seed) for n in range(3)]
+        while pending := [o for o in operators if o.result is None]:
+            store.rng.choice(pending).step()
+        written = [ConfigurationIndex.from_json(content) for content in store.writes]
+        assert [index.generation for index in written] == list(range(1, len(written) + 1))
+        owners = {index.publication_id: index.generation for index in written}
+        assert len(owners) == len(written)
+        for number, operator in enumerate(operators):
+            generation = owners.get(PublicationId(f"op-{number}"))
+            if isinstance(operator.result, PublicationDone):
+                assert operator.result.generation == generation
+            elif not isinstance(operator.result.error, PublicationUnsettledError):
+                assert generation is None
--- /dev/null
+++ b/tests/test_configuration_state.py
@@ -0,0 +1,332 @@
+"""Test that generations are applied whole and never revert."""
+
+import random
+from typing import Any
+
+import pytest
+from configuration_samples import sample_generation
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+
+from egretrouter.core.configuration import (
+    STORE_SOURCE,
+    ApplyConfiguration,
+    ConfigurationCommand,
+    ConfigurationIndex,
+    ConfigurationMessage,
+    ConfigurationState,
+    IndexFailed,
+    IndexSeen,
+    PartReceived,
+    PartsFailed,
+    PeerGeneration,
+    RejectGeneration,
+    RequestIndex,
+    RequestParts,
+    StartWatch,
+    StopWatch,
+    StoreSilent,
+    Tick,
+    ZoneMembersChanged,
+    watchers,
+)
+from egretrouter.core.digests import content_digest
+from egretrouter.core.identifiers import (
+    Digest,
+    Generation,
+    InstanceId,
+    PublicationId,
+    ZoneId,
+)
+
+ZONE = ZoneId("serra-z1")
+PEERS = tuple(InstanceId(f"router-{n}") for n in range(6))
+GENERATIONS = {number: sample_generation(number) for number in range(1, 9)}
+
+
+def make(kind: type[ConfigurationState] = ConfigurationState, seed: int = 0) -> ConfigurationState:
+    return kind(instance_id=PEERS[0], zone=ZONE, rng=random.Random(seed))
+
+
+def parts(number: int, digests: tuple[Digest, ...]) -> list[PartReceived]:
+    return [PartReceived(digest=d, content=GENERATIONS[number][1][d]) for d in digests]
+
+
+def send(state: ConfigurationState, *messages: ConfigurationMessage, now: float = 0.0) -> list[Any]:
+    commands: list[ConfigurationCommand] = []
+    for message in messages:
+        commands += state.handle(message, now_seconds=now)
+    return commands
+
+
+def bring_in_force(state: ConfigurationState, number: int) -> None:
+    seen = IndexSeen(index=GENERATIONS[number][0], source=STORE_SOURCE)
+    for command in send(state, seen):
+        if isinstance(command, RequestParts):
+            send(state, *parts(number, command.digests))
+    assert state.generation == number
+
+
+class TestConfigurationState:
+    """Guard against reversal, mixture and endless fetching."""
+
+    def test_reuses_the_parts_in_force(self) -> None:
+        state = make()
+        bring_in_force(state, 1)
+        request = send(state, IndexSeen(index=GENERATIONS[2][0], source=PEERS[1]))[0]
+        assert request.source == PEERS[1]
+        assert request.digests == (GENERATIONS[2][0].parts["service/llm-cotacoes"],)
+
+    @pytest.mark.parametrize("source", [STORE_SOURCE, PEERS[1]])
+    def test_ignores_stale_indexes(self, source: InstanceId) -> None:
+        state = make()
+        bring_in_force(state, 3)
+        assert send(state, IndexSeen(index=GENERATIONS[2][0], source=source)) == []
+        assert send(state, PeerGeneration(peer=PEERS[1], generation=Generation(2))) == []
+        assert state.generation == 3
+
+    def test_asks_another_source_after_a_corrupted_part(self) -> None:
+        state = make()
+        request = send(state, IndexSeen(index=GENERATIONS[1][0], source=PEERS[1]))[0]
+        damaged = PartReceived(digest=request.digests[0], content=b"damaged", source=PEERS[1])
+        again = send(state, damaged)[0]
+        assert (again.source, again.digests) == (STORE_SOURCE, request.digests)
+        assert state.snapshot()["corrupted_parts"] == 1
+
+    def test_new_process_without_store_takes_the_highest_of_three_peers(self) -> None:
+        state = make()
+        send(state, ZoneMembersChanged(members=PEERS))
+        assert send(state, Tick()) == [RequestIndex(source=STORE_SOURCE)]
+        asked = [c.source for c in send(state, StoreSilent())]
+        assert len(set(asked) - {PEERS[0]}) == 3
+        assert send(state, IndexSeen(index=GENERATIONS[2][0], source=asked[0])) == []
+        assert send(state, IndexSeen(index=GENERATIONS[5][0], source=asked[1])) == []
+        (request,) = send(state, IndexFailed(source=asked[2]))
+        assert request.source == asked[1]
+        send(state, *parts(5, request.digests))
+        assert state.generation == 5
+
+    def test_survey_ends_without_a_silent_peer(self) -> None:
+        state = make()
+        asked = send(state, ZoneMembersChanged(members=PEERS), StoreSilent())[-1].source
+        send(state, IndexSeen(index=GENERATIONS[4][0], source=asked))
+        assert any(isinstance(c, RequestParts) for c in send(state, Tick(), now=10.0))
+
+    def test_drops_an_unreachable_generation_that_only_a_peer_showed(self) -> None:
+        state = make()
+        bring_in_force(state, 1)
+        commands = send(state, IndexSeen(index=GENERATIONS[8][0], source=PEERS[1]))
+        for second in range(1, 400, 2):
+            commands = send(state, Tick(), now=float(second))
+            if any(isinstance(c, RejectGeneration) for c in commands):
+                break
+        else:
+            raise AssertionError("generation 8 blocks lower ones for ever")
+        bring_in_force(state, 2)
+
+    def test_rejects_malformed_parts_once(self) -> None:
+        state = make()
+        bring_in_force(state, 1)
+        content = b'{"kind": "other"}'
+        digest = content_digest(content)
+        index = ConfigurationIndex(
+            generation=Generation(2),
+            publication_id=PublicationId("malformed"),
+            parts={"deployment": digest},
+        )
+        send(state, IndexSeen(index=index, source=PEERS[1]))
+        (rejected,) = send(state, PartReceived(digest=digest, content=content))
+        assert isinstance(rejected, RejectGeneration)
+        assert send(state, PeerGeneration(peer=PEERS[1], generation=Generation(2))) == []
+        bring_in_force(state, 3)
+
+    def test_two_members_of_a_zone_watch_and_hand_over(self) -> None:
+        first, second = watchers(ZONE, PEERS)
+        states = {
+            p: ConfigurationState(instance_id=p, zone=ZONE, rng=random.Random(0)) for p in PEERS
+        }
+        started = [p for p in PEERS if send(states[p], ZoneMembersChanged(members=PEERS))]
+        assert sorted(started) == sorted([first, second])
+        rest = tuple(p for p in PEERS if p != first)
+        heirs = [p for p in rest if send(states[p], ZoneMembersChanged(members=rest))]
+        assert heirs == [p for p in watchers(ZONE, rest) if p != second]
+        assert send(states[heirs[0]], ZoneMembersChanged(members=PEERS)) == [StopWatch()]
+        assert send(states[first], ZoneMembersChanged(members=rest)) == [StopWatch()]
+        assert send(states[first], ZoneMembersChanged(members=PEERS)) == [StartWatch()]
+
+
+class RevertingState(ConfigurationState):
+    """Lack the check that a generation is higher."""
+
+    def _is_wanted(self, index: ConfigurationIndex) -> bool:
+        return True
+
+
+class MixingState(ConfigurationState):
+    """Lack the check that all parts have arrived: parts of other generations fill the gaps."""
+
+    def _apply_if_complete(self, now_seconds: float) -> list[ConfigurationCommand]:
+        if self._pending is not None:
+            for name, digest in self._pending.parts.items():
+                older = self._in_force.index.parts.get(name) if self._in_force else None
+                if digest in self._missing() and older is not None:
+                    mixed = {**self._pending.parts, name: older}
+                    self._pending = ConfigurationIndex(
+                        generation=self._pending.generation,
+                        publication_id=self._pending.publication_id,
+                        parts=mixed,
+                    )
+        return super()._apply_if_complete(now_seconds)
+
+
+class StuckState(ConfigurationState):
+    """Lack the retry of failed fetches."""
+
+    def _parts_source_failed(self, source: InstanceId, now_seconds: float) -> list[Any]:
+        return []
+
+    def _follow_hints(self, now_seconds: float) -> list[Any]:
+        return []
+
+
+def machine(kind: type[ConfigurationState]) -> type[RuleBasedStateMachine]:
+    """Return a machine over five processes, one store, and a lossy network between them."""
+
+    class Network(RuleBasedStateMachine):
+        def __init__(self) -> None:
+            super().__init__()
+            self.now = 0.0
+            self.published = 1
+            self.store_up = True
+            self.flights: list[tuple[int, ConfigurationMessage]] = []
+            self.nodes = [self._new(n) for n in range(5)]
+            self.floors = [0] * 5
+
+        def _new(self, number: int) -> ConfigurationState:
+            return kind(instance_id=PEERS[number], zone=ZONE, rng=random.Random(number))
+
+        def _deliver(self, number: int, message: ConfigurationMessage) -> None:
+            for command in self.nodes[number].handle(message, now_seconds=self.now):
+                self._execute(number, command)
+
+        def _execute(self, number: int, command: ConfigurationCommand) -> None:
+            if isinstance(command, ApplyConfiguration):
+                applied = command.configuration
+                assert applied.generation > self.floors[number], "generation reverted"
+                self.floors[number] = applied.generation
+                assert applied.index.parts == GENERATIONS[applied.generation][0].parts, "mixed"
+                version = applied.model_services()[0].version
+                assert version == f"v{applied.generation}", "mixed"
+            elif isinstance(command, RequestIndex | RequestParts):
+                self._answer(number, command)
+
+        def _answer(self, number: int, command: RequestIndex | RequestParts) -> None:
+            source = command.source
+            if source == STORE_SOURCE:
+                generation = self.published if self.store_up else 0
+                contents = GENERATIONS[self.published][1] if self.store_up else {}
+            else:
+                peer = self.nodes[PEERS.index(source)]
+                generation = peer.generation
+                known = (d for p in GENERATIONS.values() for d in p[1])
+                contents = {d: c for d in known if (c := peer.part(d)) is not None}
+            if isinstance(command, RequestIndex):
+                seen = IndexSeen(index=GENERATIONS[max(generation, 1)][0], source=source)
+                self.flights.append((number, seen if generation else IndexFailed(source=source)))
+                return
+            for digest in command.digests:
+                if digest in contents:
+                    part = PartReceived(digest=digest, content=contents[digest], source=source)
+                    self.flights.append((number, part))
+                else:
+                    self.flights.append((number, PartsFailed(source=source)))
+
+        @rule()
+        def publish(self) -> None:
+            self.published = min(self.published + 1, len(GENERATIONS))
+
+        @rule(number=st.integers(0, 4), generation=st.integers(1, 8))
+        def store_shows(self, number: int, generation: int) -> None:
+            generation = min(generation, self.published)
+            self._deliver(number, IndexSeen(index=GENERATIONS[generation][0], source=STORE_SOURCE))
+
+        @rule(number=st.integers(0, 4), peer=st.integers(0, 4))
+        def gossip(self, number: int, peer: int) -> None:
+            generation = self.nodes[peer].generation
+            if number != peer:
+                self._deliver(number, PeerGeneration(peer=PEERS[peer], generation=generation))
+
+        @rule(data=st.data(), fate=st.sampled_from(["deliver"] * 4 + ["lose", "double", "damage"]))
+        def network(self, data: st.DataObject, fate: str) -> None:
+            if not self.flights:
+                return
+            flight = data.draw(st.integers(0, len(self.flights) - 1))
+            number, message = self.flights.pop(flight)
+            if fate == "lose":
+                return
+            if fate == "damage" and isinstance(message, PartReceived):
+                message = PartReceived(digest=message.digest, content=b"?", source=message.source)
+            self._deliver(number, message)
+            if fate == "double":
+                self._deliver(number, message)
+
+        @rule(up=st.booleans())
+        def store(self, up: bool) -> None:
+            self.store_up = up
+
+        @rule(seconds=st.floats(0.1, 60))
+        def tick(self, seconds: float) -> None:
+            self.now += seconds
+            for number in range(5):
+                self._deliver(number, Tick())
+
+        @rule(number=st.integers(0, 4))
+        def restart(self, number: int) -> None:
+            self.nodes[number] = self._new(number)
+            self.floors[number] = 0
+            self._deliver(number, ZoneMembersChanged(members=PEERS[:5]))
+
+        @invariant()
+        def memory_is_bounded(self) -> None:
+            for node in self.nodes:
+                assert len(node._contents) + len(node._pending_contents) <= 6
+                assert len(node._hints) <= 4
+
+        def teardown(self) -> None:
+            self.store_up = True
+            for _ in range(200):
+                flights, self.flights = self.flights, []
+                for number, message in flights:
+                    self._deliver(number, message)
+                self._deliver(
+                    0, IndexSeen(index=GENERATIONS[self.published][0], source=STORE_SOURCE)
+                )
+                for number in range(1, 5):
+                    self.gossip(number, number - 1)
+                self.tick(1.0)
+            assert {n.generation for n in self.nodes} == {self.published}, "no convergence"
+
+    return Network
+
+
+SETTINGS = settings(
+    derandomize=True, max_examples=60, stateful_step_count=40, deadline=None, database=None
+)
+
+MUTANT_SETTINGS = settings(SETTINGS, phases=[Phase.generate])
+
+
+class TestConfigurationUnderFaults:
+    """Guard against reversal, mixture and divergence under loss, damage, delay and restarts."""
+
+    def test_holds(self) -> None:
+        run_state_machine_as_test(machine(ConfigurationState), settings=SETTINGS)
+
+    @pytest.mark.parametrize(
+        ("kind", "failure"),
+        [(RevertingState, "reverted"), (MixingState, "mixed"), (StuckState, "no convergence")],
+    )
+    def test_catches_a_missing_guard(self, kind: type[ConfigurationState], failure: str) -> None:
+        with pytest.raises(AssertionError, match=failure):
+            run_state_machine_as_test(machine(kind), settings=MUTANT_SETTINGS)
