Add the agent's call registry

Cause: an agent must run each call id at most once per epoch and must never report a call as not_run that ran or can still run.

Change: CallRegistry admits an id once, refuses with a typed reason, settles and tombstones, resumes from a bounded buffer and keeps answers for 30 s. Every copy of a request carries one expiry on the agent's own monotonic clock, so memory of ids needs no bound on clock skew. Ids that do not fit the table raise a time before which every expiring call is refused.

Conclusion: the daemons can be written against this interface.

--- /dev/null
+++ b/egretrouter/core/calls/_registry.py
@@ -0,0 +1,392 @@
+"""Decide which calls an agent runs and remember what became of them."""
+
+from functools import singledispatchmethod
+from typing import Any
+
+import msgspec
+
+from egretrouter.core.calls._answers import (
+    AnswerBody,
+    AnswerFailure,
+    AnswerHead,
+    CallState,
+    RefusalReason,
+)
+from egretrouter.core.calls._buffer import AnswerBuffer
+from egretrouter.core.calls._registry_messages import (
+    AdmitCall,
+    AnswerProduced,
+    CallFailed,
+    CallFinished,
+    CallStarted,
+    CancelCall,
+    ConfirmEpoch,
+    Drain,
+    Drained,
+    EpochRead,
+    RegistryCommand,
+    RegistryLimits,
+    RegistryMessage,
+    ReplySettle,
+    ResumeCall,
+    RouterAttached,
+    RouterLost,
+    SendFrame,
+    SettleCall,
+    StartCall,
+    StopCall,
+    Tick,
+    VersionLoaded,
+)
+from egretrouter.core.errors import Outcome
+from egretrouter.core.identifiers import CallId, Digest, Epoch, InstanceId
+
+
+class _Call(msgspec.Struct, kw_only=True):
+    """Hold what is remembered about one call id."""
+
+    state: CallState
+    expires_at_seconds: float
+    router_id: InstanceId | None = None
+    idempotent: bool = False
+    reason: RefusalReason | None = None
+    buffer: AnswerBuffer | None = None
+    ended_at_seconds: float = 0.0
+
+
+class CallRegistry:
+    """Admit each call id once per epoch and remember it until no copy can be admitted.
+
+    Every copy of a request to run a call carries the same expiry on this process's monotonic
+    clock. A copy is refused after the expiry, and the id is remembered until then, so no copy can
+    run a second time, however late it arrives and however long this process was paused.
+    """
+
+    def __init__(
+        self,
+        *,
+        epoch: Epoch,
+        version_digest: Digest,
+        limits: RegistryLimits | None = None,
+        now_seconds: float = 0.0,
+    ) -> None:
+        """Start with an empty memory, as each epoch does."""
+        self.epoch = epoch
+        self._version_digest = version_digest
+        self._limits = limits or RegistryLimits()
+        self._calls: dict[CallId, _Call] = {}
+        self._running: set[CallId] = set()
+        self._kept: dict[CallId, None] = {}
+        self._kept_bytes = 0
+        self._lost_routers: dict[InstanceId, float] = {}
+        self._draining = False
+        self._epoch_confirmed = True
+        # Ids that expire up to this time are refused, because one of them was not remembered.
+        self._refuse_until_seconds = float("-inf")
+        self._last_seconds = now_seconds
+
+    @property
+    def in_progress(self) -> int:
+        """Return the number of calls that are admitted or running."""
+        return len(self._running)
+
+    def handle(self, message: RegistryMessage, *, now_seconds: float) -> list[RegistryCommand]:
+        """Apply one message."""
+        commands: list[RegistryCommand] = []
+        if now_seconds - self._last_seconds > self._limits.lease_seconds:
+            # Another agent may have replaced this one, and links look lost because of the pause.
+            self._epoch_confirmed = False
+            self._lost_routers = dict.fromkeys(self._lost_routers, now_seconds)
+            commands.append(ConfirmEpoch())
+        self._last_seconds = now_seconds
+        return commands + self._apply(message, now_seconds)
+
+    @singledispatchmethod
+    def _apply(self, message: object, now: float) -> list[RegistryCommand]:
+        raise TypeError(f"call registry got unexpected message {message!r}")
+
+    @_apply.register
+    def _admit(self, message: AdmitCall, now: float) -> list[RegistryCommand]:
+        if message.epoch != self.epoch:
+            return self._refuse(message, RefusalReason.OTHER_EPOCH)
+        known = self._calls.get(message.call_id)
+        if known is not None:
+            # A copy of an admitted call changes nothing: its frames are already being sent.
+            return self._refuse(message, known.reason) if known.reason is not None else []
+        if now >= message.expires_at_seconds:
+            return self._refuse(message, RefusalReason.EXPIRED)
+        if message.expires_at_seconds <= self._refuse_until_seconds:
+            return self._refuse(message, RefusalReason.FULL)
+        reason = self._refusal_reason(message)
+        call = _Call(
+            state=CallState.ADMITTED if reason is None else CallState.REFUSED,
+            expires_at_seconds=message.expires_at_seconds,
+            router_id=message.router_id,
+            idempotent=message.idempotent,
+            reason=reason,
+        )
+        # A refused id is remembered too: a second copy must not run once there is room again.
+        if not self._remember(message.call_id, call):
+            return self._refuse(message, RefusalReason.FULL)
+        if reason is not None:
+            return self._refuse(message, reason)
+        call.buffer = AnswerBuffer(message.call_id, limit_bytes=self._limits.call_buffer_bytes)
+        self._running.add(message.call_id)
+        return [StartCall(call_id=message.call_id)]
+
+    def _refusal_reason(self, message: AdmitCall) -> RefusalReason | None:
+        if not self._epoch_confirmed:
+            return RefusalReason.EPOCH_UNCONFIRMED
+        if self._draining:
+            return RefusalReason.DRAINING
+        if message.version_digest != self._version_digest:
+            return RefusalReason.OTHER_VERSION
+        if len(self._running) >= self._limits.running_calls:
+            return RefusalReason.FULL
+        return None
+
+    def _remember(self, call_id: CallId, call: _Call) -> bool:
+        if len(self._calls) >= self._limits.remembered_calls:
+            self._refuse_until_seconds = max(self._refuse_until_seconds, call.expires_at_seconds)
+            return False
+        self._calls[call_id] = call
+        return True
+
+    @staticmethod
+    def _refuse(message: AdmitCall, reason: RefusalReason) -> list[RegistryCommand]:
+        body = AnswerFailure(outcome=Outcome.NOT_RUN, reason=reason.value)
+        return [_frame(message, 0, body)]
+
+    def _running_call(self, call_id: CallId) -> _Call | None:
+        return self._calls[call_id] if call_id in self._running else None
+
+    @_apply.register
+    def _started(self, message: CallStarted, now: float) -> list[RegistryCommand]:
+        call = self._running_call(message.call_id)
+        if call is not None:
+            call.state = CallState.RUNNING
+        return []
+
+    @_apply.register
+    def _produced(self, message: AnswerProduced, now: float) -> list[RegistryCommand]:
+        call = self._running_call(message.call_id)
+        if call is None:
+            return []
+        call.state = CallState.RUNNING
+        return self._append(message.call_id, call, message.body)
+
+    def _append(self, call_id: CallId, call: _Call, body: AnswerBody) -> list[RegistryCommand]:
+        if call.buffer is None:
+            return []
+        sequence = call.buffer.append(body)
+        if call.router_id is None or call.router_id in self._lost_routers:
+            return []
+        return [SendFrame(call_id=call_id, router_id=call.router_id, sequence=sequence, body=body)]
+
+    @_apply.register
+    def _finished(self, message: CallFinished, now: float) -> list[RegistryCommand]:
+        call = self._running_call(message.call_id)
+        if call is None or call.buffer is None:
+            return []
+        commands = self._append(message.call_id, call, call.buffer.checksum.end())
+        return commands + self._end(message.call_id, call, CallState.FINISHED, now)
+
+    @_apply.register
+    def _failed(self, message: CallFailed, now: float) -> list[RegistryCommand]:
+        call = self._running_call(message.call_id)
+        if call is None:
+            return []
+        if call.state is CallState.ADMITTED:
+            call.reason = RefusalReason.ENDPOINT_UNAVAILABLE
+            body = AnswerFailure(
+                outcome=Outcome.NOT_RUN, reason=call.reason.value, detail=message.detail
+            )
+            state = CallState.REFUSED
+        else:
+            body = AnswerFailure(
+                outcome=Outcome.UNKNOWN, reason="endpoint_failed", detail=message.detail
+            )
+            state = CallState.FAILED
+        commands = self._append(message.call_id, call, body)
+        return commands + self._end(message.call_id, call, state, now)
+
+    def _end(
+        self, call_id: CallId, call: _Call, state: CallState, now: float
+    ) -> list[RegistryCommand]:
+        call.state = state
+        call.ended_at_seconds = now
+        self._running.discard(call_id)
+        self._kept[call_id] = None
+        self._kept_bytes += call.buffer.held_bytes if call.buffer else 0
+        self._drop_answers(now)
+        return self._drained()
+
+    def _drop_answers(self, now: float) -> None:
+        """Drop old answers; at the byte bound those of idempotent calls go first."""
+        limits = self._limits
+        for call_id in list(self._kept):
+            if now - self._calls[call_id].ended_at_seconds < limits.kept_answer_seconds:
+                break
+            self._drop_answer(call_id)
+        if self._kept_bytes <= limits.kept_answer_bytes:
+            return
+        for call_id in sorted(self._kept, key=lambda key: not self._calls[key].idempotent):
+            if self._kept_bytes <= limits.kept_answer_bytes:
+                return
+            self._drop_answer(call_id)
+
+    def _drop_answer(self, call_id: CallId) -> None:
+        del self._kept[call_id]
+        buffer = self._calls[call_id].buffer
+        if buffer is not None:
+            self._kept_bytes -= buffer.held_bytes
+            buffer.clear()
+
+    @_apply.register
+    def _settle(self, message: SettleCall, now: float) -> list[RegistryCommand]:
+        call_id = message.call_id
+        if message.epoch != self.epoch:
+            return self._reply(call_id, CallState.OTHER_EPOCH)
+        call = self._calls.get(call_id)
+        if call is not None:
+            answer = call.buffer.whole() if call.buffer else None
+            head, content = (call.state is CallState.FINISHED and answer) or (None, None)
+            return self._reply(call_id, call.state, head=head, content=content)
+        if now > message.expires_at_seconds + self._limits.settle_seconds:
+            return self._reply(call_id, CallState.FORGOTTEN)
+        self._tombstone(call_id, message.expires_at_seconds)
+        return self._reply(call_id, CallState.TOMBSTONED)
+
+    def _tombstone(self, call_id: CallId, expires_at_seconds: float) -> None:
+        call = _Call(
+            state=CallState.TOMBSTONED,
+            expires_at_seconds=expires_at_seconds,
+            reason=RefusalReason.TOMBSTONED,
+        )
+        self._remember(call_id, call)
+
+    def _reply(
+        self,
+        call_id: CallId,
+        state: CallState,
+        *,
+        head: AnswerHead | None = None,
+        content: bytes | None = None,
+    ) -> list[RegistryCommand]:
+        return [
+            ReplySettle(call_id=call_id, state=state, epoch=self.epoch, head=head, content=content)
+        ]
+
+    @_apply.register
+    def _resume(self, message: ResumeCall, now: float) -> list[RegistryCommand]:
+        call = self._calls.get(message.call_id)
+        frames = call.buffer.since(message.next_sequence) if call and call.buffer else None
+        if call is None or frames is None:
+            return self._resume_failed(message, "frames_not_kept")
+        if not frames and message.call_id not in self._running:
+            return self._resume_failed(message, "answer_not_kept")
+        call.router_id = message.router_id
+        return [_frame(message, sequence, body) for sequence, body in frames]
+
+    @staticmethod
+    def _resume_failed(message: ResumeCall, reason: str) -> list[RegistryCommand]:
+        body = AnswerFailure(outcome=Outcome.UNKNOWN, reason=reason)
+        return [_frame(message, message.next_sequence, body)]
+
+    @_apply.register
+    def _cancel(self, message: CancelCall, now: float) -> list[RegistryCommand]:
+        call = self._calls.get(message.call_id)
+        if call is None:
+            if now < message.expires_at_seconds:
+                self._tombstone(message.call_id, message.expires_at_seconds)
+            return []
+        return self._stop(message.call_id, call, now)
+
+    def _stop(self, call_id: CallId, call: _Call, now: float) -> list[RegistryCommand]:
+        # A non-idempotent call goes on: cutting it off does not undo it and loses its answer.
+        if not call.idempotent or call_id not in self._running:
+            return []
+        body = AnswerFailure(outcome=Outcome.UNKNOWN, reason="cancelled")
+        return [
+            StopCall(call_id=call_id),
+            *self._append(call_id, call, body),
+            *self._end(call_id, call, CallState.FAILED, now),
+        ]
+
+    @_apply.register
+    def _router_attached(self, message: RouterAttached, now: float) -> list[RegistryCommand]:
+        self._lost_routers.pop(message.router_id, None)
+        return []
+
+    @_apply.register
+    def _router_lost(self, message: RouterLost, now: float) -> list[RegistryCommand]:
+        self._lost_routers.setdefault(message.router_id, now)
+        return []
+
+    @_apply.register
+    def _version_loaded(self, message: VersionLoaded, now: float) -> list[RegistryCommand]:
+        self._version_digest = message.version_digest
+        return []
+
+    @_apply.register
+    def _epoch_read(self, message: EpochRead, now: float) -> list[RegistryCommand]:
+        self._epoch_confirmed = message.epoch == self.epoch
+        return []
+
+    @_apply.register
+    def _drain(self, message: Drain, now: float) -> list[RegistryCommand]:
+        self._draining = True
+        return self._drained()
+
+    def _drained(self) -> list[RegistryCommand]:
+        return [Drained()] if self._draining and not self._running else []
+
+    @_apply.register
+    def _tick(self, message: Tick, now: float) -> list[RegistryCommand]:
+        commands: list[RegistryCommand] = []
+        limit = self._limits.router_lost_seconds
+        lost = {key for key, since in self._lost_routers.items() if now - since >= limit}
+        for call_id in list(self._running):
+            call = self._calls[call_id]
+            if call.router_id in lost or now >= call.expires_at_seconds:
+                commands += self._stop(call_id, call, now)
+        self._drop_answers(now)
+        self._forget(now)
+        self._forget_routers(lost)
+        return commands
+
+    def _forget(self, now: float) -> None:
+        horizon = now - self._limits.settle_seconds
+        for call_id in [
+            key
+            for key, call in self._calls.items()
+            if call.expires_at_seconds < horizon
+            and key not in self._running
+            and key not in self._kept
+        ]:
+            del self._calls[call_id]
+
+    def _forget_routers(self, lost: set[InstanceId]) -> None:
+        used = {self._calls[call_id].router_id for call_id in self._running}
+        for router_id in lost - used:
+            del self._lost_routers[router_id]
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return the state for the state dump."""
+        return {
+            "epoch": self.epoch,
+            "epoch_confirmed": self._epoch_confirmed,
+            "version_digest": self._version_digest,
+            "draining": self._draining,
+            "running": sorted(self._running),
+            "remembered": len(self._calls),
+            "kept_answers": len(self._kept),
+            "kept_answer_bytes": self._kept_bytes,
+            "lost_routers": sorted(self._lost_routers),
+        }
+
+
+def _frame(message: AdmitCall | ResumeCall, sequence: int, body: AnswerBody) -> SendFrame:
+    return SendFrame(
+        call_id=message.call_id, router_id=message.router_id, sequence=sequence, body=body
+    )
--- /dev/null
+++ b/egretrouter/core/calls/_registry_messages.py
@@ -0,0 +1,174 @@
+"""Define the limits, messages and commands of the call registry."""
+
+import msgspec
+
+from egretrouter.core.calls._answers import AnswerBody, AnswerData, AnswerHead, CallState
+from egretrouter.core.identifiers import CallId, Digest, Epoch, InstanceId
+
+
+class RegistryLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """Bound what a call registry runs and remembers."""
+
+    running_calls: int = 256
+    remembered_calls: int = 65_536
+    """About 15 MB; at 40 calls a second for 150 s some 6,000 are in use."""
+    call_buffer_bytes: int = 256 * 1024
+    """With 256 running calls the buffers take at most 64 MB."""
+    kept_answer_bytes: int = 16 * 1024**2
+    kept_answer_seconds: float = 30.0
+    settle_seconds: float = 120.0
+    """Time after a call's expiry in which its fate can still be told."""
+    router_lost_seconds: float = 5.0
+    lease_seconds: float = 10.0
+
+
+class AdmitCall(msgspec.Struct, frozen=True, kw_only=True):
+    """Ask to run a call; the version digest is empty for a plain service."""
+
+    call_id: CallId
+    router_id: InstanceId
+    epoch: Epoch
+    version_digest: Digest
+    expires_at_seconds: float
+    idempotent: bool
+
+
+class CallStarted(msgspec.Struct, frozen=True, kw_only=True):
+    """Report, before the first byte is sent, that the endpoint is about to get the call."""
+
+    call_id: CallId
+
+
+class AnswerProduced(msgspec.Struct, frozen=True, kw_only=True):
+    """Report a piece of the endpoint's answer."""
+
+    call_id: CallId
+    body: AnswerHead | AnswerData
+
+
+class CallFinished(msgspec.Struct, frozen=True, kw_only=True):
+    """Report that the endpoint's answer is whole."""
+
+    call_id: CallId
+
+
+class CallFailed(msgspec.Struct, frozen=True, kw_only=True):
+    """Report that the endpoint gave no whole answer."""
+
+    call_id: CallId
+    detail: str = ""
+
+
+class SettleCall(msgspec.Struct, frozen=True, kw_only=True):
+    """Ask what became of a call and forbid it to run if it is unknown."""
+
+    call_id: CallId
+    epoch: Epoch
+    expires_at_seconds: float
+
+
+class ResumeCall(msgspec.Struct, frozen=True, kw_only=True):
+    """Ask for a call's frames again from a sequence number."""
+
+    call_id: CallId
+    router_id: InstanceId
+    next_sequence: int
+
+
+class CancelCall(msgspec.Struct, frozen=True, kw_only=True):
+    """Report that nobody waits for the answer."""
+
+    call_id: CallId
+    expires_at_seconds: float
+
+
+class RouterAttached(msgspec.Struct, frozen=True, kw_only=True):
+    """Report a link from a router."""
+
+    router_id: InstanceId
+
+
+class RouterLost(msgspec.Struct, frozen=True, kw_only=True):
+    """Report that the link from a router broke."""
+
+    router_id: InstanceId
+
+
+class VersionLoaded(msgspec.Struct, frozen=True, kw_only=True):
+    """Report the version digest that the endpoint serves."""
+
+    version_digest: Digest
+
+
+class EpochRead(msgspec.Struct, frozen=True, kw_only=True):
+    """Report the endpoint's fencing number as read again from the store."""
+
+    epoch: Epoch
+
+
+class Drain(msgspec.Struct, frozen=True, kw_only=True):
+    """Stop admitting calls for good."""
+
+
+class Tick(msgspec.Struct, frozen=True, kw_only=True):
+    """Let time pass; sent at least once a second."""
+
+
+RegistryMessage = (
+    AdmitCall
+    | CallStarted
+    | AnswerProduced
+    | CallFinished
+    | CallFailed
+    | SettleCall
+    | ResumeCall
+    | CancelCall
+    | RouterAttached
+    | RouterLost
+    | VersionLoaded
+    | EpochRead
+    | Drain
+    | Tick
+)
+
+
+class StartCall(msgspec.Struct, frozen=True, kw_only=True):
+    """Send the call to the endpoint."""
+
+    call_id: CallId
+
+
+class StopCall(msgspec.Struct, frozen=True, kw_only=True):
+    """Cancel the call at the endpoint."""
+
+    call_id: CallId
+
+
+class SendFrame(msgspec.Struct, frozen=True, kw_only=True):
+    """Send one frame to a router."""
+
+    call_id: CallId
+    router_id: InstanceId
+    sequence: int
+    body: AnswerBody
+
+
+class ReplySettle(msgspec.Struct, frozen=True, kw_only=True):
+    """Answer a settle request; the answer is given if the call finished and it is still kept."""
+
+    call_id: CallId
+    state: CallState
+    epoch: Epoch
+    head: AnswerHead | None = None
+    content: bytes | None = None
+
+
+class ConfirmEpoch(msgspec.Struct, frozen=True, kw_only=True):
+    """Read the endpoint's fencing number from the store and report it as EpochRead."""
+
+
+class Drained(msgspec.Struct, frozen=True, kw_only=True):
+    """State that no call is in progress and none will be admitted."""
+
+
+RegistryCommand = StartCall | StopCall | SendFrame | ReplySettle | ConfirmEpoch | Drained
