--- /dev/null
+++ b/tests/test_calls_attempt.py
@@ -0,0 +1,272 @@
+"""Test how a router gets one call answered."""
+
+from typing import Any
+
+import pytest
+
+from egretrouter.core.calls import (
+    AnswerBody,
+    AnswerChecksum,
+    AnswerData,
+    AnswerEnd,
+    AnswerFailure,
+    AnswerHead,
+    AttemptCommand,
+    AttemptRules,
+    CallAttempt,
+    CallState,
+    ChooseEndpoint,
+    ClaimEnd,
+    CloseClaim,
+    DeadlineReached,
+    DeferToClaim,
+    EndpointChosen,
+    FailCaller,
+    FinishCaller,
+    ForwardToCaller,
+    FrameArrived,
+    HedgeDue,
+    LinkLost,
+    NoEndpoint,
+    RecordTarget,
+    SendCancel,
+    SendOpen,
+    SendResume,
+    SendSettle,
+    SettleAnswered,
+    SettleFailed,
+    Target,
+    TargetDenied,
+    TargetRecorded,
+)
+from egretrouter.core.errors import Outcome
+from egretrouter.core.identifiers import CallId, Digest, Epoch, InstanceId
+
+HEAD = AnswerHead(status=200)
+REFUSED = AnswerFailure(outcome=Outcome.NOT_RUN, reason="full")
+
+
+class Call:
+    """Drive one attempt and keep what its caller got."""
+
+    def __init__(self, **rules: Any) -> None:
+        self.attempt = CallAttempt(CallId("c"), rules=AttemptRules(**rules))
+        self.attempt.start()
+
+    def send(self, message: Any) -> list[AttemptCommand]:
+        return self.attempt.handle(message, now_seconds=0.0)
+
+    def choose(self, number: int = 1, *, version: str = "v1") -> list[AttemptCommand]:
+        target = Target(
+            agent_id=InstanceId(f"agent-{number}"),
+            address="127.0.0.1:1",
+            epoch=Epoch(1),
+            call_id=self.attempt.target_call_id(number),
+            expires_at_seconds=30.0,
+        )
+        return self.send(EndpointChosen(target=target, version_digest=Digest(version)))
+
+    def frames(self, *bodies: AnswerBody, attempt: int = 1, first: int = 0) -> list[AttemptCommand]:
+        commands: list[AttemptCommand] = []
+        for sequence, body in enumerate(bodies, start=first):
+            commands += self.send(FrameArrived(attempt=attempt, sequence=sequence, body=body))
+        return commands
+
+
+def answer(*pieces: bytes, call_id: str = "c.1") -> list[AnswerBody]:
+    checksum = AnswerChecksum(CallId(call_id))
+    bodies: list[AnswerHead | AnswerData] = [HEAD, *(AnswerData(data=p) for p in pieces)]
+    for body in bodies:
+        checksum.add(body)
+    return [*bodies, checksum.end()]
+
+
+def failed(commands: list[AttemptCommand]) -> Outcome | None:
+    return next((c.outcome for c in commands if isinstance(c, FailCaller)), None)
+
+
+def content(commands: list[AttemptCommand]) -> bytes:
+    bodies = [c.body for c in commands if isinstance(c, ForwardToCaller)]
+    return b"".join(body.data for body in bodies if isinstance(body, AnswerData))
+
+
+class TestWholeAnswer:
+    """Guard against ending a stream cleanly that lacks, repeats or swaps bytes."""
+
+    def test_forwards_and_finishes(self) -> None:
+        call = Call(idempotent=False)
+        assert isinstance(call.choose()[0], SendOpen)
+        commands = call.frames(*answer(b"ab", b"c"))
+        assert content(commands) == b"abc"
+        assert commands[-1] == FinishCaller()
+
+    @pytest.mark.parametrize(
+        "bodies",
+        [
+            answer(b"ab", call_id="other.1"),
+            [*answer(b"ab")[:-1], AnswerEnd(total_bytes=1, checksum=0)],
+            [HEAD, AnswerData(data=b"xb"), answer(b"ab")[-1]],
+            [HEAD, HEAD],
+            [AnswerData(data=b"ab")],
+        ],
+        ids=["swapped", "count", "corrupted", "two heads", "no head"],
+    )
+    def test_anything_else_is_an_explicit_error(self, bodies: list[AnswerBody]) -> None:
+        call = Call(idempotent=True)
+        call.choose()
+        commands = call.frames(*bodies)
+        assert failed(commands) is Outcome.UNKNOWN
+        assert FinishCaller() not in commands
+
+    def test_ignores_repeated_frames_and_asks_for_missing_ones(self) -> None:
+        call = Call(idempotent=False)
+        call.choose()
+        head, first, second, end = answer(b"ab", b"c")
+        call.frames(head, first)
+        assert call.frames(first, first=1) == []
+        assert isinstance(call.frames(end, first=3)[0], SendResume)
+        assert call.frames(second, end, first=2)[-1] == FinishCaller()
+
+
+class TestRetry:
+    """Guard against a second execution of a call that can't be repeated."""
+
+    def test_refused_call_goes_elsewhere(self) -> None:
+        call = Call(idempotent=False)
+        call.choose()
+        (command,) = call.frames(REFUSED)
+        assert isinstance(command, ChooseEndpoint)
+        assert command.avoid_agents == {InstanceId("agent-1")}
+        assert failed(call.send(NoEndpoint())) is Outcome.NOT_RUN
+
+    @pytest.mark.parametrize(
+        ("state", "expected"),
+        [
+            (CallState.TOMBSTONED, ChooseEndpoint),
+            (CallState.REFUSED, ChooseEndpoint),
+            (CallState.RUNNING, SendResume),
+            (CallState.FINISHED, SendResume),
+            (CallState.OTHER_EPOCH, FailCaller),
+            (CallState.FORGOTTEN, FailCaller),
+            (CallState.FAILED, FailCaller),
+        ],
+    )
+    def test_lost_link_is_settled_first(self, state: CallState, expected: type) -> None:
+        call = Call(idempotent=False)
+        call.choose()
+        assert isinstance(call.send(LinkLost(attempt=1))[0], SendSettle)
+        commands = call.send(SettleAnswered(attempt=1, state=state))
+        assert isinstance(commands[0], expected)
+        assert failed(commands) in {None, Outcome.UNKNOWN}
+
+    def test_unreachable_agent_leaves_the_outcome_unknown(self) -> None:
+        call = Call(idempotent=False)
+        call.choose()
+        commands = call.send(LinkLost(attempt=1))
+        for _ in range(3):
+            commands = call.send(SettleFailed(attempt=1))
+        assert failed(commands) is Outcome.UNKNOWN
+
+    def test_tombstone_after_a_frame_is_not_believed(self) -> None:
+        call = Call(idempotent=False)
+        call.choose()
+        call.frames(HEAD)
+        call.send(LinkLost(attempt=1))
+        commands = call.send(SettleAnswered(attempt=1, state=CallState.TOMBSTONED))
+        assert failed(commands) is Outcome.UNKNOWN
+
+    def test_idempotent_call_goes_elsewhere_until_a_byte_was_forwarded(self) -> None:
+        call = Call(idempotent=True)
+        call.choose()
+        assert isinstance(call.send(LinkLost(attempt=1))[0], ChooseEndpoint)
+        call.choose(2)
+        call.frames(HEAD, attempt=2)
+        call.send(LinkLost(attempt=2))
+        commands = call.send(SettleAnswered(attempt=2, state=CallState.OTHER_EPOCH))
+        assert failed(commands) is Outcome.UNKNOWN
+
+    @pytest.mark.parametrize(
+        ("again", "version", "whole"),
+        [
+            ([b"ab", b"cd"], "v1", True),
+            ([b"abcd"], "v1", True),
+            ([b"ax", b"cd"], "v1", False),
+            ([b"a"], "v1", False),
+            ([b"ab", b"cd"], "v2", False),
+        ],
+    )
+    def test_repeatable_answer_continues_only_byte_for_byte_and_on_the_version(
+        self, again: list[bytes], version: str, whole: bool
+    ) -> None:
+        call = Call(idempotent=True, repeatable_answer=True)
+        call.choose()
+        commands = call.frames(*answer(b"abc")[:-1])
+        call.send(LinkLost(attempt=1))
+        (choose,) = call.send(SettleAnswered(attempt=1, state=CallState.OTHER_EPOCH))
+        assert isinstance(choose, ChooseEndpoint)
+        assert choose.version_digest == "v1"
+        commands += call.choose(2, version=version)
+        commands += call.frames(*answer(*again, call_id="c.2"), attempt=2)
+        assert (FinishCaller() in commands) is whole
+        assert content(commands) == (b"abcd" if whole else b"abc")
+
+
+class TestHedge:
+    """Guard against hedging a call that can't be repeated and against mixing two answers."""
+
+    @pytest.mark.parametrize("idempotent", [True, False])
+    def test_hedges_only_idempotent_calls(self, idempotent: bool) -> None:
+        call = Call(idempotent=idempotent, hedged=True)
+        call.choose()
+        assert bool(call.send(HedgeDue())) is idempotent
+
+    def test_first_answer_wins_and_the_other_is_cancelled(self) -> None:
+        call = Call(idempotent=True, hedged=True)
+        call.choose()
+        call.send(HedgeDue())
+        call.choose(2)
+        commands = call.frames(*answer(b"two", call_id="c.2"), attempt=2)
+        assert isinstance(commands[0], SendCancel)
+        assert commands[0].attempt == 1
+        assert content(commands + call.frames(*answer(b"one"))) == b"two"
+
+
+class TestKeyedCall:
+    """Guard against sending a call that its claim does not name."""
+
+    def test_every_target_is_recorded_before_it_gets_the_call(self) -> None:
+        call = Call(idempotent=False, keyed=True)
+        assert isinstance(call.choose()[0], RecordTarget)
+        assert isinstance(call.send(TargetRecorded(attempt=1))[0], SendOpen)
+        call.frames(REFUSED)
+        assert isinstance(call.choose(2)[0], RecordTarget)
+
+    @pytest.mark.parametrize(
+        ("message", "outcome", "end"),
+        [
+            (TargetDenied(attempt=1, held_elsewhere=False), Outcome.NOT_RUN, ClaimEnd.RELEASED),
+            (DeadlineReached(), Outcome.NOT_RUN, ClaimEnd.RELEASED),
+        ],
+    )
+    def test_claim_that_was_not_recorded_is_released(
+        self, message: Any, outcome: Outcome, end: ClaimEnd
+    ) -> None:
+        call = Call(idempotent=False, keyed=True)
+        call.choose()
+        commands = call.send(message)
+        assert failed(commands) is outcome
+        assert commands[-1] == CloseClaim(end=end)
+        assert call.send(TargetRecorded(attempt=1)) == []
+
+    def test_key_held_elsewhere_is_left_alone(self) -> None:
+        call = Call(idempotent=False, keyed=True)
+        call.choose()
+        assert call.send(TargetDenied(attempt=1, held_elsewhere=True)) == [DeferToClaim()]
+
+    def test_deadline_after_sending_leaves_the_claim_to_be_settled(self) -> None:
+        call = Call(idempotent=False, keyed=True)
+        call.choose()
+        call.send(TargetRecorded(attempt=1))
+        commands = call.send(DeadlineReached())
+        assert failed(commands) is Outcome.UNKNOWN
+        assert commands[-1] == CloseClaim(end=ClaimEnd.UNSETTLED)
