Add the agent's call service and the router's call driver

Cause: the decisions about calls need sockets on both sides. Change: the agent serves the multiplexed link and runs calls at its endpoint; the router drives one call from choice of endpoint to the end of the caller's stream. The registry knows several version digests, since adapters load beside a base model.

--- a/egretrouter/core/calls/__init__.py
+++ b/egretrouter/core/calls/__init__.py
@@ -64,7 +64,7 @@
     StartCall,
     StopCall,
     Tick,
-    VersionLoaded,
+    VersionsLoaded,
 )
 
 __all__ = [
@@ -127,5 +127,5 @@
     "TargetDenied",
     "TargetRecorded",
     "Tick",
-    "VersionLoaded",
+    "VersionsLoaded",
 ]
--- a/egretrouter/core/calls/_registry.py
+++ b/egretrouter/core/calls/_registry.py
@@ -36,7 +36,7 @@
     StartCall,
     StopCall,
     Tick,
-    VersionLoaded,
+    VersionsLoaded,
 )
 from egretrouter.core.errors import Outcome
 from egretrouter.core.identifiers import CallId, Digest, Epoch, InstanceId
@@ -66,13 +66,13 @@
         self,
         *,
         epoch: Epoch,
-        version_digest: Digest,
+        version_digests: frozenset[Digest],
         limits: RegistryLimits | None = None,
         now_seconds: float = 0.0,
     ) -> None:
         """Start with an empty memory, as each epoch does."""
         self.epoch = epoch
-        self._version_digest = version_digest
+        self._version_digests = version_digests
         self._limits = limits or RegistryLimits()
         self._calls: dict[CallId, _Call] = {}
         self._running: set[CallId] = set()
@@ -139,7 +139,7 @@
             return RefusalReason.EPOCH_UNCONFIRMED
         if self._draining:
             return RefusalReason.DRAINING
-        if message.version_digest != self._version_digest:
+        if message.version_digest not in self._version_digests:
             return RefusalReason.OTHER_VERSION
         if len(self._running) >= self._limits.running_calls:
             return RefusalReason.FULL
@@ -324,8 +324,8 @@
         return []
 
     @_apply.register
-    def _version_loaded(self, message: VersionLoaded, now: float) -> list[RegistryCommand]:
-        self._version_digest = message.version_digest
+    def _versions_loaded(self, message: VersionsLoaded, now: float) -> list[RegistryCommand]:
+        self._version_digests = message.version_digests
         return []
 
     @_apply.register
@@ -376,7 +376,7 @@
         return {
             "epoch": self.epoch,
             "epoch_confirmed": self._epoch_confirmed,
-            "version_digest": self._version_digest,
+            "version_digests": sorted(self._version_digests),
             "draining": self._draining,
             "running": sorted(self._running),
             "remembered": len(self._calls),
--- a/egretrouter/core/calls/_registry_messages.py
+++ b/egretrouter/core/calls/_registry_messages.py
@@ -94,10 +94,10 @@
     router_id: InstanceId
 
 
-class VersionLoaded(msgspec.Struct, frozen=True, kw_only=True):
-    """Report the version digest that the endpoint serves."""
+class VersionsLoaded(msgspec.Struct, frozen=True, kw_only=True):
+    """Report the version digests that the endpoint serves; a plain service serves the empty one."""
 
-    version_digest: Digest
+    version_digests: frozenset[Digest]
 
 
 class EpochRead(msgspec.Struct, frozen=True, kw_only=True):
@@ -125,7 +125,7 @@
     | CancelCall
     | RouterAttached
     | RouterLost
-    | VersionLoaded
+    | VersionsLoaded
     | EpochRead
     | Drain
     | Tick
--- a/egretrouter/core/errors.py
+++ b/egretrouter/core/errors.py
@@ -107,3 +107,7 @@
 
 class CallUnknownError(CallError):
     """The call may have run, and its answer is lost."""
+
+
+class ProtocolError(EgretrouterError):
+    """A process of the system sent something that the protocol does not allow."""
--- /dev/null
+++ b/egretrouter/daemons/_agent_calls.py
@@ -0,0 +1,305 @@
+"""Serve the calls that routers send to the endpoint of this agent."""
+
+import asyncio
+import time
+from collections.abc import AsyncIterator, Callable
+from functools import singledispatchmethod
+from typing import Any
+
+from eliot import log_message
+
+from egretrouter.core.calls import (
+    AdmitCall,
+    AnswerData,
+    AnswerProduced,
+    CallFailed,
+    CallFinished,
+    CallRegistry,
+    CallStarted,
+    CancelCall,
+    ConfirmEpoch,
+    Drain,
+    Drained,
+    RegistryCommand,
+    RegistryMessage,
+    ReplySettle,
+    ResumeCall,
+    RouterAttached,
+    RouterLost,
+    SendFrame,
+    SettleCall,
+    StartCall,
+    StopCall,
+    Tick,
+)
+from egretrouter.core.errors import CallError, ProtocolError
+from egretrouter.core.identifiers import CallId, Digest, Epoch, InstanceId
+from egretrouter.daemons._endpoint import EndpointClient
+from egretrouter.protocol import egretrouter_pb2 as pb
+from egretrouter.protocol import egretrouter_pb2_grpc as pb_grpc
+from egretrouter.protocol import encode_frame, encode_head
+
+# Frames wait this long so that those of one decode step share a message; callers' events may
+# be held for 5 ms at most.
+COALESCE_SECONDS = 0.002
+MAXIMUM_FRAMES = 512
+DEFAULT_WINDOW_BYTES = 256 * 1024
+MINIMUM_CALL_SECONDS = 0.001
+
+
+class _RouterLink:
+    """Hold the frames that wait for one router."""
+
+    def __init__(self) -> None:
+        self._frames: list[pb.AnswerFrame] = []
+        self._wakeup = asyncio.Event()
+        self._urgent = False
+        self.closed = False
+
+    def queue(self, frame: pb.AnswerFrame, *, urgent: bool) -> None:
+        self._frames.append(frame)
+        self._urgent = self._urgent or urgent
+        self._wakeup.set()
+
+    def close(self) -> None:
+        self.closed = True
+        self._wakeup.set()
+
+    async def batch(self) -> list[pb.AnswerFrame]:
+        """Wait for frames and take all that are there."""
+        await self._wakeup.wait()
+        if not self._urgent and not self.closed:
+            await asyncio.sleep(COALESCE_SECONDS)
+        self._wakeup.clear()
+        frames, self._frames = self._frames, []
+        self._urgent = False
+        return frames
+
+
+class _RunningCall:
+    """Hold the task of a call and the bytes that its router may still be sent."""
+
+    def __init__(self, call: pb.CallOpen) -> None:
+        self.call = call
+        self.task: asyncio.Task[None] | None = None
+        self.window_bytes = call.window_bytes or DEFAULT_WINDOW_BYTES
+        self.credited = asyncio.Event()
+
+    def add_credit(self, credit_bytes: int) -> None:
+        self.window_bytes += credit_bytes
+        self.credited.set()
+
+    async def spend(self, sent_bytes: int) -> None:
+        """Wait until the router has taken enough of what was sent."""
+        self.window_bytes -= sent_bytes
+        while self.window_bytes <= 0:
+            self.credited.clear()
+            await self.credited.wait()
+
+
+class CallsServicer(pb_grpc.AgentCallsServicer):
+    """Own the call registry and carry out its commands."""
+
+    def __init__(
+        self,
+        *,
+        registry: CallRegistry,
+        endpoint: EndpointClient,
+        confirm_epoch: Callable[[], None],
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.registry = registry
+        self.drained = asyncio.Event()
+        self.calls_per_version: dict[Digest, int] = {}
+        self.finished_calls_total = 0
+        self._endpoint = endpoint
+        self._confirm_epoch = confirm_epoch
+        self._clock = clock
+        self._links: dict[InstanceId, _RouterLink] = {}
+        self._running: dict[CallId, _RunningCall] = {}
+
+    def apply(self, message: RegistryMessage) -> None:
+        """Pass a message to the registry and carry out what it commands."""
+        for command in self.registry.handle(message, now_seconds=self._clock()):
+            self._carry_out(command)
+
+    def drain(self) -> None:
+        """Admit no more calls; the drained event tells when the last one ended."""
+        self.apply(Drain())
+
+    def tick(self) -> None:
+        """Let the registry see the time."""
+        self.apply(Tick())
+
+    async def close(self) -> None:
+        """Cancel the calls that still run and close the links."""
+        for running in list(self._running.values()):
+            if running.task is not None:
+                running.task.cancel()
+        for link in self._links.values():
+            link.close()
+
+    async def Attach(  # noqa: N802
+        self, request_iterator: AsyncIterator[pb.RouterMessage], context: Any
+    ) -> AsyncIterator[pb.AgentMessage]:
+        """Serve one router until its stream ends."""
+        first = await anext(request_iterator, None)
+        if first is None:
+            return
+        router_id = InstanceId(first.router_id)
+        link = _RouterLink()
+        previous = self._links.get(router_id)
+        if previous is not None:
+            previous.close()
+        self._links[router_id] = link
+        self.apply(RouterAttached(router_id=router_id))
+        reader = asyncio.create_task(self._read(router_id, link, request_iterator))
+        epoch = self.registry.epoch
+        try:
+            yield pb.AgentMessage(epoch=epoch, clock_seconds=self._clock())
+            while not link.closed:
+                frames = await link.batch()
+                for start in range(0, len(frames), MAXIMUM_FRAMES):
+                    part = frames[start : start + MAXIMUM_FRAMES]
+                    yield pb.AgentMessage(epoch=epoch, frames=part)
+        finally:
+            reader.cancel()
+            if self._links.get(router_id) is link:
+                del self._links[router_id]
+                self.apply(RouterLost(router_id=router_id))
+
+    async def Settle(self, request: pb.SettleRequest, context: Any) -> pb.SettleReply:  # noqa: N802
+        """Tell what became of a call."""
+        message = SettleCall(
+            call_id=CallId(request.call_id),
+            epoch=Epoch(request.epoch),
+            expires_at_seconds=request.expires_at_seconds,
+        )
+        reply: pb.SettleReply | None = None
+        for command in self.registry.handle(message, now_seconds=self._clock()):
+            if isinstance(command, ReplySettle):
+                reply = _settle_reply(command)
+            else:
+                self._carry_out(command)
+        if reply is None:
+            raise ProtocolError(f"settling call {request.call_id!r} gave no reply")
+        return reply
+
+    async def _read(
+        self, router_id: InstanceId, link: _RouterLink, messages: AsyncIterator[pb.RouterMessage]
+    ) -> None:
+        try:
+            async for message in messages:
+                for frame in message.frames:
+                    self._take(router_id, frame)
+        finally:
+            link.close()
+
+    def _take(self, router_id: InstanceId, frame: pb.CallFrame) -> None:
+        call_id = CallId(frame.call_id)
+        kind = frame.WhichOneof("body")
+        if kind == "open":
+            self._open(router_id, call_id, frame.open)
+        elif kind == "credit":
+            running = self._running.get(call_id)
+            if running is not None:
+                running.add_credit(frame.credit.bytes)
+        elif kind == "cancel":
+            expires_at_seconds = frame.cancel.expires_at_seconds
+            self.apply(CancelCall(call_id=call_id, expires_at_seconds=expires_at_seconds))
+        elif kind == "resume":
+            next_sequence = frame.resume.next_sequence
+            self.apply(
+                ResumeCall(call_id=call_id, router_id=router_id, next_sequence=next_sequence)
+            )
+
+    def _open(self, router_id: InstanceId, call_id: CallId, call: pb.CallOpen) -> None:
+        known = call_id in self._running
+        if not known:
+            self._running[call_id] = _RunningCall(call)
+        self.apply(
+            AdmitCall(
+                call_id=call_id,
+                router_id=router_id,
+                epoch=Epoch(call.epoch),
+                version_digest=Digest(call.version_digest),
+                expires_at_seconds=call.expires_at_seconds,
+                idempotent=call.idempotent,
+            )
+        )
+        running = self._running.get(call_id)
+        if not known and running is not None and running.task is None:
+            del self._running[call_id]
+
+    @singledispatchmethod
+    def _carry_out(self, command: RegistryCommand) -> None:
+        raise TypeError(f"agent got unexpected command {command!r}")
+
+    @_carry_out.register
+    def _start(self, command: StartCall) -> None:
+        running = self._running[command.call_id]
+        running.task = asyncio.create_task(self._run(command.call_id, running))
+
+    @_carry_out.register
+    def _stop(self, command: StopCall) -> None:
+        running = self._running.get(command.call_id)
+        if running is not None and running.task is not None:
+            running.task.cancel()
+
+    @_carry_out.register
+    def _send(self, command: SendFrame) -> None:
+        link = self._links.get(command.router_id)
+        if link is not None:
+            frame = encode_frame(command.call_id, command.sequence, command.body)
+            link.queue(frame, urgent=command.sequence < 2)
+
+    @_carry_out.register
+    def _confirm(self, command: ConfirmEpoch) -> None:
+        self._confirm_epoch()
+
+    @_carry_out.register
+    def _drained(self, command: Drained) -> None:
+        self.drained.set()
+
+    async def _run(self, call_id: CallId, running: _RunningCall) -> None:
+        call = running.call
+        digest = Digest(call.version_digest)
+        self.calls_per_version[digest] = self.calls_per_version.get(digest, 0) + 1
+        left_seconds = max(call.expires_at_seconds - self._clock(), MINIMUM_CALL_SECONDS)
+        try:
+            parts = self._endpoint.run(
+                call,
+                call_id=call_id,
+                timeout_seconds=left_seconds,
+                on_connected=lambda: self.apply(CallStarted(call_id=call_id)),
+            )
+            async for part in parts:
+                self.apply(AnswerProduced(call_id=call_id, body=part))
+                if isinstance(part, AnswerData):
+                    await running.spend(len(part.data))
+            self.finished_calls_total += 1
+            self.apply(CallFinished(call_id=call_id))
+        except CallError as error:
+            log_message("agent:call_failed", call_id=call_id, error=type(error).__name__)
+            self.apply(CallFailed(call_id=call_id, detail=str(error)))
+        finally:
+            del self._running[call_id]
+            self.calls_per_version[digest] -= 1
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return the state for the state dump."""
+        return {
+            "registry": self.registry.snapshot(),
+            "links": sorted(self._links),
+            "calls_per_version": dict(self.calls_per_version),
+            "finished_calls_total": self.finished_calls_total,
+        }
+
+
+def _settle_reply(command: ReplySettle) -> pb.SettleReply:
+    reply = pb.SettleReply(state=command.state.value, epoch=command.epoch)
+    if command.head is not None:
+        reply.head.CopyFrom(encode_head(command.head))
+    if command.content is not None:
+        reply.content = command.content
+    return reply
--- /dev/null
+++ b/egretrouter/daemons/_call_driver.py
@@ -0,0 +1,381 @@
+"""Carry out the decisions about one call on the router."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Coroutine
+from functools import singledispatchmethod
+from typing import Any
+
+import msgspec
+
+from egretrouter.core.calls import (
+    AnswerData,
+    AttemptCommand,
+    AttemptMessage,
+    AttemptRules,
+    CallAttempt,
+    CallerGone,
+    CallState,
+    ChooseEndpoint,
+    CloseClaim,
+    DeadlineReached,
+    DeferToClaim,
+    EndpointChosen,
+    FailCaller,
+    FinishCaller,
+    ForwardToCaller,
+    FrameArrived,
+    HedgeDue,
+    LinkLost,
+    NoEndpoint,
+    RecordTarget,
+    SendCancel,
+    SendOpen,
+    SendResume,
+    SendSettle,
+    SettleAnswered,
+    SettleFailed,
+    Target,
+)
+from egretrouter.core.identifiers import CallId, Digest, EndpointId, Epoch, InstanceId, WorkspaceId
+from egretrouter.core.limits import Backoff, HedgingBudget, RetryBudget
+from egretrouter.core.routing import (
+    CallEnded,
+    CallFailed,
+    CallSent,
+    Choice,
+    EndpointSelector,
+    FirstTokenSeen,
+    RouteRequest,
+)
+from egretrouter.daemons._caller_stream import CallerState, CallerStream
+from egretrouter.daemons._link import AgentLink
+from egretrouter.protocol import decode_body
+from egretrouter.protocol import egretrouter_pb2 as pb
+
+WINDOW_BYTES = 256 * 1024
+LINK_WAIT_SECONDS = 2.0
+SETTLE_RETRY_SECONDS = 0.2
+POLL_SECONDS = 0.25
+
+
+class RoutedCall(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe a caller's request after it was parsed and assigned to a service."""
+
+    call_id: CallId
+    request_id: str
+    workspace: WorkspaceId
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    content: bytes
+    route: RouteRequest
+    rules: AttemptRules
+    deadline_at_seconds: float
+    priority: int = 0
+
+
+class CallServices(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold what all calls of a router share."""
+
+    selector: EndpointSelector
+    links: Callable[[str], AgentLink]
+    serving_digest: Callable[[EndpointId, RouteRequest], Digest | None]
+    retry_budget: RetryBudget
+    hedging_budget: HedgingBudget
+    backoff: Backoff
+    rng: random.Random
+
+
+class _LaneSink:
+    """Pass what a link brings for one attempt to its call."""
+
+    def __init__(self, driver: "CallDriver", attempt: int) -> None:
+        self._driver = driver
+        self._attempt = attempt
+
+    def frame_arrived(self, frame: pb.AnswerFrame) -> None:
+        self._driver.frame_arrived(self._attempt, frame)
+
+    def link_lost(self) -> None:
+        self._driver.apply(LinkLost(attempt=self._attempt))
+
+    def link_restored(self, epoch: Epoch) -> None:
+        """Do nothing: the settle request tells more than the new link."""
+
+
+class _Lane(msgspec.Struct, kw_only=True):
+    """Hold the link of one attempt and the bytes to be credited to its agent."""
+
+    target: Target
+    link: AgentLink
+    uncredited_bytes: int = 0
+    first_token: bool = False
+    closed: bool = False
+
+
+class CallDriver:
+    """Drive one call from its admission to the end of its answer."""
+
+    def __init__(self, call: RoutedCall, *, services: CallServices, stream: CallerStream) -> None:
+        self._call = call
+        self._services = services
+        self._stream = stream
+        self._attempt = CallAttempt(call.call_id, rules=call.rules)
+        self._lanes: dict[int, _Lane] = {}
+        self._chosen: dict[int, AgentLink] = {}
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._started_seconds = time.monotonic()
+        self.answer_bytes = 0
+        self.first_token_seconds: float | None = None
+
+    async def run(self) -> None:
+        """Get the call answered; the stream tells how it ended."""
+        deadline = asyncio.get_running_loop().call_later(
+            max(0.0, self._call.deadline_at_seconds - time.monotonic()),
+            self.apply,
+            DeadlineReached(),
+        )
+        self._services.retry_budget.call_made()
+        self._services.hedging_budget.call_made()
+        hedge = self._schedule_hedge()
+        try:
+            self._carry_out_all(self._attempt.start())
+            await self._pump()
+        except asyncio.CancelledError:
+            self.apply(CallerGone())
+            raise
+        finally:
+            deadline.cancel()
+            if hedge is not None:
+                hedge.cancel()
+            for task in self._tasks:
+                task.cancel()
+            for lane in self._lanes.values():
+                self._close_lane(lane, failed=self._stream.state is CallerState.FAILED)
+
+    def _schedule_hedge(self) -> asyncio.TimerHandle | None:
+        if not self._call.rules.hedged:
+            return None
+        delay_seconds = self._services.hedging_budget.delay_seconds
+        return asyncio.get_running_loop().call_later(delay_seconds, self._hedge)
+
+    def _hedge(self) -> None:
+        if self.first_token_seconds is None and self._services.hedging_budget.try_spend():
+            self.apply(HedgeDue())
+
+    async def _pump(self) -> None:
+        """Send the head once it may be sent, and give credit while the answer streams."""
+        stream = self._stream
+        while not stream.ended:
+            if stream.state is CallerState.WAITING and stream.ready_to_stream:
+                await stream.start()
+                continue
+            stream.changed.clear()
+            try:
+                async with asyncio.timeout(POLL_SECONDS):
+                    await stream.changed.wait()
+            except TimeoutError:
+                for lane in self._lanes.values():
+                    self._give_credit(lane)
+
+    def apply(self, message: AttemptMessage) -> None:
+        """Pass a message to the call's decisions and carry out what they command."""
+        self._carry_out_all(self._attempt.handle(message, now_seconds=time.monotonic()))
+
+    def frame_arrived(self, attempt: int, frame: pb.AnswerFrame) -> None:
+        """Take a frame of the answer from a link."""
+        body = decode_body(frame)
+        self.apply(FrameArrived(attempt=attempt, sequence=frame.sequence, body=body))
+        if isinstance(body, AnswerData):
+            lane = self._lanes[attempt]
+            lane.uncredited_bytes += len(body.data)
+            if not lane.first_token:
+                self._first_token(lane)
+            if lane.uncredited_bytes > WINDOW_BYTES // 2:
+                self._give_credit(lane)
+
+    def _first_token(self, lane: _Lane) -> None:
+        lane.first_token = True
+        now = time.monotonic()
+        if self.first_token_seconds is None:
+            self.first_token_seconds = now - self._started_seconds
+            self._services.hedging_budget.first_token_seen(wait_seconds=self.first_token_seconds)
+        message = FirstTokenSeen(call_id=lane.target.call_id)
+        self._services.selector.handle(message, now_seconds=now)
+
+    def _give_credit(self, lane: _Lane) -> None:
+        if lane.closed or not lane.uncredited_bytes or self._stream.backlogged:
+            return
+        credit = pb.CallCredit(bytes=lane.uncredited_bytes)
+        lane.uncredited_bytes = 0
+        lane.link.send(pb.CallFrame(call_id=lane.target.call_id, credit=credit))
+
+    def _carry_out_all(self, commands: list[AttemptCommand]) -> None:
+        for command in commands:
+            # The commonest command by far skips the dispatch.
+            if type(command) is ForwardToCaller:
+                self._forward(command)
+            else:
+                self._carry_out(command)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _forward(self, command: ForwardToCaller) -> None:
+        if isinstance(command.body, AnswerData):
+            self.answer_bytes += len(command.body.data)
+        self._stream.forward(command.body)
+
+    @singledispatchmethod
+    def _carry_out(self, command: AttemptCommand) -> None:
+        raise TypeError(f"router got unexpected command {command!r}")
+
+    @_carry_out.register
+    def _choose(self, command: ChooseEndpoint) -> None:
+        if command.attempt == 1:
+            self._spawn(self._choose_now(command))
+        elif self._services.retry_budget.try_spend():
+            self._spawn(self._choose_later(command))
+        else:
+            self.apply(NoEndpoint())
+
+    async def _choose_later(self, command: ChooseEndpoint) -> None:
+        await asyncio.sleep(self._services.backoff.delay_seconds(command.attempt - 2))
+        await self._choose_now(command)
+
+    async def _choose_now(self, command: ChooseEndpoint) -> None:
+        services = self._services
+        excluded = frozenset(EndpointId(agent) for agent in command.avoid_agents)
+        route = msgspec.structs.replace(self._call.route, excluded=excluded)
+        if command.version_digest is not None:
+            route = msgspec.structs.replace(route, version_digest=command.version_digest)
+        decision = services.selector.choose(route, now_seconds=time.monotonic())
+        if not isinstance(decision, Choice):
+            self.apply(NoEndpoint(retry_after_seconds=decision.retry_after_seconds))
+            return
+        link = services.links(decision.address)
+        up = await link.wait_until_up(timeout_seconds=LINK_WAIT_SECONDS)
+        digest = services.serving_digest(decision.endpoint_id, route)
+        if not up or link.epoch is None or digest is None:
+            retry = ChooseEndpoint(
+                attempt=command.attempt,
+                avoid_agents=command.avoid_agents | {InstanceId(decision.endpoint_id)},
+                version_digest=command.version_digest,
+            )
+            await self._choose_now(retry)
+            return
+        self._chosen[command.attempt] = link
+        now = time.monotonic()
+        target = Target(
+            agent_id=InstanceId(decision.endpoint_id),
+            address=decision.address,
+            epoch=link.epoch,
+            call_id=self._attempt.target_call_id(command.attempt),
+            expires_at_seconds=link.agent_clock(now) + self._call.deadline_at_seconds - now,
+        )
+        self.apply(EndpointChosen(target=target, version_digest=digest))
+
+    @_carry_out.register
+    def _open(self, command: SendOpen) -> None:
+        target, call = command.target, self._call
+        link = self._chosen[command.attempt]
+        self._lanes[command.attempt] = _Lane(target=target, link=link)
+        self._services.selector.handle(
+            CallSent(
+                call_id=target.call_id,
+                endpoint_id=EndpointId(target.agent_id),
+                prompt_tokens=call.route.prompt_tokens,
+                prompt_blocks=call.route.prompt_blocks,
+                request_bytes=len(call.content),
+            ),
+            now_seconds=time.monotonic(),
+        )
+        if link.epoch != target.epoch or not link.is_up:
+            # Nothing was sent, but the decisions treat it as sent, which is the safe side.
+            self.apply(LinkLost(attempt=command.attempt))
+            return
+        link.attach(target.call_id, _LaneSink(self, command.attempt))
+        link.send(pb.CallFrame(call_id=target.call_id, open=self._open_frame(command)))
+
+    def _open_frame(self, command: SendOpen) -> pb.CallOpen:
+        call = self._call
+        return pb.CallOpen(
+            service=call.route.service,
+            method=call.method,
+            path=call.path,
+            headers=[pb.Header(name=name, value=value) for name, value in call.headers],
+            content=call.content,
+            version_digest=command.version_digest,
+            epoch=command.target.epoch,
+            expires_at_seconds=command.target.expires_at_seconds,
+            priority=call.priority,
+            idempotent=call.rules.idempotent,
+            window_bytes=WINDOW_BYTES,
+            request_id=call.request_id,
+            workspace=call.workspace,
+        )
+
+    @_carry_out.register
+    def _settle(self, command: SendSettle) -> None:
+        self._spawn(self._ask_agent(command))
+
+    async def _ask_agent(self, command: SendSettle) -> None:
+        if command.tries > 1:
+            await asyncio.sleep(SETTLE_RETRY_SECONDS * 2**command.tries)
+        reply = await self._chosen[command.attempt].settle(command.target)
+        if reply is None:
+            self.apply(SettleFailed(attempt=command.attempt))
+        else:
+            state = CallState(reply.state)
+            self.apply(SettleAnswered(attempt=command.attempt, state=state))
+
+    @_carry_out.register
+    def _resume(self, command: SendResume) -> None:
+        self._spawn(self._resume_link(command))
+
+    async def _resume_link(self, command: SendResume) -> None:
+        link = self._chosen[command.attempt]
+        if not await link.wait_until_up(timeout_seconds=LINK_WAIT_SECONDS):
+            self.apply(LinkLost(attempt=command.attempt))
+            return
+        resume = pb.CallResume(next_sequence=command.next_sequence)
+        link.send(pb.CallFrame(call_id=command.target.call_id, resume=resume))
+
+    @_carry_out.register
+    def _cancel(self, command: SendCancel) -> None:
+        cancel = pb.CallCancel(expires_at_seconds=command.target.expires_at_seconds)
+        lane = self._lanes[command.attempt]
+        lane.link.send(pb.CallFrame(call_id=command.target.call_id, cancel=cancel))
+        self._close_lane(lane, failed=False)
+
+    def _close_lane(self, lane: _Lane, *, failed: bool) -> None:
+        if lane.closed:
+            return
+        lane.closed = True
+        lane.link.detach(lane.target.call_id)
+        message = (CallFailed if failed else CallEnded)(call_id=lane.target.call_id)
+        self._services.selector.handle(message, now_seconds=time.monotonic())
+
+    @_carry_out.register
+    def _finish(self, command: FinishCaller) -> None:
+        self._stream.finish()
+
+    @_carry_out.register
+    def _fail(self, command: FailCaller) -> None:
+        self._stream.fail(command)
+
+    @_carry_out.register
+    def _record(self, command: RecordTarget) -> None:
+        raise NotImplementedError
+
+    @_carry_out.register
+    def _defer(self, command: DeferToClaim) -> None:
+        raise NotImplementedError
+
+    @_carry_out.register
+    def _close_claim(self, command: CloseClaim) -> None:
+        raise NotImplementedError
--- a/egretrouter/daemons/_endpoint.py
+++ b/egretrouter/daemons/_endpoint.py
@@ -1,18 +1,21 @@
 """Run one call at the endpoint and yield its answer in parts."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable, Iterable
+from types import SimpleNamespace
 
 import aiohttp
-import msgspec
 from yarl import URL
 
+from egretrouter.core.calls import AnswerData, AnswerHead
 from egretrouter.core.errors import CallNotRunError, CallUnknownError
+from egretrouter.core.identifiers import CallId
 from egretrouter.protocol import egretrouter_pb2 as pb
 
 CONNECT_TIMEOUT_SECONDS = 2.0
-EVENT_STREAM = "text/event-stream"
-STREAM_END = b"data: [DONE]"
+DIGEST_HEADER = "X-Manifest-Digest"
 
+_EVENT_STREAM = "text/event-stream"
+_STREAM_END = b"data: [DONE]"
 _HOP_HEADERS = frozenset(
     {
         "connection",
@@ -21,7 +24,6 @@
         "keep-alive",
         "proxy-authenticate",
         "proxy-authorization",
-        "authorization",
         "te",
         "trailer",
         "transfer-encoding",
@@ -42,25 +44,30 @@
     """The endpoint ended its answer before the whole was there."""
 
 
-class AnswerHead(msgspec.Struct, frozen=True, kw_only=True):
-    """Hold status and headers of an answer."""
+class OtherVersionError(CallUnknownError):
+    """The endpoint answered from another version than the call names."""
 
-    status: int
-    headers: tuple[tuple[str, str], ...]
 
-    @property
-    def is_event_stream(self) -> bool:
-        """Tell whether the answer is a stream of server-sent events."""
-        return any(
-            name.lower() == "content-type" and value.startswith(EVENT_STREAM)
-            for name, value in self.headers
-        )
+def forwarded_headers(headers: Iterable[tuple[str, str]]) -> tuple[tuple[str, str], ...]:
+    """Drop the headers that concern one connection only."""
+    return tuple((name, value) for name, value in headers if name.lower() not in _HOP_HEADERS)
 
 
-def forwarded_headers(headers: object) -> list[tuple[str, str]]:
-    """Drop the headers that concern one connection only."""
-    items = headers.items() if hasattr(headers, "items") else headers
-    return [(name, value) for name, value in items if name.lower() not in _HOP_HEADERS]  # type: ignore[attr-defined]
+def endpoint_session() -> aiohttp.ClientSession:
+    """Create the session for calls to an endpoint."""
+
+    async def connected(_: object, context: SimpleNamespace, __: object) -> None:
+        if context.trace_request_ctx is not None:
+            context.trace_request_ctx()
+
+    trace = aiohttp.TraceConfig()
+    trace.on_connection_create_end.append(connected)
+    # A request on a connection that the endpoint is closing would be sent again by the client,
+    # and could run twice; so each call has a connection of its own.
+    connector = aiohttp.TCPConnector(force_close=True, limit=0)
+    return aiohttp.ClientSession(
+        connector=connector, trace_configs=[trace], auto_decompress=False, read_bufsize=2**18
+    )
 
 
 class EndpointClient:
@@ -71,43 +78,60 @@
         self._session = session
 
     async def run(
-        self, call: pb.CallOpen, *, call_id: str, timeout_seconds: float
-    ) -> AsyncIterator[AnswerHead | bytes]:
+        self,
+        call: pb.CallOpen,
+        *,
+        call_id: CallId,
+        timeout_seconds: float,
+        on_connected: Callable[[], None],
+    ) -> AsyncIterator[AnswerHead | AnswerData]:
         """Yield the head and then the content of the answer.
 
-        Raises EndpointUnreachableError, EndpointFailedError or TruncatedAnswerError.
+        Calls on_connected before the first byte is sent. Raises EndpointUnreachableError,
+        EndpointFailedError, OtherVersionError or TruncatedAnswerError.
         """
-        sent = False
         timeout = aiohttp.ClientTimeout(total=timeout_seconds, sock_connect=CONNECT_TIMEOUT_SECONDS)
-        headers = forwarded_headers([(h.name, h.value) for h in call.headers])
-        headers.append(("X-Call-Id", call_id))
-        url = URL(self._base_url + call.path, encoded=True)
         try:
             async with self._session.request(
                 call.method,
-                url,
-                headers=headers,
+                URL(self._base_url + call.path, encoded=True),
+                headers=self._headers(call, call_id),
                 data=call.content or None,
                 timeout=timeout,
                 allow_redirects=False,
+                trace_request_ctx=on_connected,
             ) as response:
-                sent = True
-                head = AnswerHead(
-                    status=response.status, headers=tuple(forwarded_headers(response.headers))
-                )
-                yield head
-                tail = b""
-                async for content in response.content.iter_any():
-                    tail = (tail + content)[-64:]
-                    yield content
-                if head.is_event_stream and STREAM_END not in tail:
-                    raise TruncatedAnswerError("the endpoint's stream ended without [DONE]")
+                async for part in _parts(response, call.version_digest):
+                    yield part
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
-            raise EndpointUnreachableError(f"endpoint {self._base_url} refused: {error}") from error
+            raise EndpointUnreachableError(f"{self._base_url} refused: {error}") from error
         except aiohttp.ClientPayloadError as error:
             raise TruncatedAnswerError(f"the endpoint's answer was cut: {error}") from error
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
-            step = "while answering" if sent else "before answering"
             raise EndpointFailedError(
-                f"endpoint {self._base_url} failed {step}: {type(error).__name__}"
+                f"endpoint {self._base_url} failed: {type(error).__name__}"
             ) from error
+
+    @staticmethod
+    def _headers(call: pb.CallOpen, call_id: CallId) -> list[tuple[str, str]]:
+        headers = [(h.name, h.value) for h in call.headers]
+        headers.append(("X-Call-Id", call_id))
+        if call.version_digest:
+            headers.append((DIGEST_HEADER, call.version_digest))
+        return headers
+
+
+async def _parts(
+    response: aiohttp.ClientResponse, version_digest: str
+) -> AsyncIterator[AnswerHead | AnswerData]:
+    answered = response.headers.get(DIGEST_HEADER)
+    if version_digest and answered is not None and answered != version_digest:
+        raise OtherVersionError(f"the endpoint answered from {answered}, not {version_digest}")
+    yield AnswerHead(status=response.status, headers=forwarded_headers(response.headers.items()))
+    tail = b""
+    async for content in response.content.iter_any():
+        tail = (tail + content)[-64:]
+        yield AnswerData(data=content)
+    is_stream = response.content_type == _EVENT_STREAM
+    if version_digest and is_stream and response.status == 200 and _STREAM_END not in tail:
+        raise TruncatedAnswerError("the endpoint's stream ended without [DONE]")
--- a/egretrouter/daemons/_link.py
+++ b/egretrouter/daemons/_link.py
@@ -2,12 +2,14 @@
 
 import asyncio
 import contextlib
+import time
 from enum import Enum
 from typing import Any, Protocol
 
 import grpc
 from mode import Service
 
+from egretrouter.core.calls import Target
 from egretrouter.core.identifiers import CallId, Epoch, InstanceId
 from egretrouter.daemons._rpc import ChannelPool
 from egretrouter.protocol import egretrouter_pb2 as pb
@@ -47,7 +49,7 @@
     ) -> None:
         super().__init__(**kwargs)
         self.address = address
-        self.state = LinkState.CONNECTING
+        self.link_state = LinkState.CONNECTING
         self.epoch: Epoch | None = None
         self._router_id = router_id
         self._channels = channels
@@ -55,10 +57,16 @@
         self._outgoing: list[pb.CallFrame] = []
         self._wakeup = asyncio.Event()
         self._up = asyncio.Event()
+        self._clock_offset_seconds = 0.0
 
     def __repr__(self) -> str:
         """Name the agent's address."""
-        return f"<AgentLink {self.address} {self.state.value}>"
+        return f"<AgentLink {self.address} {self.link_state.value}>"
+
+    @property
+    def is_up(self) -> bool:
+        """Tell whether frames can be sent now."""
+        return self.link_state is LinkState.UP
 
     def attach(self, call_id: CallId, sink: CallSink) -> None:
         """Send the frames of a call to its sink."""
@@ -78,19 +86,27 @@
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(timeout_seconds):
                 await self._up.wait()
-        return self.state is LinkState.UP
+        return self.link_state is LinkState.UP
 
-    async def settle(self, call_id: CallId, epoch: Epoch) -> pb.SettleReply | None:
+    async def settle(self, target: Target) -> pb.SettleReply | None:
         """Ask the agent what became of a call; None means that it did not answer."""
         stub = pb_grpc.AgentCallsStub(self._channels.channel(self.address))
+        request = pb.SettleRequest(
+            call_id=target.call_id,
+            epoch=target.epoch,
+            expires_at_seconds=target.expires_at_seconds,
+        )
         try:
-            return await stub.Settle(
-                pb.SettleRequest(call_id=call_id, epoch=epoch),
-                metadata=self._channels.metadata,
-                timeout=SETTLE_TIMEOUT_SECONDS,
+            reply: pb.SettleReply = await stub.Settle(
+                request, metadata=self._channels.metadata, timeout=SETTLE_TIMEOUT_SECONDS
             )
         except grpc.aio.AioRpcError:
             return None
+        return reply
+
+    def agent_clock(self, now_seconds: float) -> float:
+        """Return the agent's monotonic clock, late by the time that a message took."""
+        return now_seconds + self._clock_offset_seconds
 
     @Service.task
     async def _keep_connected(self) -> None:
@@ -114,6 +130,7 @@
                 if message is grpc.aio.EOF:
                     break
                 if writer is None:
+                    self._clock_offset_seconds = message.clock_seconds - time.monotonic()
                     self._rise(Epoch(message.epoch))
                     writer = asyncio.create_task(self._write(stream))
                 self._distribute(message)
@@ -141,7 +158,7 @@
                 sink.frame_arrived(frame)
 
     def _rise(self, epoch: Epoch) -> None:
-        self.state = LinkState.UP
+        self.link_state = LinkState.UP
         self.epoch = epoch
         self._up.set()
         for sink in list(self._sinks.values()):
@@ -152,11 +169,11 @@
         # been told that the link is lost and decide anew.
         self._outgoing.clear()
         self._up.clear()
-        was_up, self.state = self.state is LinkState.UP, LinkState.CONNECTING
+        was_up, self.link_state = self.link_state is LinkState.UP, LinkState.CONNECTING
         if was_up:
             for sink in list(self._sinks.values()):
                 sink.link_lost()
 
     async def on_stop(self) -> None:
         """Mark the link as closed."""
-        self.state = LinkState.CLOSED
+        self.link_state = LinkState.CLOSED
--- a/tests/test_calls_registry.py
+++ b/tests/test_calls_registry.py
@@ -41,7 +41,10 @@
 
 def registry(**limits: Any) -> CallRegistry:
     return CallRegistry(
-        epoch=Epoch(1), version_digest=VERSION, limits=RegistryLimits(**limits), now_seconds=0.0
+        epoch=Epoch(1),
+        version_digests=frozenset({VERSION}),
+        limits=RegistryLimits(**limits),
+        now_seconds=0.0,
     )
 
 
