Let the collection of files use the shared report of mistakes

Cause: collect() had its own report of mistakes, ended in RecursionError on deeply nested JSON, and accepted infinite limits and repeated keys. Change: collect() decodes with core/validation; FilesRejectedError is also a MistakesError. Its tests are unchanged; a property test covers other content. Conclusion: settings and operators' files are checked by the same rules.

--- a/egretrouter/core/configuration/__init__.py
+++ b/egretrouter/core/configuration/__init__.py
@@ -4,7 +4,6 @@
     MAXIMUM_PART_BYTES,
     Collection,
     FilesRejectedError,
-    Mistake,
     WeightSizes,
     collect,
 )
@@ -81,6 +80,7 @@
     UpdateIndex,
 )
 from egretrouter.core.configuration._state import NO_GENERATION, ConfigurationState, watchers
+from egretrouter.core.validation import Mistake
 
 __all__ = [
     "DEPLOYMENT_PART",
--- a/egretrouter/core/configuration/_collection.py
+++ b/egretrouter/core/configuration/_collection.py
@@ -2,12 +2,9 @@
 
 import json
 from collections import Counter
-from collections.abc import Callable, Iterable, Mapping
-from typing import Any
+from collections.abc import Iterable, Mapping
 
 import msgspec
-from pydantic import ValidationError as PydanticError
-from pydantic_core import ErrorDetails
 
 from egretrouter.core.configuration._configuration import (
     FILE_ADAPTER,
@@ -23,6 +20,7 @@
 )
 from egretrouter.core.digests import content_digest
 from egretrouter.core.identifiers import Digest, ModelName, ServiceName, VersionName
+from egretrouter.core.validation import Mistake, MistakesError, decode, one_of, quoted
 
 MAXIMUM_PART_BYTES = 1024**2
 """The object API holds values up to 1 MB."""
@@ -31,34 +29,12 @@
 """Bytes of the weights of each model and version, as far as they are known."""
 
 _Service = ModelServiceFile | PlainServiceFile
-_KINDS: dict[Any, Any] = {
-    "deployment": DeploymentFile,
-    "model": ModelServiceFile,
-    "plain": PlainServiceFile,
-}
+_KINDS = ("deployment", "model", "plain")
 
 
-class Mistake(msgspec.Struct, frozen=True, kw_only=True):
-    """Describe one mistake in one operator's file."""
-
-    file: str
-    path: str
-    value: str
-    reason: str
-
-    def __str__(self) -> str:
-        """Return one line for a terminal."""
-        return f"{self.file}: {self.path}: {self.value}: {self.reason}"
-
-
-class FilesRejectedError(ConfigurationError):
+class FilesRejectedError(ConfigurationError, MistakesError):
     """Operators' files break rules; every mistake is listed."""
 
-    def __init__(self, mistakes: list[Mistake]) -> None:
-        """Keep all mistakes."""
-        super().__init__("\n".join(map(str, mistakes)))
-        self.mistakes = mistakes
-
 
 class Collection(msgspec.Struct, frozen=True, kw_only=True):
     """Hold checked files with their encoded parts."""
@@ -106,19 +82,17 @@
         self._weight_sizes = weight_sizes
 
     def add(self, file: str, path: str, value: object, reason: str) -> None:
-        self.mistakes.append(Mistake(file=file, path=path, value=_quote(value), reason=reason))
+        self.mistakes.append(Mistake(file=file, path=path, value=quoted(value), problem=reason))
 
     def parse(self, file: str, content: bytes) -> None:
         if len(content) > MAXIMUM_PART_BYTES:
             self.add(file, "$", f"{len(content)} bytes", f"at most {MAXIMUM_PART_BYTES} bytes")
             return
         try:
-            part = FILE_ADAPTER.validate_json(content)
-        except PydanticError as error:
-            kind = _kind(content)
-            self._broken_deployment |= kind in (None, "deployment")
-            for detail in error.errors(include_url=False):
-                self.mistakes.append(_mistake(file, kind, detail))
+            part = decode(content, FILE_ADAPTER, file=file)
+        except MistakesError as error:
+            self._broken_deployment |= _kind(content) in (None, "deployment")
+            self.mistakes.extend(error.mistakes)
             return
         if len(encode_part(part)) > MAXIMUM_PART_BYTES:
             self.add(file, "$", part.name, f"encodes to more than {MAXIMUM_PART_BYTES} bytes")
@@ -219,47 +193,11 @@
 def _kind(content: bytes) -> str | None:
     try:
         values = json.loads(content)
-    except ValueError:
+    except (ValueError, RecursionError):
         return None
     kind = values.get("kind") if isinstance(values, dict) else None
     return kind if isinstance(kind, str) and kind in _KINDS else None
 
 
-def _mistake(file: str, kind: str | None, detail: ErrorDetails) -> Mistake:
-    location = list(detail["loc"])
-    if location and location[0] == kind:
-        del location[0]
-    path = "$" + "".join(f"[{p}]" if isinstance(p, int) else f".{p}" for p in location)
-    reason = detail["msg"]
-    if detail["type"] == "extra_forbidden":
-        reason = "unknown field; " + _one_of(_fields(kind, location[:-1]))
-    elif detail["type"].startswith("union_tag"):
-        path, reason = "$.kind", _one_of(sorted(_KINDS))
-    elif detail["type"] == "missing":
-        reason = "required field is missing"
-    value = "(absent)" if detail["type"] == "missing" else _quote(detail["input"])
-    return Mistake(file=file, path=path, value=value, reason=reason)
-
-
-def _fields(kind: str | None, location: list[int | str]) -> list[str]:
-    """Return the field names that are accepted at a location."""
-    model: Any = _KINDS.get(kind)
-    for step in location:
-        if isinstance(step, int) or model is None:
-            continue
-        annotation = model.model_fields[step].annotation
-        candidates = (annotation, *getattr(annotation, "__args__", ()))
-        model = next((c for c in candidates if hasattr(c, "model_fields")), None)
-    return sorted(model.model_fields) if model is not None else []
-
-
 def _one_of(values: Iterable[str]) -> str:
-    return "accepted values are " + ", ".join(map(repr, values))
-
-
-_encode: Callable[[object], str] = json.JSONEncoder(default=str).encode
-
-
-def _quote(value: object) -> str:
-    text = value if isinstance(value, str) and " " in value else _encode(value)
-    return text if len(text) <= 120 else text[:117] + "..."
+    return "accepted values are " + one_of(values)
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -6,11 +6,11 @@
 from typing import Any
 
 import pytest
-from hypothesis import given
+from hypothesis import example, given
 from hypothesis import strategies as st
 from pydantic import TypeAdapter
 
-from egretrouter.core.configuration import FILE_ADAPTER
+from egretrouter.core.configuration import FILE_ADAPTER, FilesRejectedError, collect
 from egretrouter.core.settings import (
     AGENT_ADAPTER,
     ROUTER_ADAPTER,
@@ -19,6 +19,7 @@
 )
 from egretrouter.core.validation import MAX_FILE_BYTES, MistakesError, decode, json_path
 
+NAN = float("nan")
 PLATFORM = {"object_store_url": "http://10.0.0.1:9000/"}
 ROUTER = {"kind": "router", "instance_id": "r-1", "zone": "z", "region": "r", "platform": PLATFORM}
 AGENT = {
@@ -129,6 +130,15 @@
     def test_refuses_json_that_decoders_read_differently(self, content: bytes, reason: str) -> None:
         assert reason in mistakes(FILE_ADAPTER, content)[0][1]
 
+    @given(content=st.binary() | JSON.map(lambda value: json.dumps(value).encode()))
+    @example(content=b"[" * 100_000)
+    @example(content=json.dumps({**DEPLOYMENT, "distribution": {"link_share": NAN}}).encode())
+    def test_collect_refuses_any_other_content(self, content: bytes) -> None:
+        with pytest.raises(FilesRejectedError) as caught:
+            collect({"a.json": content, "service.json": json.dumps(SERVICE).encode()})
+        assert isinstance(caught.value, MistakesError)
+        assert "a.json" in {mistake.file for mistake in caught.value.mistakes}
+
     @pytest.mark.parametrize(
         ("value", "path", "reason"),
         [
