Add the decision core of weight copies

Agents need to decide without a leader what to fetch, from whom, and when an owner may use the origin.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measure egretrouter."""
--- /dev/null
+++ b/egretrouter/core/weights/_chunk_memory.py
@@ -0,0 +1,137 @@
+"""Keep verified chunks of many versions in bounded memory."""
+
+from collections.abc import Iterator
+
+from egretrouter.core.errors import WeightMemoryError
+from egretrouter.core.identifiers import ChunkIndex, Digest
+
+
+class _Version:
+    """Hold the chunks of one version."""
+
+    def __init__(self) -> None:
+        self.chunks: dict[ChunkIndex, bytes] = {}
+        self.stored_bytes = 0
+        self.reserved_bytes: int | None = None
+        self.replicas: dict[ChunkIndex, int] = {}
+
+    @property
+    def charged_bytes(self) -> int:
+        """Return what the version counts for: its reservation, or else what it stores."""
+        return self.stored_bytes if self.reserved_bytes is None else self.reserved_bytes
+
+
+class ChunkMemory:
+    """Store chunks by version; reserved versions are never evicted."""
+
+    def __init__(self, *, weight_memory_bytes: int) -> None:
+        self._capacity_bytes = weight_memory_bytes
+        self._versions: dict[Digest, _Version] = {}
+
+    def reserve(self, manifest_digest: Digest, *, weight_bytes: int) -> None:
+        """Set memory aside for a whole version, evicting released chunks as needed.
+
+        Raises WeightMemoryError if it does not fit beside the other reserved versions.
+        """
+        reserved = sum(
+            version.reserved_bytes or 0
+            for digest, version in self._versions.items()
+            if digest != manifest_digest
+        )
+        if reserved + weight_bytes > self._capacity_bytes:
+            raise WeightMemoryError(
+                f"weights {manifest_digest} take {weight_bytes} bytes, but only "
+                f"{self._capacity_bytes - reserved} of {self._capacity_bytes} bytes are free"
+            )
+        version = self._versions.setdefault(manifest_digest, _Version())
+        version.reserved_bytes = weight_bytes
+        self._evict()
+
+    def release(self, manifest_digest: Digest) -> None:
+        """Make the chunks of a version evictable."""
+        version = self._versions.get(manifest_digest)
+        if version is not None:
+            version.reserved_bytes = None
+            if not version.chunks:
+                del self._versions[manifest_digest]
+
+    def drop(self, manifest_digest: Digest) -> None:
+        """Forget a version at once."""
+        self._versions.pop(manifest_digest, None)
+
+    def put(self, manifest_digest: Digest, index: ChunkIndex, content: bytes) -> None:
+        """Store a verified chunk of a reserved version once.
+
+        Raises WeightMemoryError if the version has no reservation or outgrows it.
+        """
+        version = self._versions.get(manifest_digest)
+        if version is None or version.reserved_bytes is None:
+            raise WeightMemoryError(f"no memory is reserved for weights {manifest_digest}")
+        if index in version.chunks:
+            return
+        if version.stored_bytes + len(content) > version.reserved_bytes:
+            raise WeightMemoryError(
+                f"weights {manifest_digest} exceed their {version.reserved_bytes} reserved bytes"
+            )
+        version.chunks[index] = content
+        version.stored_bytes += len(content)
+
+    def get(self, manifest_digest: Digest, index: ChunkIndex) -> bytes | None:
+        """Return a chunk, or None."""
+        version = self._versions.get(manifest_digest)
+        return version.chunks.get(index) if version else None
+
+    def held(self, manifest_digest: Digest) -> int:
+        """Return the bitmap of the chunks held."""
+        version = self._versions.get(manifest_digest)
+        return sum(1 << index for index in version.chunks) if version else 0
+
+    def contents(self, manifest_digest: Digest) -> Iterator[bytes]:
+        """Yield the chunks held, in order."""
+        version = self._versions.get(manifest_digest)
+        chunks = version.chunks if version else {}
+        for index in sorted(chunks):
+            yield chunks[index]
+
+    def set_replicas(self, manifest_digest: Digest, index: ChunkIndex, count: int) -> None:
+        """Note how many peers are known to hold a chunk."""
+        version = self._versions.get(manifest_digest)
+        if version is not None:
+            version.replicas[index] = count
+
+    def snapshot(self) -> dict[str, object]:
+        """Return the state for the state dump."""
+        return {
+            "capacity_bytes": self._capacity_bytes,
+            "versions": {
+                digest: {
+                    "chunks": len(version.chunks),
+                    "stored_bytes": version.stored_bytes,
+                    "reserved_bytes": version.reserved_bytes,
+                }
+                for digest, version in self._versions.items()
+            },
+        }
+
+    def _evict(self) -> None:
+        excess = sum(v.charged_bytes for v in self._versions.values()) - self._capacity_bytes
+        if excess <= 0:
+            return
+        # A chunk that many peers hold is cheap to fetch again; the last copy is not.
+        victims = sorted(
+            (
+                (-version.replicas.get(index, 0), age, digest, index)
+                for age, (digest, version) in enumerate(self._versions.items())
+                if version.reserved_bytes is None
+                for index in version.chunks
+            ),
+        )
+        for _, _, digest, index in victims:
+            if excess <= 0:
+                break
+            version = self._versions[digest]
+            size = len(version.chunks.pop(index))
+            version.stored_bytes -= size
+            excess -= size
+            if not version.chunks:
+                del self._versions[digest]
--- /dev/null
+++ b/egretrouter/core/weights/_copy.py
@@ -0,0 +1,393 @@
+"""Decide how one agent copies one version of weights."""
+
+from collections import Counter
+from enum import Enum
+from functools import singledispatchmethod
+from random import Random
+
+from egretrouter.core.errors import CorruptedChunkError, ManifestMismatchError, WeightsError
+from egretrouter.core.identifiers import ChunkIndex, Digest, InstanceId
+from egretrouter.core.weights._budget import OriginAllowance
+from egretrouter.core.weights._chunk_memory import ChunkMemory
+from egretrouter.core.weights._manifest import Manifest
+from egretrouter.core.weights._messages import (
+    ORIGIN,
+    AllowanceAsked,
+    AllowanceReceived,
+    Busy,
+    ChunkArrived,
+    ChunkFailed,
+    ChunkRequested,
+    CopyCommand,
+    CopyCompleted,
+    CopyHalted,
+    CopyMessage,
+    CopySettings,
+    FetchManifest,
+    GiveAllowance,
+    Loaded,
+    ManifestArrived,
+    Missing,
+    OwnerAnswered,
+    OwnerAsked,
+    PeerAnnounced,
+    PeersChanged,
+    QuarantineSource,
+    Superseded,
+    Tick,
+    UploadEnded,
+    VerifyWhole,
+    WholeVerified,
+)
+from egretrouter.core.weights._ownership import Peer
+from egretrouter.core.weights._planner import Planner
+from egretrouter.core.weights._serving import LinkShares, Serving
+from egretrouter.core.weights._transfers import SourceKind
+
+
+class CopyState(Enum):
+    """Name the states of a copy."""
+
+    DISCOVERING = "discovering"
+    COPYING = "copying"
+    VERIFYING = "verifying"
+    COMPLETED = "completed"
+    HALTED = "halted"
+    SUPERSEDED = "superseded"
+    ENDED = "ended"
+
+
+FETCHING_STATES = (CopyState.DISCOVERING, CopyState.COPYING)
+STOPPED_STATES = (CopyState.HALTED, CopyState.SUPERSEDED, CopyState.ENDED)
+
+
+class WeightCopy:
+    """Copy one version onto one agent, and serve it to peers."""
+
+    def __init__(
+        self,
+        *,
+        manifest: Manifest,
+        pinned_digest: Digest,
+        own: Peer,
+        memory: ChunkMemory,
+        allowance: OriginAllowance,
+        settings: CopySettings,
+        random: Random,
+        links: LinkShares | None = None,
+    ) -> None:
+        """Reserve memory and take over chunks that are held already.
+
+        Raises ManifestMismatchError or WeightMemoryError.
+        """
+        if manifest.digest != pinned_digest:
+            raise ManifestMismatchError(
+                f"manifest has digest {manifest.digest}, but the configuration pins {pinned_digest}"
+            )
+        self._manifest, self._digest = manifest, pinned_digest
+        self._memory, self._settings = memory, settings
+        memory.reserve(pinned_digest, weight_bytes=manifest.weight_bytes)
+        self._all = (1 << len(manifest.chunks)) - 1
+        self._held = memory.held(pinned_digest)
+        self._planner = Planner(
+            manifest=manifest,
+            manifest_digest=pinned_digest,
+            own=own,
+            allowance=allowance,
+            settings=settings,
+            random=random,
+        )
+        self._sources = self._planner.sources
+        self._transfers = self._planner.transfers
+        self._claims = self._planner.claims
+        self._serving = Serving(settings=settings, links=links, chunk_count=len(manifest.chunks))
+        self._state = CopyState.DISCOVERING
+        self._error: WeightsError | None = None
+        self._heard: set[InstanceId] = set()
+        self._started_seconds: float | None = None
+        self._due_since_seconds = 0.0
+        self._last_seconds = 0.0
+        self._far_due = True
+        self._serve_until_seconds: float | None = None
+        self._counts: Counter[str] = Counter()
+
+    @property
+    def state(self) -> CopyState:
+        """Return the state of the copy."""
+        return self._state
+
+    def handle(self, message: CopyMessage, *, now_seconds: float) -> list[CopyCommand]:
+        """Take over a message and return what is to be done."""
+        if self._state in STOPPED_STATES:
+            return self._decline(message)
+        commands = self._begin(now_seconds)
+        commands += self._on(message, now_seconds)
+        if self._state in FETCHING_STATES:
+            commands += self._plan(now_seconds)
+        if self._state not in STOPPED_STATES:
+            commands += self._serving.announce(
+                self._listeners(), held=self._held, now_seconds=now_seconds
+            )
+        return commands
+
+    def snapshot(self) -> dict[str, object]:
+        """Return the state for the state dump."""
+        return {
+            "manifest_digest": self._digest,
+            "state": self._state.value,
+            "error": str(self._error) if self._error else None,
+            "held": self._held.bit_count(),
+            "chunks": len(self._manifest.chunks),
+            "neighbours": list(self._planner.neighbours),
+            "counts": dict(self._counts),
+            "sources": self._sources.snapshot(),
+            "transfers": self._transfers.snapshot(),
+            "claims": self._claims.snapshot(),
+            "serving": self._serving.snapshot(),
+            "allowance": self._planner.allowance.snapshot(),
+        }
+
+    def _begin(self, now_seconds: float) -> list[CopyCommand]:
+        gap_seconds = now_seconds - self._last_seconds
+        paused = gap_seconds > self._settings.pause_seconds and self._state in FETCHING_STATES
+        first = self._started_seconds is None
+        self._last_seconds = now_seconds
+        if not first and not paused:
+            return []
+        if not first:
+            # What was known before a pause is stale: owners are asked again before the origin is.
+            self._planner.allowance.resume(now_seconds=now_seconds)
+            self._claims.clear()
+            self._heard.clear()
+            self._serving.greeted.clear()
+            self._state = CopyState.DISCOVERING
+        self._started_seconds = now_seconds
+        return self._serving.greet(self._planner.neighbours, held=self._held)
+
+    def _decline(self, message: CopyMessage) -> list[CopyCommand]:
+        if isinstance(message, ChunkRequested):
+            refusal = self._serving.request(
+                message, length_bytes=None, to_other_region=False, now_seconds=0.0
+            )
+            return [refusal]
+        if isinstance(message, OwnerAsked):
+            return [self._serving.answer(message, held=0, working_on=lambda _: False)]
+        return []
+
+    def _listeners(self) -> tuple[InstanceId, ...]:
+        return tuple(n for n in self._planner.neighbours if self._sources.held(n) != self._all)
+
+    @singledispatchmethod
+    def _on(self, message: CopyMessage, now_seconds: float) -> list[CopyCommand]:
+        raise TypeError(f"unknown message {type(message).__name__}")
+
+    @_on.register
+    def _on_tick(self, message: Tick, now_seconds: float) -> list[CopyCommand]:
+        self._far_due = True
+        until = self._serve_until_seconds
+        if until is not None and now_seconds >= until:
+            self._memory.release(self._digest)
+            self._state = CopyState.ENDED
+        return []
+
+    @_on.register
+    def _on_peers_changed(self, message: PeersChanged, now_seconds: float) -> list[CopyCommand]:
+        commands: list[CopyCommand] = []
+        for gone in self._planner.set_peers(message.peers):
+            self._serving.drop_peer(gone)
+            self._heard.discard(gone)
+            commands += self._planner.cancel_source(gone)
+        self._far_due = True
+        return commands + self._serving.greet(self._planner.neighbours, held=self._held)
+
+    @_on.register
+    def _on_peer_announced(self, message: PeerAnnounced, now_seconds: float) -> list[CopyCommand]:
+        peer = message.peer
+        if message.held is None:
+            added = sum(1 << index for index in set(message.added))
+            self._sources.add_held(peer, added & self._all)
+            return []
+        self._sources.set_held(peer, int.from_bytes(message.held, "little") & self._all)
+        self._heard.add(peer)
+        return self._serving.greet((peer,), held=self._held)
+
+    @_on.register
+    def _on_chunk_arrived(self, message: ChunkArrived, now_seconds: float) -> list[CopyCommand]:
+        source, index = message.source, message.index
+        fetch = self._transfers.end(index, source)
+        self._far_due = self._far_due or self._planner.kind(source) is not SourceKind.ZONE
+        if self._held >> index & 1:
+            self._counts["duplicates"] += 1
+            return []
+        try:
+            self._manifest.verify_chunk(index, message.content)
+        except CorruptedChunkError:
+            return self._charge(source, index, now_seconds)
+        self._memory.put(self._digest, index, message.content)
+        self._memory.set_replicas(self._digest, index, self._sources.replicas(index))
+        if fetch is not None:
+            self._transfers.note_duration(fetch, now_seconds=now_seconds)
+            self._counts[f"from_{fetch.kind.value}"] += 1
+        self._sources.succeed(source)
+        self._held |= 1 << index
+        self._claims.close(index)
+        self._serving.stored(index)
+        commands = self._planner.cancel(index)
+        if self._held == self._all:
+            self._state = CopyState.VERIFYING
+            commands.append(VerifyWhole())
+        return commands
+
+    @_on.register
+    def _on_chunk_failed(self, message: ChunkFailed, now_seconds: float) -> list[CopyCommand]:
+        source, index, reason = message.source, message.index, message.reason
+        if self._transfers.end(index, source) is None:
+            return []
+        self._far_due = True
+        if isinstance(reason, Busy) and source != ORIGIN:
+            seconds = max(reason.retry_after_seconds, self._settings.busy_seconds)
+            self._sources.delay(source, seconds, now_seconds=now_seconds)
+            return []
+        if isinstance(reason, Missing):
+            self._sources.set_held(source, self._sources.held(source) & ~(1 << index))
+        if not isinstance(reason, Missing) or source == ORIGIN:
+            after = reason.retry_after_seconds if isinstance(reason, Busy) else 0.0
+            self._sources.back_off(source, now_seconds=now_seconds, at_least_seconds=after)
+        self._claims.failed(index, source, now_seconds=now_seconds)
+        return []
+
+    @_on.register
+    def _on_owner_answered(self, message: OwnerAnswered, now_seconds: float) -> list[CopyCommand]:
+        self._claims.answered(message, now_seconds=now_seconds)
+        self._far_due = True
+        return []
+
+    @_on.register
+    def _on_owner_asked(self, message: OwnerAsked, now_seconds: float) -> list[CopyCommand]:
+        planner = self._planner
+        return [
+            self._serving.answer(
+                message,
+                held=self._held,
+                working_on=lambda index: planner.working_on(index, now_seconds=now_seconds),
+            )
+        ]
+
+    @_on.register
+    def _on_chunk_requested(self, message: ChunkRequested, now_seconds: float) -> list[CopyCommand]:
+        held = self._held >> message.index & 1
+        length = self._manifest.chunks[message.index].length_bytes if held else None
+        peer = self._planner.peers.get(message.peer)
+        return [
+            self._serving.request(
+                message,
+                length_bytes=length,
+                to_other_region=peer is not None and peer.region != self._planner.own.region,
+                now_seconds=now_seconds,
+            )
+        ]
+
+    @_on.register
+    def _on_upload_ended(self, message: UploadEnded, now_seconds: float) -> list[CopyCommand]:
+        self._serving.upload_ended(message.peer, message.index)
+        return []
+
+    @_on.register
+    def _on_allowance_asked(self, message: AllowanceAsked, now_seconds: float) -> list[CopyCommand]:
+        missing = self._all & ~self._held
+        given = self._planner.allowance_to_give(
+            message.peer, message.size_bytes, missing=missing, now_seconds=now_seconds
+        )
+        return [GiveAllowance(peer=message.peer, size_bytes=given)] if given else []
+
+    @_on.register
+    def _on_allowance_received(
+        self, message: AllowanceReceived, now_seconds: float
+    ) -> list[CopyCommand]:
+        self._planner.allowance.receive(message.size_bytes, now_seconds=now_seconds)
+        self._far_due = True
+        return []
+
+    @_on.register
+    def _on_manifest_arrived(
+        self, message: ManifestArrived, now_seconds: float
+    ) -> list[CopyCommand]:
+        if self._state not in FETCHING_STATES:
+            return []
+        try:
+            Manifest.from_json(message.content, pinned_digest=self._digest)
+        except ManifestMismatchError as error:
+            return self._halt(error)
+        return []
+
+    @_on.register
+    def _on_whole_verified(self, message: WholeVerified, now_seconds: float) -> list[CopyCommand]:
+        if self._state is not CopyState.VERIFYING:
+            return []
+        if message.matches:
+            self._state = CopyState.COMPLETED
+            return [CopyCompleted()]
+        name = f"{self._manifest.model}/{self._manifest.version}"
+        return self._halt(
+            CorruptedChunkError(f"weights of {name} do not match {self._manifest.weights_digest}")
+        )
+
+    @_on.register
+    def _on_loaded(self, message: Loaded, now_seconds: float) -> list[CopyCommand]:
+        if self._state is CopyState.COMPLETED:
+            self._serve_until_seconds = now_seconds + self._settings.serve_after_load_seconds
+        return []
+
+    @_on.register
+    def _on_superseded(self, message: Superseded, now_seconds: float) -> list[CopyCommand]:
+        return self._stop(CopyState.SUPERSEDED)
+
+    def _plan(self, now_seconds: float) -> list[CopyCommand]:
+        missing = self._all & ~self._held
+        assert self._started_seconds is not None
+        if not missing:
+            self._state = CopyState.VERIFYING
+            return [VerifyWhole()]
+        commands: list[CopyCommand] = []
+        if self._state is CopyState.DISCOVERING and self._discovered(now_seconds):
+            self._state = CopyState.COPYING
+            self._due_since_seconds = now_seconds
+        commands += self._planner.replace_late(now_seconds=now_seconds)
+        commands += self._planner.fetch_near(missing, now_seconds=now_seconds)
+        if self._state is CopyState.COPYING and self._far_due:
+            self._far_due = False
+            commands += self._planner.fetch_far(
+                missing, due_since_seconds=self._due_since_seconds, now_seconds=now_seconds
+            )
+        return commands
+
+    def _discovered(self, now_seconds: float) -> bool:
+        """Tell whether neighbours had the time to say what they hold."""
+        assert self._started_seconds is not None
+        if self._planner.peers and self._heard.issuperset(self._planner.neighbours):
+            return True
+        return now_seconds >= self._started_seconds + self._settings.discovery_seconds
+
+    def _charge(
+        self, source: InstanceId, index: ChunkIndex, now_seconds: float
+    ) -> list[CopyCommand]:
+        self._counts["corrupted"] += 1
+        self._far_due = True
+        self._claims.failed(index, source, now_seconds=now_seconds)
+        seconds = self._sources.charge_corruption(source, now_seconds=now_seconds)
+        if seconds is None:
+            return []
+        commands: list[CopyCommand] = [QuarantineSource(source=source, seconds=seconds)]
+        if source == ORIGIN:
+            # Content that changed under the same name shows in the manifest.
+            commands.append(FetchManifest())
+        return commands + self._planner.cancel_source(source)
+
+    def _halt(self, error: WeightsError) -> list[CopyCommand]:
+        self._error = error
+        return [*self._stop(CopyState.HALTED), CopyHalted(error=error)]
+
+    def _stop(self, state: CopyState) -> list[CopyCommand]:
+        self._state = state
+        self._memory.release(self._digest)
+        return self._planner.cancel_all()
--- /dev/null
+++ b/egretrouter/core/weights/_serving.py
@@ -0,0 +1,144 @@
+"""Serve chunks, answers and announcements to peers."""
+
+from collections import defaultdict
+from collections.abc import Callable
+
+from egretrouter.core.identifiers import ChunkIndex, InstanceId
+from egretrouter.core.weights._budget import TokenBucket
+from egretrouter.core.weights._messages import (
+    Announce,
+    AnswerOwner,
+    Busy,
+    ChunkRequested,
+    CopyCommand,
+    CopySettings,
+    Missing,
+    OwnerAsked,
+    RefuseChunk,
+    SendChunk,
+)
+
+STALE_UPLOAD_SECONDS = 60.0
+"""An upload whose end was never reported frees its slot after this time."""
+
+
+class LinkShares:
+    """Hold the buckets that bound what copies put on the links of one agent."""
+
+    def __init__(self, *, instance: TokenBucket, between_regions: TokenBucket) -> None:
+        self.instance = instance
+        self.between_regions = between_regions
+
+
+class Serving:
+    """Bound uploads and batch what peers are told."""
+
+    def __init__(
+        self, *, settings: CopySettings, links: LinkShares | None, chunk_count: int
+    ) -> None:
+        self._settings = settings
+        self._links = links
+        self._bitmap_bytes = (chunk_count + 7) // 8
+        self._uploads: dict[tuple[InstanceId, ChunkIndex], float] = {}
+        self._waiters: dict[ChunkIndex, set[InstanceId]] = defaultdict(set)
+        self._added: list[ChunkIndex] = []
+        self._next_announce_seconds = 0.0
+        self._next_full_seconds = 0.0
+        self.greeted: set[InstanceId] = set()
+        """Peers that were sent a whole bitmap."""
+
+    def request(
+        self,
+        message: ChunkRequested,
+        *,
+        length_bytes: int | None,
+        to_other_region: bool,
+        now_seconds: float,
+    ) -> CopyCommand:
+        """Grant or refuse an upload; length_bytes is None if the chunk is not held."""
+        peer, index = message.peer, message.index
+        if length_bytes is None:
+            return RefuseChunk(peer=peer, index=index, reason=Missing())
+        for key, started in list(self._uploads.items()):
+            if started < now_seconds - STALE_UPLOAD_SECONDS:
+                del self._uploads[key]
+        delay = 0.0
+        if len(self._uploads) >= self._settings.parallel_uploads:
+            delay = -1.0
+        elif self._links is not None:
+            link = self._links.between_regions if to_other_region else self._links.instance
+            delay = link.reserve(
+                length_bytes,
+                now_seconds=now_seconds,
+                max_delay_seconds=self._settings.max_upload_delay_seconds,
+            )
+        if delay < 0:
+            busy = Busy(retry_after_seconds=self._settings.busy_seconds)
+            return RefuseChunk(peer=peer, index=index, reason=busy)
+        self._uploads[(peer, index)] = now_seconds
+        return SendChunk(peer=peer, index=index, delay_seconds=delay)
+
+    def upload_ended(self, peer: InstanceId, index: ChunkIndex) -> None:
+        """Free the slot of an upload."""
+        self._uploads.pop((peer, index), None)
+
+    def answer(
+        self, message: OwnerAsked, *, held: int, working_on: Callable[[ChunkIndex], bool]
+    ) -> CopyCommand:
+        """Answer a question, and remember the asker for chunks not held yet."""
+        have = tuple(index for index in message.indexes if held >> index & 1)
+        rest = [index for index in message.indexes if not held >> index & 1]
+        for index in rest:
+            self._waiters[index].add(message.peer)
+        fetching = tuple(index for index in rest if working_on(index))
+        return AnswerOwner(peer=message.peer, asked=message.indexes, held=have, fetching=fetching)
+
+    def stored(self, index: ChunkIndex) -> None:
+        """Note a chunk for the next announcement."""
+        self._added.append(index)
+
+    def drop_peer(self, peer: InstanceId) -> None:
+        """Forget a departed peer."""
+        self.greeted.discard(peer)
+        for waiters in self._waiters.values():
+            waiters.discard(peer)
+
+    def greet(self, peers: tuple[InstanceId, ...], *, held: int) -> list[CopyCommand]:
+        """Send the whole bitmap to peers that have not seen it."""
+        new = tuple(peer for peer in peers if peer not in self.greeted)
+        self.greeted.update(new)
+        return [Announce(peers=new, held=self.bitmap(held))] if new else []
+
+    def announce(
+        self, peers: tuple[InstanceId, ...], *, held: int, now_seconds: float
+    ) -> list[CopyCommand]:
+        """Send what is due: answers to those who wait, and the batch of added chunks."""
+        if now_seconds < self._next_announce_seconds:
+            return []
+        self._next_announce_seconds = now_seconds + self._settings.announce_seconds
+        commands: list[CopyCommand] = []
+        answers: dict[InstanceId, list[ChunkIndex]] = defaultdict(list)
+        for index in self._added:
+            for peer in self._waiters.pop(index, ()):
+                answers[peer].append(index)
+        for peer, indexes in answers.items():
+            commands.append(AnswerOwner(peer=peer, held=tuple(indexes)))
+        if peers and now_seconds >= self._next_full_seconds:
+            # Repairs what lost announcements left out.
+            commands.append(Announce(peers=peers, held=self.bitmap(held)))
+            self._next_full_seconds = now_seconds + self._settings.full_announce_seconds
+        elif peers and self._added:
+            commands.append(Announce(peers=peers, added=tuple(self._added)))
+        self._added.clear()
+        return commands
+
+    def bitmap(self, held: int) -> bytes:
+        """Encode a bitmap, least significant bit first."""
+        return held.to_bytes(self._bitmap_bytes, "little")
+
+    def snapshot(self) -> dict[str, object]:
+        """Return the state for the state dump."""
+        return {
+            "uploads": len(self._uploads),
+            "waiters": sum(len(waiters) for waiters in self._waiters.values()),
+        }
