--- a/benchmarks/copy_loop.py
+++ b/benchmarks/copy_loop.py
@@ -31,6 +31,7 @@
     ChunkArrived,
     ChunkFailed,
     ChunkMemory,
+    ChunkProgressed,
     ChunkRequested,
     CopyCommand,
     CopyCompleted,
@@ -296,6 +297,7 @@
             self._arrive(own, peer, index, sent)
 
     def _arrive(self, source: InstanceId, own: InstanceId, index: int, sent: float) -> None:
+        """Deliver content; a queued transfer shows progress, as one on a shared link would."""
         if self.stalled(source, own):
             return
         content = self.pieces[index]
@@ -303,5 +305,8 @@
             content = bytes(byte ^ 1 for byte in content)
         through = self._occupy(("down", own), "instance", len(content), self.now_seconds)
         arrival = max(sent, through) + self._latency_seconds - self.now_seconds
+        for second in range(1, int(arrival) + 1):
+            progressed = ChunkProgressed(source=source, index=ChunkIndex(index))
+            self.post(own, progressed, float(second))
         message = ChunkArrived(source=source, index=ChunkIndex(index), content=content)
         self.post(own, message, arrival)
--- a/egretrouter/core/weights/_claims.py
+++ b/egretrouter/core/weights/_claims.py
@@ -23,6 +23,7 @@
         self.fetching = False
         self.waited_for_zones = False
         self.alternate = 0
+        self.next_alternate_seconds = now_seconds
 
 
 class Claims:
@@ -89,10 +90,12 @@
     def ask_elsewhere(
         self, index: ChunkIndex, asks: dict[InstanceId, list[ChunkIndex]], *, now_seconds: float
     ) -> None:
-        """Ask an owner in another zone for a chunk that the origin can't give now."""
+        """Ask an owner in another zone for a chunk that the origin can't give yet."""
         claim = self._claims[index]
+        if claim.next_alternate_seconds > now_seconds:
+            return
         zones = [zone for zone in self._ownership.zone_order(index) if zone != self._zone]
-        claim.next_seconds = now_seconds + self._settings.fallback_seconds
+        claim.next_alternate_seconds = now_seconds + self._settings.fallback_seconds
         if zones:
             turn, member = divmod(claim.alternate, len(zones))
             owners = self._ownership.owners(index, zones[member])
@@ -155,7 +158,7 @@
         claim.pending = set(group) - {self._instance_id}
         claim.fetching = False
         claim.next_seconds = now_seconds + self._settings.ask_timeout_seconds
-        for peer in claim.pending:
+        for peer in sorted(claim.pending):
             asks[peer].append(index)
 
     def _resolve(self, claim: _Claim, *, now_seconds: float) -> None:
--- a/egretrouter/core/weights/_copy.py
+++ b/egretrouter/core/weights/_copy.py
@@ -17,6 +17,7 @@
     Busy,
     ChunkArrived,
     ChunkFailed,
+    ChunkProgressed,
     ChunkRequested,
     CopyCommand,
     CopyCompleted,
@@ -193,7 +194,7 @@
     @_on.register
     def _on_peers_changed(self, message: PeersChanged, now_seconds: float) -> list[CopyCommand]:
         commands: list[CopyCommand] = []
-        for gone in self._planner.set_peers(message.peers):
+        for gone in sorted(self._planner.set_peers(message.peers)):
             self._serving.drop_peer(gone)
             self._heard.discard(gone)
             commands += self._planner.cancel_source(gone)
@@ -238,6 +239,13 @@
             commands.append(VerifyWhole())
         return commands
 
+    @_on.register
+    def _on_chunk_progressed(
+        self, message: ChunkProgressed, now_seconds: float
+    ) -> list[CopyCommand]:
+        self._transfers.progress(message.index, message.source, now_seconds=now_seconds)
+        return []
+
     @_on.register
     def _on_chunk_failed(self, message: ChunkFailed, now_seconds: float) -> list[CopyCommand]:
         source, index, reason = message.source, message.index, message.reason
--- a/egretrouter/core/weights/_messages.py
+++ b/egretrouter/core/weights/_messages.py
@@ -41,6 +41,13 @@
     content: bytes
 
 
+class ChunkProgressed(CopyMessage, frozen=True, kw_only=True):
+    """Report that bytes of a chunk arrived; due about once a second while a fetch lasts."""
+
+    source: InstanceId
+    index: ChunkIndex
+
+
 class FailureReason(msgspec.Struct, frozen=True, kw_only=True):
     """Root of the reasons why a source sent no chunk."""
 
--- a/egretrouter/core/weights/_planner.py
+++ b/egretrouter/core/weights/_planner.py
@@ -237,15 +237,18 @@
         usable = self.sources.usable(ORIGIN, now_seconds=now_seconds)
         free = self._settings.parallel_origin_fetches - self.transfers.per_kind[SourceKind.ORIGIN]
         self._random.shuffle(ready)
+        by_time = self._settings.objective is Objective.TIME
+        if by_time:
+            # Zones start with different chunks, so that they can take the others from each other.
+            ready.sort(key=lambda i: -self._ownership.zone_order(i).index(self.own.zone))
         while usable and free > 0 and ready:
             size = self._manifest.chunks[ready[-1]].length_bytes
             if not self.allowance.try_spend(size, now_seconds=now_seconds):
                 commands += self._ask_allowance(size, now_seconds)
-                usable = self._settings.objective is Objective.ORIGIN_BYTES
                 break
             commands.append(self._fetch(ORIGIN, ready.pop(), now_seconds))
             free -= 1
-        if not usable:
+        if by_time or not usable:
             for index in ready[:ELSEWHERE_PER_STEP]:
                 self.claims.ask_elsewhere(index, asks, now_seconds=now_seconds)
         return commands
--- a/egretrouter/core/weights/_serving.py
+++ b/egretrouter/core/weights/_serving.py
@@ -119,7 +119,7 @@
         commands: list[CopyCommand] = []
         answers: dict[InstanceId, list[ChunkIndex]] = defaultdict(list)
         for index in self._added:
-            for peer in self._waiters.pop(index, ()):
+            for peer in sorted(self._waiters.pop(index, ())):
                 answers[peer].append(index)
         for peer, indexes in answers.items():
             commands.append(AnswerOwner(peer=peer, held=tuple(indexes)))
--- a/egretrouter/core/weights/_transfers.py
+++ b/egretrouter/core/weights/_transfers.py
@@ -8,6 +8,9 @@
 
 DEADLINE_FACTOR = 4.0
 """A fetch is late after four times the smoothed duration; queueing alone rarely triples it."""
+TRICKLE_FACTOR = 4
+"""A fetch that goes on moving is late after four deadlines, but from the origin never: its link
+is shared by all, and a second fetch would only add to the load."""
 
 
 class SourceKind(Enum):
@@ -24,6 +27,7 @@
     def __init__(self, *, kind: SourceKind, started_seconds: float) -> None:
         self.kind = kind
         self.started_seconds = started_seconds
+        self.progress_seconds = started_seconds
 
 
 class Transfers:
@@ -59,6 +63,12 @@
         self.per_kind[fetch.kind] -= 1
         return fetch
 
+    def progress(self, index: ChunkIndex, source: InstanceId, *, now_seconds: float) -> None:
+        """Note that bytes of a chunk arrived."""
+        fetch = self._fetches.get(index, {}).get(source)
+        if fetch is not None:
+            fetch.progress_seconds = now_seconds
+
     def note_duration(self, fetch: Fetch, *, now_seconds: float) -> None:
         """Adapt the deadline to a fetch that brought a verified chunk."""
         taken = now_seconds - fetch.started_seconds
@@ -93,7 +103,9 @@
         """Return the stalled fetches, and whether each is to be given up at twice its deadline."""
         stalled = []
         for index, source, fetch in self.all():
-            age = now_seconds - fetch.started_seconds
+            age = now_seconds - fetch.progress_seconds
+            if fetch.kind is not SourceKind.ORIGIN:
+                age = max(age, (now_seconds - fetch.started_seconds) / TRICKLE_FACTOR)
             deadline = self.deadline_seconds(fetch.kind)
             if age > deadline:
                 stalled.append((index, source, age > 2 * deadline))
