--- a/egretrouter/core/routing/__init__.py
+++ b/egretrouter/core/routing/__init__.py
@@ -1,5 +1,6 @@
 """Offer the choice of an endpoint for each call."""
 
+from egretrouter.core.routing._catalog import ModelTarget, ServiceCatalog
 from egretrouter.core.routing._messages import (
     CacheEvent,
     CallEnded,
@@ -35,6 +36,7 @@
     "EndpointState",
     "FirstTokenSeen",
     "LoadReported",
+    "ModelTarget",
     "PrefixIndex",
     "Refusal",
     "RefusalReason",
@@ -42,4 +44,5 @@
     "RoutersCounted",
     "RoutingMessage",
     "SelectorSettings",
+    "ServiceCatalog",
 ]
--- /dev/null
+++ b/egretrouter/daemons/_callers.py
@@ -0,0 +1,388 @@
+"""Answer callers' HTTP requests."""
+
+import asyncio
+import time
+import uuid
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+import msgspec
+from aiohttp import web
+from eliot import log_message, start_action
+
+from egretrouter.core.calls import AttemptRules, check_key, is_idempotent
+from egretrouter.core.configuration import (
+    Configuration,
+    ModelServiceFile,
+    PlainServiceFile,
+)
+from egretrouter.core.errors import Outcome, ValidationError
+from egretrouter.core.identifiers import CallId, ServiceName, WorkspaceId
+from egretrouter.core.limits import (
+    Admission,
+    CallArrived,
+    CallReleased,
+    CallStartedAnswer,
+    LimitReason,
+    LimitsChanged,
+    LimitsCommand,
+    LimitsMessage,
+    LimitsTick,
+    LiveRoutersCounted,
+    RefuseCall,
+    WorkspaceLimits,
+)
+from egretrouter.core.routing import RouteRequest, ServiceCatalog
+from egretrouter.core.settings import CallerLimits
+from egretrouter.daemons._call_driver import CallDriver, CallServices, RoutedCall
+from egretrouter.daemons._caller_stream import CallerState, CallerStream
+from egretrouter.daemons._endpoint import forwarded_headers
+from egretrouter.daemons._metrics import RouterMetrics
+from egretrouter.daemons._problems import problem_response
+from egretrouter.daemons._requests import (
+    CHARACTERS_PER_TOKEN,
+    DEADLINE_HEADER,
+    PRIORITY_HEADER,
+    ForbiddenError,
+    NotFoundError,
+    RequestError,
+    TooManyStreamsError,
+    Workspaces,
+    parse_model_body,
+    positive_number,
+    prompt_blocks,
+    read_body,
+    request_id_of,
+)
+
+LOADING_RETRY_SECONDS = 1.0
+# Headers of the caller that end at the router.
+_ROUTER_HEADERS = frozenset({"authorization", "x-workspace", "expect", "accept-encoding"})
+
+
+class _Refused(Exception):  # noqa: N818
+    """A limit refused the call before it ran."""
+
+    def __init__(self, command: RefuseCall) -> None:
+        self.command = command
+
+
+class CallerHandler:
+    """Own the limits of one router and turn requests into calls."""
+
+    def __init__(
+        self,
+        *,
+        services: CallServices,
+        limits: CallerLimits,
+        metrics: RouterMetrics,
+    ) -> None:
+        self._services = services
+        self._limits = limits
+        self._metrics = metrics
+        self._catalog = ServiceCatalog(None)
+        self._workspaces = Workspaces(None)
+        self._configuration: Configuration | None = None
+        self._admissions: dict[ServiceName, Admission] = {}
+        self._waiting: dict[CallId, asyncio.Future[None]] = {}
+        self._routers = 1
+        self._draining = False
+        self.open_calls = 0
+        self.idle = asyncio.Event()
+        self.idle.set()
+
+    def configure(self, configuration: Configuration) -> None:
+        """Put a configuration in force for the calls to come."""
+        self._configuration = configuration
+        self._catalog = ServiceCatalog(configuration)
+        self._workspaces = Workspaces(configuration)
+        limits = LimitsChanged(
+            workspaces=tuple(
+                WorkspaceLimits(
+                    workspace_id=WorkspaceId(workspace.name),
+                    weight=workspace.weight,
+                    requests_per_second=workspace.requests_per_second,
+                    tokens_per_second=workspace.tokens_per_second,
+                    concurrent_calls=workspace.concurrent_calls,
+                )
+                for workspace in configuration.deployment.workspaces
+            )
+        )
+        for name in configuration.services:
+            admission = self._admissions.setdefault(name, Admission())
+            self._tell(admission, limits)
+            self._tell(admission, LiveRoutersCounted(routers=self._routers))
+
+    def count_routers(self, routers: int) -> None:
+        """Learn how many routers share the workspaces' limits."""
+        self._routers = routers
+        for admission in self._admissions.values():
+            self._tell(admission, LiveRoutersCounted(routers=routers))
+
+    def tick(self) -> None:
+        """Refuse the queued calls that can't make their deadline."""
+        for admission in self._admissions.values():
+            self._tell(admission, LimitsTick())
+
+    def drain(self) -> None:
+        """Refuse new calls; the idle event tells when the last one ended."""
+        self._draining = True
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether calls can be answered."""
+        return self._configuration is not None and not self._draining
+
+    def routes(self) -> list[web.RouteDef]:
+        """Return the routes of the callers' port."""
+        return [
+            web.get("/healthz", self._health),
+            web.get("/readyz", self._readiness),
+            web.get("/v1/models", self._models),
+            web.post("/v1/chat/completions", self._guarded(self._model_call)),
+            web.post("/v1/completions", self._guarded(self._model_call)),
+            web.route("*", "/{path:.*}", self._guarded(self._plain_call)),
+        ]
+
+    async def _health(self, request: web.Request) -> web.Response:
+        return web.json_response({"status": "ok"})
+
+    async def _readiness(self, request: web.Request) -> web.Response:
+        status = 200 if self.ready else 503
+        generation = self._configuration.generation if self._configuration else 0
+        return web.json_response({"ready": self.ready, "generation": generation}, status=status)
+
+    async def _models(self, request: web.Request) -> web.Response:
+        names = sorted(self._catalog.model_names())
+        data = [{"id": name, "object": "model", "owned_by": "egretrouter"} for name in names]
+        return web.json_response({"object": "list", "data": data})
+
+    def _guarded(
+        self, handler: Callable[[web.Request, str], Awaitable[web.StreamResponse]]
+    ) -> Callable[[web.Request], Awaitable[web.StreamResponse]]:
+        """Turn typed refusals into problem documents."""
+
+        async def guarded(request: web.Request) -> web.StreamResponse:
+            request_id = request_id_of(request, fallback=uuid.uuid4().hex)
+            try:
+                self._check_open()
+                return await handler(request, request_id)
+            except RequestError as error:
+                self._metrics.refused(error.name)
+                return _refusal(
+                    error.status, error.name, str(error), request_id, LOADING_RETRY_SECONDS
+                )
+            except ValidationError as error:
+                return _refusal(400, "malformed-request", str(error), request_id, None)
+            except _Refused as refused:
+                reason = refused.command.reason
+                self._metrics.refused(reason.value)
+                return _refusal(
+                    503 if reason in _OVERLOAD_REASONS else 429,
+                    reason.value.replace("_", "-"),
+                    f"the call was refused by a limit: {reason.value}",
+                    request_id,
+                    refused.command.retry_after_seconds,
+                )
+
+        return guarded
+
+    def _check_open(self) -> None:
+        if self._draining:
+            raise TooManyStreamsError("this router is stopping; call another one")
+        if self.open_calls >= self._limits.max_streams:
+            raise TooManyStreamsError(f"{self._limits.max_streams} calls are open already")
+
+    async def _model_call(self, request: web.Request, request_id: str) -> web.StreamResponse:
+        workspace = self._workspaces.authenticate(request)
+        content = await read_body(request, limits=self._limits)
+        body = parse_model_body(content, limits=self._limits)
+        target = self._catalog.model(body.model)
+        if target is None:
+            known = ", ".join(sorted(self._catalog.model_names()))
+            raise NotFoundError(f"model {body.model[:80]!r} is unknown; known are: {known}")
+        _check_allowed(target.service, workspace)
+        prompt = body.prompt_bytes()
+        prompt_tokens = len(prompt) // CHARACTERS_PER_TOKEN
+        route = RouteRequest(
+            service=ServiceName(target.service.name),
+            version_digest=target.version_digest if target.adapter is None else None,
+            adapter=target.adapter,
+            prompt_tokens=prompt_tokens,
+            prompt_blocks=prompt_blocks(prompt),
+            request_bytes=len(content),
+        )
+        # Engines answer a prompt of one version with the same tokens only if sampling is seeded,
+        # which the router can't see; so a started answer is resumed but never begun anew.
+        rules = AttemptRules(idempotent=True, hedged=not body.stream)
+        call = self._routed(request, request_id, workspace, target.service, content, route, rules)
+        call = msgspec.structs.replace(call, priority=call.priority or body.priority)
+        return await self._answer(request, call, prompt_tokens + body.answer_tokens)
+
+    async def _plain_call(self, request: web.Request, request_id: str) -> web.StreamResponse:
+        workspace = self._workspaces.authenticate(request)
+        service = self._catalog.plain(host=request.host, path=request.path)
+        if service is None:
+            raise NotFoundError(f"no service has host {request.host!r} or path {request.path!r}")
+        _check_allowed(service, workspace)
+        content = await read_body(request, limits=self._limits)
+        headers = {name.lower(): value for name, value in request.headers.items()}
+        key = request.headers.get("Idempotency-Key")
+        if key is not None:
+            check_key(key)
+        idempotent = is_idempotent(
+            service, method=request.method, path=request.path_qs, headers=headers
+        )
+        rules = AttemptRules(idempotent=idempotent, keyed=key is not None and not idempotent)
+        route = RouteRequest(service=ServiceName(service.name), request_bytes=len(content))
+        call = self._routed(request, request_id, workspace, service, content, route, rules)
+        return await self._answer(request, call, 0)
+
+    def _routed(
+        self,
+        request: web.Request,
+        request_id: str,
+        workspace: WorkspaceId,
+        service: ModelServiceFile | PlainServiceFile,
+        content: bytes,
+        route: RouteRequest,
+        rules: AttemptRules,
+    ) -> RoutedCall:
+        allowed_seconds = positive_number(
+            request, DEADLINE_HEADER, default=service.deadline_seconds
+        )
+        left_seconds = min(allowed_seconds, service.deadline_seconds)
+        headers = [
+            (name, value)
+            for name, value in forwarded_headers(request.headers.items())
+            if name.lower() not in _ROUTER_HEADERS and name.lower() != "x-request-id"
+        ]
+        return RoutedCall(
+            call_id=CallId(uuid.uuid4().hex),
+            request_id=request_id,
+            workspace=workspace,
+            method=request.method,
+            path=request.path_qs,
+            headers=(*headers, ("X-Request-Id", request_id)),
+            content=content,
+            route=msgspec.structs.replace(route, deadline_seconds=left_seconds),
+            rules=rules,
+            deadline_at_seconds=time.monotonic() + left_seconds,
+            priority=int(positive_number(request, PRIORITY_HEADER, default=1.0)) - 1,
+        )
+
+    async def _answer(
+        self, request: web.Request, call: RoutedCall, tokens: int
+    ) -> web.StreamResponse:
+        admission = self._admissions[call.route.service]
+        self.open_calls += 1
+        self.idle.clear()
+        stream = CallerStream(request, call_id=call.call_id, request_id=call.request_id)
+        driver = CallDriver(call, services=self._services, stream=stream)
+        arrived_seconds = time.monotonic()
+        try:
+            with start_action(
+                action_type="router:call",
+                call_id=call.call_id,
+                request_id=call.request_id,
+                service=call.route.service,
+                workspace=call.workspace,
+            ) as action:
+                await self._admit(admission, call, tokens)
+                await driver.run()
+                action.add_success_fields(state=stream.state.value, bytes=driver.answer_bytes)
+            return await stream.close()
+        finally:
+            self._release(admission, call, driver, stream, arrived_seconds)
+
+    async def _admit(self, admission: Admission, call: RoutedCall, tokens: int) -> None:
+        """Wait for the call's turn; raises _Refused."""
+        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiting[call.call_id] = future
+        try:
+            self._tell(
+                admission,
+                CallArrived(
+                    call_id=call.call_id,
+                    workspace_id=call.workspace,
+                    tokens=tokens,
+                    priority=call.priority,
+                    deadline_seconds=call.deadline_at_seconds - time.monotonic(),
+                ),
+            )
+            await future
+        finally:
+            del self._waiting[call.call_id]
+
+    def _release(
+        self,
+        admission: Admission,
+        call: RoutedCall,
+        driver: CallDriver,
+        stream: CallerStream,
+        arrived_seconds: float,
+    ) -> None:
+        if driver.first_token_seconds is not None:
+            wait = driver.first_token_seconds
+            self._tell(admission, CallStartedAnswer(call_id=call.call_id, wait_seconds=wait))
+        overloaded = stream.failure is not None and stream.failure.reason in _OVERLOAD_FAILURES
+        self._tell(admission, CallReleased(call_id=call.call_id, overloaded=overloaded))
+        self.open_calls -= 1
+        if not self.open_calls:
+            self.idle.set()
+        self._metrics.call_ended(
+            service=call.route.service,
+            outcome=_outcome(stream),
+            seconds=time.monotonic() - arrived_seconds,
+            first_token_seconds=driver.first_token_seconds,
+        )
+
+    def _tell(self, admission: Admission, message: LimitsMessage) -> None:
+        for command in admission.handle(message, now_seconds=time.monotonic()):
+            self._decided(command)
+
+    def _decided(self, command: LimitsCommand) -> None:
+        future = self._waiting.get(command.call_id)
+        if future is None or future.done():
+            return
+        if isinstance(command, RefuseCall):
+            future.set_exception(_Refused(command))
+        else:
+            future.set_result(None)
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return the state for the state dump."""
+        return {
+            "open_calls": self.open_calls,
+            "draining": self._draining,
+            "admission": {name: a.snapshot() for name, a in self._admissions.items()},
+        }
+
+
+_OVERLOAD_REASONS = frozenset({LimitReason.QUEUE_FULL, LimitReason.DEADLINE})
+_OVERLOAD_FAILURES = frozenset({"full", "deadline", "no_endpoint"})
+
+
+def _outcome(stream: CallerStream) -> str:
+    if stream.state is CallerState.FINISHED:
+        return "answered"
+    return stream.failure.outcome.value if stream.failure is not None else "refused"
+
+
+def _check_allowed(service: ModelServiceFile | PlainServiceFile, workspace: WorkspaceId) -> None:
+    if service.workspaces and workspace not in service.workspaces:
+        log_message("router:forbidden", service=service.name, workspace=workspace)
+        raise ForbiddenError(f"workspace {workspace!r} may not use service {service.name!r}")
+
+
+def _refusal(
+    status: int, name: str, detail: str, request_id: str, retry_after_seconds: float | None
+) -> web.Response:
+    return problem_response(
+        status=status,
+        name=name,
+        detail=detail,
+        outcome=Outcome.NOT_RUN,
+        request_id=request_id,
+        retry_after_seconds=retry_after_seconds if status in (429, 503) else None,
+    )
--- /dev/null
+++ b/egretrouter/daemons/_requests.py
@@ -0,0 +1,197 @@
+"""Parse callers' requests and check them against the limits."""
+
+import hashlib
+import re
+
+import msgspec
+import xxhash
+from aiohttp import web
+
+from egretrouter.core.configuration import Configuration
+from egretrouter.core.errors import ValidationError
+from egretrouter.core.identifiers import WorkspaceId
+from egretrouter.core.settings import CallerLimits
+
+BLOCK_CHARACTERS = 128
+CHARACTERS_PER_TOKEN = 4
+DEFAULT_ANSWER_TOKENS = 256
+MAXIMUM_BLOCKS = 256
+DEADLINE_HEADER = "X-Request-Timeout-Seconds"
+PRIORITY_HEADER = "X-Request-Priority"
+
+_JSON_STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
+_REQUEST_ID = re.compile(r"[A-Za-z0-9._:-]{1,128}")
+
+
+class RequestError(ValidationError):
+    """A caller's request breaks a rule; it was not run."""
+
+    status = 400
+    name = "malformed-request"
+
+
+class UnauthorizedError(RequestError):
+    """The caller's token is missing or unknown."""
+
+    status = 401
+    name = "unauthorized"
+
+
+class ForbiddenError(RequestError):
+    """The caller's workspace may not use the service."""
+
+    status = 403
+    name = "service-not-allowed"
+
+
+class NotFoundError(RequestError):
+    """No service has the name, host or path that the request gives."""
+
+    status = 404
+    name = "service-not-found"
+
+
+class TooLargeError(RequestError):
+    """The body is larger than the limit."""
+
+    status = 413
+    name = "body-too-large"
+
+
+class TooManyStreamsError(RequestError):
+    """As many calls as the limit allows are open."""
+
+    status = 503
+    name = "too-many-streams"
+
+
+class ModelBody(msgspec.Struct, frozen=True):
+    """Hold the fields of a model request that matter for routing."""
+
+    model: str = ""
+    prompt: str | list[object] | None = None
+    messages: list[object] | None = None
+    max_tokens: int | None = None
+    max_completion_tokens: int | None = None
+    stream: bool = False
+    priority: int = 0
+
+    @property
+    def answer_tokens(self) -> int:
+        """Return the most tokens that the answer may have."""
+        return self.max_completion_tokens or self.max_tokens or DEFAULT_ANSWER_TOKENS
+
+    def prompt_bytes(self) -> bytes:
+        """Return the prompt as the bytes by which prefixes are compared."""
+        if isinstance(self.prompt, str):
+            return self.prompt.encode()
+        return msgspec.json.encode(self.messages if self.messages is not None else self.prompt)
+
+
+def parse_model_body(content: bytes, *, limits: CallerLimits) -> ModelBody:
+    """Decode the body of a model request.
+
+    Raises RequestError if it is no JSON object of the expected shape or nested too deeply.
+    """
+    check_json_depth(content, limit=limits.max_json_depth)
+    try:
+        return msgspec.json.decode(content, type=ModelBody)
+    except msgspec.MsgspecError as error:
+        raise RequestError(f"the body is no model request: {error}") from error
+
+
+def check_json_depth(content: bytes, *, limit: int) -> None:
+    """Check how deeply a JSON text is nested.
+
+    Raises RequestError above the limit.
+    """
+    depth = 0
+    for byte in _JSON_STRING.sub(b"", content):
+        if byte in b"[{":
+            depth += 1
+            if depth > limit:
+                raise RequestError(f"the JSON body is nested deeper than {limit} levels")
+        elif byte in b"]}":
+            depth -= 1
+
+
+def prompt_blocks(prompt: bytes) -> tuple[int, ...]:
+    """Hash the leading blocks of a prompt; each hash covers everything before its end."""
+    hasher = xxhash.xxh3_64()
+    blocks = []
+    for end in range(BLOCK_CHARACTERS, len(prompt) + 1, BLOCK_CHARACTERS):
+        hasher.update(prompt[end - BLOCK_CHARACTERS : end])
+        blocks.append(hasher.intdigest())
+        if len(blocks) == MAXIMUM_BLOCKS:
+            break
+    return tuple(blocks)
+
+
+def request_id_of(request: web.Request, *, fallback: str) -> str:
+    """Return the caller's request id if it is well formed, or else the fallback."""
+    given = request.headers.get("X-Request-Id", "")
+    return given if _REQUEST_ID.fullmatch(given) else fallback
+
+
+def positive_number(request: web.Request, header: str, *, default: float) -> float:
+    """Read a positive number from a header.
+
+    Raises RequestError if the header holds anything else.
+    """
+    text = request.headers.get(header)
+    if text is None:
+        return default
+    try:
+        number = float(text)
+    except ValueError:
+        number = float("nan")
+    if not 0 < number < float("inf"):
+        raise RequestError(f"{header} is {text[:40]!r}; a number above 0 is accepted")
+    return number
+
+
+async def read_body(request: web.Request, *, limits: CallerLimits) -> bytes:
+    """Read a request's body.
+
+    Raises TooLargeError above the limit.
+    """
+    if (request.content_length or 0) > limits.max_body_bytes:
+        raise TooLargeError(f"the body is larger than {limits.max_body_bytes} bytes")
+    try:
+        return await request.read()
+    except web.HTTPRequestEntityTooLarge as error:
+        raise TooLargeError(f"the body is larger than {limits.max_body_bytes} bytes") from error
+
+
+class Workspaces:
+    """Tell which workspace a request belongs to."""
+
+    def __init__(self, configuration: Configuration | None) -> None:
+        """Index the token digests of a configuration."""
+        workspaces = configuration.deployment.workspaces if configuration else ()
+        self._names = [WorkspaceId(workspace.name) for workspace in workspaces]
+        self._by_digest = {
+            digest: WorkspaceId(workspace.name)
+            for workspace in workspaces
+            for digest in workspace.token_sha256
+        }
+
+    def authenticate(self, request: web.Request) -> WorkspaceId:
+        """Return the caller's workspace.
+
+        Without any token in the configuration the X-Workspace header names it, and the first
+        workspace is the default. Raises UnauthorizedError.
+        """
+        if not self._by_digest:
+            named = WorkspaceId(request.headers.get("X-Workspace", ""))
+            if named in self._names:
+                return named
+            if not named and self._names:
+                return self._names[0]
+            raise UnauthorizedError(f"workspace {named!r} is not in the configuration")
+        scheme, _, token = request.headers.get("Authorization", "").partition(" ")
+        digest = hashlib.sha256(token.strip().encode()).hexdigest()
+        workspace = self._by_digest.get(digest)
+        if scheme.lower() != "bearer" or workspace is None:
+            raise UnauthorizedError("the bearer token is missing or unknown")
+        return workspace
