--- /dev/null
+++ b/egretrouter/cli/_commands.py
@@ -0,0 +1,281 @@
+"""Define the commands."""
+
+import asyncio
+import importlib
+import json
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Annotated, Literal, TypeVar
+
+import aiohttp
+import cappa
+from pydantic import TypeAdapter, ValidationError
+
+from egretrouter.backends import HttpObjectStore, HttpWeightSource
+from egretrouter.cli._dump import fetch_state
+from egretrouter.cli._exit import EXIT_CODES_HELP, ExitCode, reported_errors
+from egretrouter.cli._files import ANY_ADAPTER, KINDS, check_files, read_files
+from egretrouter.cli._publishing import (
+    pinned_collection,
+    publish,
+    published_configuration,
+    published_index,
+)
+from egretrouter.core.configuration import Difference, compare
+from egretrouter.core.settings import HttpUrl, load_agent_settings, load_router_settings
+from egretrouter.core.validation import MistakesError, quoted
+
+Result = TypeVar("Result")
+MAX_TIMEOUT_SECONDS = 3600
+_URL_ADAPTER: TypeAdapter[str] = TypeAdapter(HttpUrl)
+
+
+def parse_url(text: str) -> str:
+    """Check a URL of the command line.
+
+    Raises ValueError.
+    """
+    try:
+        return _URL_ADAPTER.validate_python(text)
+    except ValidationError as error:
+        details = error.errors()[0]
+        accepted = details.get("ctx", {}).get("expected", "")
+        raise ValueError(f"{quoted(text)}: {details['msg']}; accepted: {accepted}") from None
+
+
+def parse_seconds(text: str) -> float:
+    """Check a duration of the command line.
+
+    Raises ValueError.
+    """
+    accepted = f"more than 0 and at most {MAX_TIMEOUT_SECONDS} seconds"
+    try:
+        seconds = float(text)
+    except ValueError:
+        seconds = 0.0
+    if not 0 < seconds <= MAX_TIMEOUT_SECONDS:
+        raise ValueError(f"{quoted(text)}: not a duration; accepted: {accepted}")
+    return seconds
+
+
+Paths = Annotated[
+    list[Path],
+    cappa.Arg(
+        num_args=-1,
+        required=True,
+        help="Files, or directories whose *.json files are taken, of one deployment.",
+    ),
+]
+StoreUrl = Annotated[
+    str, cappa.Arg(long="--store", parse=parse_url, help="URL of the object store.")
+]
+TimeoutSeconds = Annotated[
+    float,
+    cappa.Arg(
+        long="--timeout-seconds",
+        parse=parse_seconds,
+        help="Longest wait for one answer, in seconds.",
+    ),
+]
+SettingsFile = Annotated[
+    Path, cappa.Arg(long="--settings", help="JSON file with settings; see 'schema'.")
+]
+
+
+def _run(
+    work: Callable[[aiohttp.ClientSession], Awaitable[Result]],
+) -> Result:
+    async def main() -> Result:
+        async with aiohttp.ClientSession() as session:
+            return await work(session)
+
+    with reported_errors():
+        return asyncio.run(main())
+
+
+@cappa.command(
+    help="Check operators' files and settings and list every mistake.", epilog=EXIT_CODES_HELP
+)
+@dataclass
+class Check:
+    """Check files."""
+
+    paths: Paths
+
+    def __call__(self) -> None:
+        """Print the mistakes on standard error."""
+        with reported_errors():
+            count = check_files(self.paths)
+        print(f"{count} files are valid")
+
+
+@cappa.command(help="Print the JSON Schema of files and settings.", epilog=EXIT_CODES_HELP)
+@dataclass
+class Schema:
+    """Print a schema."""
+
+    kind: Annotated[
+        Literal["deployment", "model", "plain", "router", "agent"] | None,
+        cappa.Arg(long="--kind", help="Kind of file; all kinds by default."),
+    ] = None
+
+    def __call__(self) -> None:
+        """Print the schema on standard output."""
+        adapter = ANY_ADAPTER if self.kind is None else TypeAdapter(KINDS[self.kind])
+        print(json.dumps(adapter.json_schema(), indent=2))
+
+
+@cappa.command(help="Print the state of a process as JSON.", epilog=EXIT_CODES_HELP)
+@dataclass
+class Dump:
+    """Print a state dump."""
+
+    address: Annotated[
+        str, cappa.Arg(help="Operators' address and port, like 127.0.0.1:9100, or a URL.")
+    ]
+    token_file: Annotated[
+        Path | None,
+        cappa.Arg(long="--token-file", help="File with the bearer token of the operators' port."),
+    ] = None
+    timeout_seconds: TimeoutSeconds = 10.0
+
+    def __call__(self) -> None:
+        """Print the state on standard output."""
+        try:
+            url = parse_url(self.address if "://" in self.address else f"http://{self.address}")
+        except ValueError as error:
+            raise cappa.Exit(str(error).replace("[", r"\["), code=int(ExitCode.USAGE)) from None
+        state = _run(
+            lambda session: fetch_state(
+                session, url, token_file=self.token_file, timeout_seconds=self.timeout_seconds
+            )
+        )
+        print(json.dumps(state, indent=2, sort_keys=True))
+
+
+@cappa.command(help="Run a router.", epilog=EXIT_CODES_HELP)
+@dataclass
+class Router:
+    """Run a router."""
+
+    settings: SettingsFile
+
+    def __call__(self) -> None:
+        """Run until the process is stopped."""
+        with reported_errors():
+            settings = load_router_settings(self.settings)
+            importlib.import_module("egretrouter.daemons").run_router(settings)
+
+
+@cappa.command(help="Run the agent of an endpoint.", epilog=EXIT_CODES_HELP)
+@dataclass
+class Agent:
+    """Run an agent."""
+
+    settings: SettingsFile
+
+    def __call__(self) -> None:
+        """Run until the process is stopped."""
+        with reported_errors():
+            settings = load_agent_settings(self.settings)
+            importlib.import_module("egretrouter.daemons").run_agent(settings)
+
+
+@cappa.command(help="Publish operators' files as the next generation.", epilog=EXIT_CODES_HELP)
+@dataclass
+class Publish:
+    """Publish files."""
+
+    paths: Paths
+    store: StoreUrl
+    origin: Annotated[
+        str | None,
+        cappa.Arg(
+            long="--origin",
+            parse=parse_url,
+            help="URL of the origin, to look up manifest digests and the weights' sizes.",
+        ),
+    ] = None
+    dry_run: Annotated[
+        bool, cappa.Arg(long="--dry-run", help="Print what would change and publish nothing.")
+    ] = False
+    timeout_seconds: TimeoutSeconds = 5.0
+
+    def __call__(self) -> None:
+        """Print the generation on standard output."""
+        _run(self._publish)
+
+    async def _publish(self, session: aiohttp.ClientSession) -> None:
+        contents, mistakes = read_files(self.paths)
+        if mistakes:
+            raise MistakesError(mistakes)
+        timeout_seconds = self.timeout_seconds
+        store = HttpObjectStore(session, base_url=self.store, timeout_seconds=timeout_seconds)
+        origin = None
+        if self.origin is not None:
+            origin = HttpWeightSource(
+                session, base_url=self.origin, timeout_seconds=timeout_seconds
+            )
+        collection, sizes = await pinned_collection(contents, origin)
+        if self.dry_run:
+            before = await published_configuration(store)
+            print_difference(compare(before, collection, weight_sizes=sizes))
+            return
+        done = await publish(store, collection)
+        note = "" if done.created else " (the same files were in force already)"
+        print(f"generation {done.generation} is published{note}")
+
+
+def print_difference(difference: Difference) -> None:
+    """Print what a publication would change."""
+    for name in difference.added:
+        print(f"add service {name}")
+    for name in difference.removed:
+        print(f"remove service {name}")
+    for part, changes in difference.changed.items():
+        for change in changes:
+            print(f"change {part} {change.path}: {quoted(change.before)} -> {quoted(change.after)}")
+    if not (difference.added or difference.removed or difference.changed):
+        print("no change")
+    print(
+        f"origin: {difference.origin_bytes} bytes, "
+        f"{difference.origin_minutes:.1f} minutes within the budget"
+    )
+    for version in difference.unknown_versions:
+        print(f"size of {version} is not known; --origin looks it up")
+
+
+@cappa.command(help="Print the generation that the object store holds.", epilog=EXIT_CODES_HELP)
+@dataclass
+class Status:
+    """Print the published generation."""
+
+    store: StoreUrl
+    timeout_seconds: TimeoutSeconds = 5.0
+
+    def __call__(self) -> None:
+        """Print the index on standard output."""
+        index = _run(
+            lambda session: published_index(
+                HttpObjectStore(session, base_url=self.store, timeout_seconds=self.timeout_seconds)
+            )
+        )
+        if index is None:
+            print("nothing is published")
+            return
+        print(f"generation {index.generation}, publication {index.publication_id}")
+        for name, digest in sorted(index.parts.items()):
+            print(f"{digest}  {name}")
+
+
+@cappa.command(
+    name="egretrouter",
+    help="Distribute model weights in bursts and route calls to their replicas.",
+    epilog=EXIT_CODES_HELP,
+)
+@dataclass
+class Egretrouter:
+    """Hold the chosen command."""
+
+    command: cappa.Subcommands[Check | Schema | Dump | Router | Agent | Publish | Status]
--- /dev/null
+++ b/egretrouter/cli/_exit.py
@@ -0,0 +1,60 @@
+"""Map errors to exit codes and print them without a traceback."""
+
+import sys
+from collections.abc import Iterator
+from contextlib import contextmanager
+from enum import IntEnum
+
+import cappa
+
+from egretrouter.core.configuration import ConfigurationError, PublicationUnsettledError
+from egretrouter.core.errors import (
+    EgretrouterError,
+    LostAnswerError,
+    PublishConflictError,
+    ValidationError,
+)
+from egretrouter.core.validation import MistakesError
+
+
+class ExitCode(IntEnum):
+    """List the exit codes."""
+
+    SUCCESS = 0
+    MISTAKES = 1
+    USAGE = 2
+    UNAVAILABLE = 3
+    CONFLICT = 4
+    UNSETTLED = 5
+
+
+EXIT_CODES_HELP = (
+    "Exit codes: 0 success; 1 mistakes in files or settings; 2 wrong use of the command line; "
+    "3 a system or process does not answer as expected, and nothing changed; "
+    "4 another publication won the race, publish again; "
+    "5 it is not known whether the publication took effect, publishing again is harmless; "
+    "130 interrupted."
+)
+
+
+def exit_code(error: EgretrouterError) -> ExitCode:
+    """Return the exit code for an error."""
+    if isinstance(error, PublishConflictError):
+        return ExitCode.CONFLICT
+    if isinstance(error, PublicationUnsettledError | LostAnswerError):
+        return ExitCode.UNSETTLED
+    if isinstance(error, ConfigurationError) and not isinstance(error, MistakesError):
+        # The store holds something else than a configuration.
+        return ExitCode.UNAVAILABLE
+    return ExitCode.MISTAKES if isinstance(error, ValidationError) else ExitCode.UNAVAILABLE
+
+
+@contextmanager
+def reported_errors() -> Iterator[None]:
+    """Print errors on standard error and exit with their code."""
+    try:
+        yield
+    except EgretrouterError as error:
+        # cappa would read brackets of a JSON path as markup, so it gets no message.
+        print(error, file=sys.stderr)
+        raise cappa.Exit(code=int(exit_code(error))) from error
--- a/egretrouter/core/configuration/__init__.py
+++ b/egretrouter/core/configuration/__init__.py
@@ -1,6 +1,7 @@
 """Offer operators' files and the configuration collected from them."""
 
 from egretrouter.core.configuration._collection import (
+    ALL_FILES,
     MAXIMUM_PART_BYTES,
     Collection,
     FilesRejectedError,
@@ -83,6 +84,7 @@
 from egretrouter.core.validation import Mistake
 
 __all__ = [
+    "ALL_FILES",
     "DEPLOYMENT_PART",
     "FILE_ADAPTER",
     "INDEX_KEY",
--- a/egretrouter/core/configuration/_collection.py
+++ b/egretrouter/core/configuration/_collection.py
@@ -25,6 +25,9 @@
 MAXIMUM_PART_BYTES = 1024**2
 """The object API holds values up to 1 MB."""
 
+ALL_FILES = "(all files)"
+"""The place of a mistake that no single file has."""
+
 WeightSizes = Mapping[tuple[ModelName, VersionName], int]
 """Bytes of the weights of each model and version, as far as they are known."""
 
@@ -106,7 +109,7 @@
         self._check_versions()
         if not self._deployments:
             if not self._broken_deployment:
-                self.add("(all files)", "$.kind", "none", "one file of kind 'deployment' is needed")
+                self.add(ALL_FILES, "$.kind", "none", "one file of kind 'deployment' is needed")
             return None
         for file, extra in self._deployments[1:]:
             reason = f"{self._deployments[0][0]} already is the one file of kind 'deployment'"
--- a/egretrouter/core/configuration/_configuration.py
+++ b/egretrouter/core/configuration/_configuration.py
@@ -5,6 +5,7 @@
 
 import msgspec
 from pydantic import TypeAdapter
+from pydantic import ValidationError as PydanticError
 
 from egretrouter.core.configuration._files import (
     DeploymentFile,
@@ -96,7 +97,10 @@
             raise ConfigurationError(f"part {name!r} ({digest}) is missing")
         if content_digest(content) != digest:
             raise ConfigurationError(f"part {name!r} does not match its digest {digest}")
-        part = FILE_ADAPTER.validate_json(content)
+        try:
+            part = FILE_ADAPTER.validate_json(content)
+        except PydanticError as error:
+            raise ConfigurationError(f"part {name!r} ({digest}) is malformed: {error}") from error
         if isinstance(part, DeploymentFile):
             deployment = part
         else:
--- a/egretrouter/standins/_object_api.py
+++ b/egretrouter/standins/_object_api.py
@@ -48,6 +48,12 @@
         """Return an object's version, 0 if it does not exist."""
         return self._objects.get(key, (0, b""))[0]
 
+    async def write(self, key: str, content: bytes) -> int:
+        """Write an object without counting a call and return its version."""
+        self._revision += 1
+        await self._store(key, (self._revision, content))
+        return self._revision
+
     def _add_routes(self, router: web.UrlDispatcher) -> None:
         router.add_get("/objects", self._list)
         router.add_get("/objects/{key:.+}", self._get)
@@ -104,11 +110,10 @@
             return web.Response(status=413, text=f"at most {MAX_OBJECT_BYTES} bytes")
         if refusal := self._refusal(request):
             return refusal
-        self._revision += 1
-        await self._store(request.match_info["key"], (self._revision, content))
+        version = await self.write(request.match_info["key"], content)
         if self._loses_answer():
             return drop(request)
-        return web.Response(status=200, headers={"ETag": f'"{self._revision}"'})
+        return web.Response(status=200, headers={"ETag": f'"{version}"'})
 
     async def _delete(self, request: web.Request) -> web.StreamResponse:
         self.calls["delete"] += 1
