--- a/egretrouter/cli/_exit.py
+++ b/egretrouter/cli/_exit.py
@@ -30,7 +30,7 @@
 
 EXIT_CODES_HELP = (
     "Exit codes: 0 success; 1 mistakes in files or settings; 2 wrong use of the command line; "
-    "3 a system or process does not answer as expected, and nothing changed; "
+    "3 a system or process does not answer as expected, and no generation was published; "
     "4 another publication won the race, publish again; "
     "5 it is not known whether the publication took effect, publishing again is harmless; "
     "130 interrupted."
--- a/egretrouter/core/settings.py
+++ b/egretrouter/core/settings.py
@@ -3,7 +3,7 @@
 import ipaddress
 from enum import Enum
 from pathlib import Path
-from typing import Annotated, Any, Literal
+from typing import Annotated, Literal
 from urllib.parse import urlsplit
 
 from pydantic import (
@@ -277,8 +277,3 @@
     Raises MistakesError.
     """
     return read_file(path, AGENT_ADAPTER)
-
-
-def settings_schema(model: type[SettingsModel]) -> dict[str, Any]:
-    """Return the JSON Schema of settings."""
-    return model.model_json_schema()
--- a/egretrouter/standins/_base.py
+++ b/egretrouter/standins/_base.py
@@ -61,11 +61,22 @@
     def __init__(self) -> None:
         """Prepare a server that is not started."""
         self.url = ""
-        self.outage: Outage | None = None
+        self._outage: Outage | None = None
         self.latency_seconds = 0.0
         self._runner: web.AppRunner | None = None
         self._transports: set[asyncio.Transport] = set()
 
+    @property
+    def outage(self) -> Outage | None:
+        """Return how the system is out; beginning an outage resets requests in progress."""
+        return self._outage
+
+    @outage.setter
+    def outage(self, value: Outage | None) -> None:
+        self._outage = value
+        if value is not None:
+            self.break_connections()
+
     async def start(self, host: str = "127.0.0.1", port: int = 0) -> str:
         """Listen and return the URL; with port 0 the kernel chooses the port."""
         application = web.Application(middlewares=[self._guard], client_max_size=1 << 30)
--- a/egretrouter/standins/_engine.py
+++ b/egretrouter/standins/_engine.py
@@ -131,8 +131,9 @@
         return older[-1][1:] if older else (0, 0)
 
     def _note_load(self) -> None:
-        now = time.monotonic()
-        self._loads.append((now, len(self.batch.queued), len(self.batch.running)))
+        calls = len(self.batch.queued) + len(self.batch.running)
+        running_calls = min(calls, self.batch.capacity)
+        self._loads.append((time.monotonic(), calls - running_calls, running_calls))
         if len(self._loads) > 4096:
             del self._loads[:2048]
 
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -129,6 +129,16 @@
         with pytest.raises(BackendUnavailableError):
             await anext(watch)
 
+    async def test_an_outage_breaks_a_waiting_watch(
+        self, api: ObjectApiStandin, session: aiohttp.ClientSession
+    ) -> None:
+        store = HttpObjectStore(session, base_url=api.url, watch_seconds=60)
+        seen = asyncio.ensure_future(anext(store.watch("key", after_version=0)))
+        await wait_until(lambda: api.waiting_watches == 1)
+        api.outage = Outage.REFUSE
+        with pytest.raises(BackendUnavailableError):
+            await seen
+
     async def test_returns_stale_content_with_its_own_version(
         self, api: ObjectApiStandin, store: HttpObjectStore
     ) -> None:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import json
+import re
 from collections.abc import AsyncIterator
 from pathlib import Path
 
@@ -56,6 +57,14 @@
         ):
             assert expected in lines
 
+    def test_accepts_the_settings_of_the_documentation(self, tmp_path: Path) -> None:
+        page = (EXAMPLES.parent / "docs" / "operations" / "deploying.md").read_text()
+        blocks = re.findall(r"^    {$.*?^    }$", page, re.MULTILINE | re.DOTALL)
+        assert len(blocks) == 2
+        for number, block in enumerate(blocks):
+            (tmp_path / f"{number}.json").write_text(block)
+        assert run("check", str(tmp_path)) == 0
+
     def test_checks_one_service_alone(self) -> None:
         assert run("check", str(EXAMPLES / "sleevehost" / "orders.json")) == 0
 
