Add placement and the rollout of versions in waves

Operators state replicas per zone; each agent must find out alone what it runs and when it may switch. Place services by rendezvous hashing, announce a switch before draining so that min_ready replicas keep serving under lagging gossip, load beside the old version, and halt a version after k failed loads.

--- /dev/null
+++ b/egretrouter/core/rollout/_adapters.py
@@ -0,0 +1,133 @@
+"""Decide when adapters are loaded beside their base model, and unloaded."""
+
+from egretrouter.core.identifiers import Digest
+from egretrouter.core.rollout._messages import (
+    AbandonCopy,
+    AdmitVersion,
+    DrainVersion,
+    LoadEnded,
+    LoadVersion,
+    RolloutCommand,
+    StartCopy,
+    UnloadVersion,
+)
+from egretrouter.core.rollout._placement import Assignment, VersionReference
+
+
+class Adapters:
+    """Bring the adapters of one engine to those assigned, without draining the base model."""
+
+    def __init__(self) -> None:
+        self._wanted: dict[Digest, VersionReference] = {}
+        self._known: dict[Digest, VersionReference] = {}
+        self._copying: set[Digest] = set()
+        self._copied: set[Digest] = set()
+        self._loading: Digest | None = None
+        self._admitted: set[Digest] = set()
+        self._draining: set[Digest] = set()
+        self._counted: set[Digest] = set()
+        """Draining adapters whose calls were counted since the drain began."""
+        self._failures: dict[Digest, str] = {}
+
+    def want(self, target: Assignment | None) -> list[RolloutCommand]:
+        """Take over the adapters assigned."""
+        adapters = target.adapters if target else ()
+        self._wanted = {adapter.manifest_digest: adapter for adapter in adapters}
+        self._known.update(self._wanted)
+        self._failures = {d: r for d, r in self._failures.items() if d in self._wanted}
+        stale = sorted(self._copying - self._wanted.keys())
+        self._copying.difference_update(stale)
+        return [AbandonCopy(manifest_digest=digest) for digest in stale]
+
+    def weights_ready(self, digest: Digest) -> None:
+        """Note a copy that completed."""
+        if digest in self._copying:
+            self._copying.discard(digest)
+            self._copied.add(digest)
+
+    def failed(self, digest: Digest, reason: str) -> bool:
+        """Note a copy that halted; return whether it was an adapter's."""
+        if digest not in self._copying:
+            return False
+        self._copying.discard(digest)
+        self._failures[digest] = reason
+        return True
+
+    def load_ended(self, message: LoadEnded) -> bool:
+        """Note the end of a load; return whether it was an adapter's."""
+        if message.manifest_digest != self._loading:
+            return False
+        self._loading = None
+        if message.reason is not None:
+            self._failures[message.manifest_digest] = message.reason
+        return True
+
+    def engine_restarted(self) -> None:
+        """Forget what the engine had."""
+        self._admitted.clear()
+        self._draining.clear()
+        self._copied.clear()
+        self._loading = None
+
+    def suspend(self) -> list[RolloutCommand]:
+        """Drain all adapters together with their base model."""
+        stopped = sorted(self._admitted)
+        self._admitted.clear()
+        return [DrainVersion(manifest_digest=digest) for digest in stopped]
+
+    def calls_reported(self) -> None:
+        """Note that the counts of calls are from after the drains ordered so far."""
+        self._counted = set(self._draining)
+
+    def advance(
+        self,
+        *,
+        base: VersionReference | None,
+        engine: dict[Digest, VersionReference] | None,
+        calls: dict[Digest, int],
+    ) -> list[RolloutCommand]:
+        """Order what is due while the base model serves."""
+        if base is None or engine is None:
+            return []
+        commands: list[RolloutCommand] = []
+        for digest, adapter in self._wanted.items():
+            if digest in engine:
+                self._draining.discard(digest)
+                if digest not in self._admitted:
+                    self._admitted.add(digest)
+                    commands.append(AdmitVersion(manifest_digest=digest))
+            elif digest in self._failures or digest in self._copying:
+                continue
+            elif digest not in self._copied:
+                self._copying.add(digest)
+                commands.append(StartCopy(version=adapter))
+            elif self._loading is None:
+                self._loading = digest
+                commands.append(LoadVersion(version=adapter, base_model=base.model))
+        return commands + self._remove_unwanted(engine, calls)
+
+    def snapshot(self) -> dict[str, object]:
+        """Return the state for the state dump."""
+        return {
+            "wanted": sorted(self._wanted),
+            "admitted": sorted(self._admitted),
+            "failures": dict(self._failures),
+        }
+
+    def _remove_unwanted(
+        self, engine: dict[Digest, VersionReference], calls: dict[Digest, int]
+    ) -> list[RolloutCommand]:
+        commands: list[RolloutCommand] = []
+        for digest in [d for d in self._known if d not in self._wanted and d != self._loading]:
+            if digest not in engine:
+                del self._known[digest]
+                self._draining.discard(digest)
+            elif digest not in self._draining:
+                self._draining.add(digest)
+                self._admitted.discard(digest)
+                commands.append(DrainVersion(manifest_digest=digest))
+            elif digest in self._draining & self._counted and not calls.get(digest, 0):
+                commands.append(UnloadVersion(version=self._known.pop(digest)))
+                engine.pop(digest)
+                self._draining.discard(digest)
+        return commands
--- /dev/null
+++ b/egretrouter/core/rollout/_placement.py
@@ -0,0 +1,118 @@
+"""Place model services on agents."""
+
+from collections import Counter, defaultdict
+from collections.abc import Iterable
+
+import msgspec
+from xxhash import xxh3_64_intdigest
+
+from egretrouter.core.configuration import (
+    AdapterFile,
+    Configuration,
+    ConfigurationError,
+    EngineRole,
+    ModelServiceFile,
+)
+from egretrouter.core.identifiers import (
+    Digest,
+    InstanceId,
+    ModelName,
+    ServiceName,
+    VersionName,
+    ZoneId,
+)
+
+
+class VersionReference(msgspec.Struct, frozen=True, kw_only=True):
+    """Name a version of a model or adapter by its pinned manifest."""
+
+    model: ModelName
+    version: VersionName
+    manifest_digest: Digest
+
+
+class Assignment(msgspec.Struct, frozen=True, kw_only=True):
+    """State what one agent's engine runs."""
+
+    service: ServiceName
+    base: VersionReference
+    adapters: tuple[VersionReference, ...] = ()
+    role: EngineRole = EngineRole.BOTH
+    min_ready: int = 1
+    halt_after_failures: int = 3
+
+
+class PlacementMember(msgspec.Struct, frozen=True, kw_only=True):
+    """Describe a live agent before a model engine; some engines belong to one service."""
+
+    instance_id: InstanceId
+    zone: ZoneId
+    only_service: ServiceName | None = None
+
+
+def place(
+    configuration: Configuration, members: Iterable[PlacementMember]
+) -> dict[InstanceId, Assignment]:
+    """Assign services to agents, alike for equal views and with few moves on a change.
+
+    If a zone is short of agents, every service gets its min_ready before any gets more.
+    Raises ConfigurationError if a version is not pinned.
+    """
+    by_zone: dict[ZoneId, list[PlacementMember]] = defaultdict(list)
+    for member in members:
+        by_zone[member.zone].append(member)
+    result: dict[InstanceId, Assignment] = {}
+    services = configuration.model_services()
+    for zone, zone_members in by_zone.items():
+        wanted = {
+            service.name: sum(p.replicas for p in service.placement if p.zone == zone)
+            for service in services
+        }
+        assignments = {s.name: _assignment(s, wanted[s.name]) for s in services if wanted[s.name]}
+        least = {name: min(wanted[name], a.min_ready) for name, a in assignments.items()}
+        pairs = sorted(
+            (-_score(name, member.instance_id), member.instance_id, name)
+            for name in assignments
+            for member in zone_members
+            if member.only_service in (None, name)
+        )
+        placed: Counter[str] = Counter()
+        for quota in (least, wanted):
+            for _, instance_id, name in pairs:
+                if instance_id not in result and placed[name] < quota[name]:
+                    result[instance_id] = assignments[name]
+                    placed[name] += 1
+    return result
+
+
+def replica_rank(service: ServiceName, instance_id: InstanceId) -> int:
+    """Return the key that orders replicas in a rollout; lower ones switch first."""
+    return -_score(service, instance_id)
+
+
+def _score(service: str, instance_id: InstanceId) -> int:
+    return xxh3_64_intdigest(f"{service}/{instance_id}".encode())
+
+
+def _assignment(service: ModelServiceFile, replicas: int) -> Assignment:
+    return Assignment(
+        service=ServiceName(service.name),
+        base=_reference(service.name, service),
+        adapters=tuple(_reference(service.name, adapter) for adapter in service.adapters),
+        role=service.engine_role,
+        # With min_ready at the number of replicas no replica could ever switch.
+        min_ready=min(service.min_ready, replicas - 1),
+        halt_after_failures=service.halt_after_failures,
+    )
+
+
+def _reference(service: str, item: ModelServiceFile | AdapterFile) -> VersionReference:
+    if item.manifest_digest is None:
+        raise ConfigurationError(
+            f"service {service!r} does not pin a manifest digest for {item.model}/{item.version}"
+        )
+    return VersionReference(
+        model=ModelName(item.model),
+        version=VersionName(item.version),
+        manifest_digest=Digest(item.manifest_digest),
+    )
--- a/egretrouter/core/weights/_messages.py
+++ b/egretrouter/core/weights/_messages.py
@@ -247,11 +247,11 @@
 
     objective: Objective = Objective.TIME
     neighbours: int = 10
-    parallel_fetches: int = 8
-    parallel_fetches_per_source: int = 2
+    parallel_fetches: int = 4
+    parallel_fetches_per_source: int = 1
     parallel_origin_fetches: int = 2
     parallel_remote_fetches: int = 4
-    parallel_uploads: int = 6
+    parallel_uploads: int = 4
     announce_seconds: float = 0.5
     full_announce_seconds: float = 15.0
     discovery_seconds: float = 1.0
@@ -262,7 +262,7 @@
     deadline_initial_seconds: float = 4.0
     deadline_min_seconds: float = 1.0
     deadline_max_seconds: float = 20.0
-    busy_seconds: float = 0.2
+    busy_seconds: float = 0.5
     backoff_min_seconds: float = 0.5
     backoff_max_seconds: float = 30.0
     strikes: int = 3
