Export the middleware that sends a request once

Cause: aiohttp resends PUT and DELETE when a connection breaks, so a call that an agent passes on to its endpoint could run twice. Change: backends.send_once is public, for one request each. Conclusion: callers of endpoints can use the same protection as the clients.

--- a/egretrouter/backends/__init__.py
+++ b/egretrouter/backends/__init__.py
@@ -1,6 +1,7 @@
 """Offer the ports to the platform's systems and their HTTP clients."""
 
 from egretrouter.backends._engine import HttpEngine
+from egretrouter.backends._http import send_once
 from egretrouter.backends._instance_list import HttpInstanceList
 from egretrouter.backends._object_store import HttpObjectStore
 from egretrouter.backends._ports import (
@@ -30,4 +31,5 @@
     "ObjectStore",
     "StoredObject",
     "WeightSource",
+    "send_once",
 ]
--- a/egretrouter/backends/_http.py
+++ b/egretrouter/backends/_http.py
@@ -39,11 +39,12 @@
     """The session tried to send a write a second time."""
 
 
-def _send_once() -> aiohttp.ClientMiddlewareType:
-    """Return a middleware that refuses to send a second time.
+def send_once() -> aiohttp.ClientMiddlewareType:
+    """Return a middleware for one request that refuses to send it a second time.
 
-    aiohttp resends PUT and DELETE by itself when a reused connection breaks, even if the first
-    request took effect, which turns a lost answer into a version conflict.
+    aiohttp resends PUT and DELETE by itself when a connection breaks before the answer, even if
+    the first request took effect. That would run a call twice, or turn a lost answer into a
+    version conflict.
     """
     sent = False
 
@@ -124,7 +125,7 @@
                 data=data,
                 timeout=timeout,
                 max=64 * 1024,
-                middlewares=(_send_once(),),
+                middlewares=(send_once(),),
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise BackendUnavailableError(self._message(method, url, error)) from error
