--- a/egretrouter/cli/_commands.py
+++ b/egretrouter/cli/_commands.py
@@ -16,15 +16,15 @@
 from egretrouter.cli._dump import fetch_state
 from egretrouter.cli._exit import EXIT_CODES_HELP, ExitCode, reported_errors
 from egretrouter.cli._files import ANY_ADAPTER, KINDS, check_files, read_files
-from egretrouter.cli._publishing import (
+from egretrouter.core.configuration import Difference, compare
+from egretrouter.core.settings import HttpUrl, load_agent_settings, load_router_settings
+from egretrouter.core.validation import MistakesError, quoted
+from egretrouter.publishing import (
     pinned_collection,
     publish,
     published_configuration,
     published_index,
 )
-from egretrouter.core.configuration import Difference, compare
-from egretrouter.core.settings import HttpUrl, load_agent_settings, load_router_settings
-from egretrouter.core.validation import MistakesError, quoted
 
 Result = TypeVar("Result")
 MAX_TIMEOUT_SECONDS = 3600
--- a/egretrouter/core/settings.py
+++ b/egretrouter/core/settings.py
@@ -254,6 +254,12 @@
     weight_memory_bytes: int = Field(default=64 * MEBIBYTE, ge=0)
     """Memory for chunks of weights; 0 on the instance of a plain service."""
     load_timeout_seconds: float = Field(default=600.0, gt=0, le=7200)
+    origin_hold_seconds: float = Field(default=75.0, ge=0, le=600)
+    """Time after the start in which nothing is taken from the origin's budget.
+
+    A predecessor may have spent this instance's share in the last minute, so only a deployment
+    that starts for the first time may set it to 0.
+    """
     lease_seconds: float = Field(default=10.0, gt=0, le=600)
     """An agent paused for longer reads its fencing number again before the next order."""
 
--- a/egretrouter/core/weights/_budget.py
+++ b/egretrouter/core/weights/_budget.py
@@ -24,11 +24,13 @@
         zone_bytes_per_minute: int,
         instance_id: InstanceId,
         joined_seconds: float,
+        hold_seconds: float = WINDOW_SECONDS + VIEW_LAG_SECONDS,
         expected_members: int = 1,
     ) -> None:
+        """Hold back for hold_seconds, since a predecessor may have spent the share."""
         self._zone_bytes_per_minute = zone_bytes_per_minute
         self._instance_id = instance_id
-        self._held_until_seconds = joined_seconds + WINDOW_SECONDS + VIEW_LAG_SECONDS
+        self._held_until_seconds = joined_seconds + hold_seconds
         self._expected_members = expected_members
         self._seen: dict[InstanceId, float] = {instance_id: joined_seconds}
         self._live: set[InstanceId] = {instance_id}
--- a/egretrouter/daemons/__init__.py
+++ b/egretrouter/daemons/__init__.py
@@ -1,1 +1,7 @@
-"""Hold the daemons part of egretrouter."""
+"""Offer the processes of the system as services and as programs."""
+
+from egretrouter.daemons._agent import AgentService
+from egretrouter.daemons._router import RouterService
+from egretrouter.daemons._running import run_agent, run_router
+
+__all__ = ["AgentService", "RouterService", "run_agent", "run_router"]
--- /dev/null
+++ b/egretrouter/daemons/_agent.py
@@ -0,0 +1,557 @@
+"""Run an agent: the process beside one endpoint."""
+
+import asyncio
+import random
+import time
+from collections.abc import Coroutine
+from functools import singledispatchmethod
+from typing import Any
+
+import aiohttp
+from eliot import log_message
+from mode import Service
+
+from egretrouter.backends import (
+    EngineReport,
+    HttpEngine,
+    HttpWeightSource,
+    InstanceState,
+    WeightSource,
+)
+from egretrouter.core.calls import CallRegistry, EpochRead, VersionsLoaded
+from egretrouter.core.configuration import Configuration, DistributionFile
+from egretrouter.core.errors import (
+    BackendError,
+    EgretrouterError,
+    ObjectMissingError,
+    OrderError,
+    VersionConflictError,
+)
+from egretrouter.core.identifiers import (
+    Digest,
+    EndpointId,
+    Epoch,
+    InstanceId,
+    RegionId,
+    ServiceName,
+    ZoneId,
+)
+from egretrouter.core.membership import Facts, LoadReport, MemberRole
+from egretrouter.core.rollout import (
+    AbandonCopy,
+    AdmitVersion,
+    AssignmentChanged,
+    CallsInProgress,
+    DrainVersion,
+    EngineReported,
+    LoadEnded,
+    LoadVersion,
+    Phase,
+    PlacementMember,
+    PublishFacts,
+    ReadEngine,
+    ReplicaFacts,
+    ReplicasSeen,
+    ReportHalted,
+    Rollout,
+    RolloutCommand,
+    RolloutMessage,
+    StartCopy,
+    Tick,
+    UnloadVersion,
+    VersionReference,
+    WeightsFailed,
+    WeightsReady,
+    place,
+)
+from egretrouter.core.settings import AgentSettings
+from egretrouter.core.weights import (
+    ChunkMemory,
+    CopySettings,
+    LinkShares,
+    OriginAllowance,
+    Peer,
+    TokenBucket,
+)
+from egretrouter.daemons._agent_calls import CallsServicer
+from egretrouter.daemons._copies import CopyPeer, CopyService
+from egretrouter.daemons._endpoint import EndpointClient, endpoint_session
+from egretrouter.daemons._metrics import AgentMetrics
+from egretrouter.daemons._peers import PeersServicer
+from egretrouter.daemons._process import ProcessService
+from egretrouter.protocol import egretrouter_pb2_grpc as pb_grpc
+
+TICK_SECONDS = 0.5
+REPORT_SECONDS = 1.0
+LEASE_RETRY_SECONDS = 1.0
+JOIN_SECONDS = 8.0
+JOIN_POLL_SECONDS = 0.1
+BITS_PER_BYTE = 8
+# A share of a link may be used in bursts of this length.
+LINK_BURST_SECONDS = 0.25
+MINIMUM_BURST_BYTES = 512 * 1024
+NO_DIGEST = Digest("")
+
+
+class AgentService(ProcessService):
+    """Own the endpoint: its orders, calls, copies and rollout."""
+
+    role = MemberRole.AGENT
+
+    def __init__(self, settings: AgentSettings, *, rng: random.Random, **kwargs: Any) -> None:
+        self.metrics = AgentMetrics()
+        super().__init__(settings, metrics=self.metrics, rng=rng, **kwargs)
+        self.agent_settings = settings
+        self.zone = ZoneId(settings.zone)
+        self.instance_id = InstanceId(settings.instance_id)
+        self.service = ServiceName(settings.endpoint.service)
+        self.rollout = Rollout(instance_id=self.instance_id, zone=self.zone)
+        self.calls: CallsServicer
+        self.copies: CopyService | None = None
+        self.engine: HttpEngine | None = None
+        self._endpoint_session: aiohttp.ClientSession
+        self._fencing_number: int | None = None
+        self._facts = ReplicaFacts(instance_id=self.instance_id, zone=self.zone)
+        self._admitted: set[Digest] = set()
+        self._versions: dict[Digest, VersionReference] = {}
+        self._draining = False
+        self._orders = asyncio.Lock()
+        self._expected_in_zone = 1
+        self._started_seconds = time.monotonic()
+
+    async def on_start(self) -> None:
+        """Join the zone and stand before the endpoint."""
+        await self.open_platform()
+        self._endpoint_session = endpoint_session()
+        endpoint = self.agent_settings.endpoint
+        self.calls = CallsServicer(
+            registry=CallRegistry(
+                # A new epoch at each start; calls sent to an earlier process are refused.
+                epoch=Epoch(time.time_ns()),
+                version_digests=frozenset(),
+                now_seconds=time.monotonic(),
+            ),
+            endpoint=EndpointClient(base_url=endpoint.url, session=self._endpoint_session),
+            confirm_epoch=lambda: self._spawn(self._confirm_lease()),
+        )
+        peers = PeersServicer(dump=self.dump)
+        await self.start_process(
+            servicers=lambda server: pb_grpc.add_AgentCallsServicer_to_server(self.calls, server),
+            peers=peers,
+        )
+        self.control.on_configuration.append(self._configure)
+        self.control.on_members.append(self._members_changed)
+        in_force = self.control.configuration.configuration
+        if in_force is not None:
+            self._configure(in_force)
+        peers.copies = self.copies
+        self._peers_servicer = peers
+
+    async def drain(self) -> None:
+        """Take no new work and wait until the calls in progress ended."""
+        self._draining = True
+        self._publish_facts()
+        await self.control.leave()
+        self.calls.drain()
+        await self.calls.drained.wait()
+
+    async def on_stop(self) -> None:
+        """Close what stands before the endpoint."""
+        await self.calls.close()
+        if self.copies is not None:
+            await self.copies.stop()
+        await self._endpoint_session.close()
+        await super().on_stop()
+
+    def _spawn(self, work: Coroutine[Any, Any, Any]) -> None:
+        self.add_future(work)
+
+    def _configure(self, configuration: Configuration) -> None:
+        self.process_metrics.generation.set({}, configuration.generation)
+        service = configuration.services.get(self.service)
+        if service is None:
+            log_message("agent:service_unknown", service=self.service)
+            return
+        if service.kind == "plain":
+            self._admitted = {NO_DIGEST}
+            self._versions_changed()
+            return
+        self._expected_in_zone = sum(
+            placement.replicas for placement in service.placement if placement.zone == self.zone
+        )
+        if self.copies is None:
+            self._start_engine(configuration, order_giver=service.endpoint.checks_order_giver)
+        self._assign(configuration)
+
+    def _start_engine(self, configuration: Configuration, *, order_giver: bool) -> None:
+        settings = self.agent_settings
+        self.engine = HttpEngine(
+            self.session,
+            base_url=settings.endpoint.url,
+            endpoint_id=EndpointId(settings.endpoint.endpoint_id),
+            order_giver=settings.instance_id if order_giver else None,
+            load_timeout_seconds=settings.load_timeout_seconds,
+        )
+        distribution = configuration.deployment.distribution
+        self.copies = CopyService(
+            own=Peer(
+                instance_id=self.instance_id, zone=self.zone, region=RegionId(settings.region)
+            ),
+            memory=ChunkMemory(weight_memory_bytes=settings.weight_memory_bytes),
+            allowance=self._allowance(configuration),
+            links=_link_shares(distribution, agents=self._expected_agents(configuration)),
+            settings=CopySettings(
+                objective=distribution.objective,
+                serve_after_load_seconds=distribution.serve_after_load_seconds,
+            ),
+            origin=self._weight_source(settings.platform.origin_url, "origin"),
+            weight_store=(
+                self._weight_source(settings.platform.weight_store_url, "weight store")
+                if settings.platform.weight_store_url
+                else None
+            ),
+            channels=self.channels,
+            metrics=self.metrics,
+            rng=random.Random(self.rng.random()),
+            beacon=self.beacon,
+        )
+        self.copies.on_ready = lambda digest: self._tell(WeightsReady(manifest_digest=digest))
+        self.copies.on_failed = lambda digest, reason: self._tell(
+            WeightsFailed(manifest_digest=digest, reason=reason)
+        )
+        self._peers_servicer.copies = self.copies
+        self._spawn(self.add_runtime_dependency(self.copies))
+        self._members_changed()
+
+    def _weight_source(self, url: str | None, name: str) -> WeightSource:
+        platform = self.settings.platform
+        return HttpWeightSource(
+            self.session,
+            base_url=url or platform.object_store_url,
+            name=name,
+            timeout_seconds=platform.chunk_timeout_seconds,
+            stall_seconds=platform.chunk_stall_seconds,
+        )
+
+    def _allowance(self, configuration: Configuration) -> OriginAllowance:
+        zones = configuration.deployment.zones
+        budget = configuration.deployment.distribution.origin_bytes_per_minute
+        hold_seconds = self.agent_settings.origin_hold_seconds
+        return OriginAllowance(
+            zone_bytes_per_minute=budget // len(zones),
+            instance_id=self.instance_id,
+            joined_seconds=time.monotonic(),
+            hold_seconds=hold_seconds,
+            expected_members=self._expected_agents(configuration),
+        )
+
+    def _expected_agents(self, configuration: Configuration) -> int:
+        """Return the agents that copy weights in this zone by configuration."""
+        replicas = sum(
+            placement.replicas
+            for service in configuration.model_services()
+            for placement in service.placement
+            if placement.zone == self.zone
+        )
+        return max(1, replicas)
+
+    def _assign(self, configuration: Configuration) -> None:
+        members = [
+            PlacementMember(instance_id=self.instance_id, zone=self.zone, only_service=self.service)
+        ]
+        members += [
+            PlacementMember(
+                instance_id=member.instance_id, zone=member.zone, only_service=member.facts.service
+            )
+            for member in self.control.membership.members()
+            if member.role is MemberRole.AGENT and member.facts.service
+        ]
+        assignment = place(configuration, members).get(self.instance_id)
+        self._tell(AssignmentChanged(assignment=assignment))
+
+    def _members_changed(self) -> None:
+        configuration = self.control.configuration.configuration
+        if configuration is None or self.copies is None:
+            return
+        agents = [
+            member
+            for member in self.control.membership.members()
+            if member.role is MemberRole.AGENT
+        ]
+        regions = {ZoneId(z.name): RegionId(z.region) for z in configuration.deployment.zones}
+        near = [
+            CopyPeer(
+                peer=Peer(
+                    instance_id=member.instance_id,
+                    zone=member.zone,
+                    region=regions.get(member.zone, RegionId(member.zone)),
+                ),
+                address=member.address,
+            )
+            for member in agents
+            if member.facts.service == self.service
+        ]
+        self.copies.set_peers([*near, *self._far_peers(regions)])
+        self._tell(ReplicasSeen(replicas=tuple(_replica(member) for member in agents)))
+        self._assign(configuration)
+
+    def _far_peers(self, regions: dict[ZoneId, RegionId]) -> list[CopyPeer]:
+        """Return the agents of other zones as the platform's list knows them."""
+        return [
+            CopyPeer(
+                peer=Peer(
+                    instance_id=listed.instance_id,
+                    zone=listed.zone,
+                    region=regions.get(listed.zone, RegionId(listed.zone)),
+                ),
+                address=listed.address,
+            )
+            for listed in self.control.listed
+            if listed.zone != self.zone
+            and listed.role == f"agent:{self.service}"
+            and listed.state is InstanceState.LIVE
+        ]
+
+    def _tell(self, message: RolloutMessage) -> None:
+        for command in self.rollout.handle(message, now_seconds=time.monotonic()):
+            self._obey(command)
+
+    @singledispatchmethod
+    def _obey(self, command: RolloutCommand) -> None:
+        raise TypeError(f"agent got unexpected command {command!r}")
+
+    @_obey.register
+    def _start_copy(self, command: StartCopy) -> None:
+        self._spawn(self._copy_when_joined(command.version))
+
+    @_obey.register
+    def _abandon_copy(self, command: AbandonCopy) -> None:
+        if self.copies is not None:
+            self.copies.abandon(command.manifest_digest)
+
+    @_obey.register
+    def _drain_version(self, command: DrainVersion) -> None:
+        self._admitted.discard(command.manifest_digest)
+        self._versions_changed()
+
+    @_obey.register
+    def _admit_version(self, command: AdmitVersion) -> None:
+        self._admitted.add(command.manifest_digest)
+        self._versions_changed()
+        if self.copies is not None:
+            self.copies.loaded(command.manifest_digest)
+
+    @_obey.register
+    def _load(self, command: LoadVersion) -> None:
+        self._spawn(self._load_version(command))
+
+    @_obey.register
+    def _unload(self, command: UnloadVersion) -> None:
+        self._spawn(self._unload_version(command))
+
+    @_obey.register
+    def _read_engine(self, command: ReadEngine) -> None:
+        self._spawn(self._read_report())
+
+    @_obey.register
+    def _publish(self, command: PublishFacts) -> None:
+        self._facts = command.facts
+        self._publish_facts()
+
+    @_obey.register
+    def _halted(self, command: ReportHalted) -> None:
+        log_message(
+            "agent:version_halted",
+            digest=command.version.manifest_digest,
+            failed_on=list(command.failed_on),
+        )
+
+    def _versions_changed(self) -> None:
+        self.calls.apply(VersionsLoaded(version_digests=frozenset(self._admitted)))
+        self._publish_facts()
+
+    def _publish_facts(self) -> None:
+        facts = self._facts
+        serving = facts.serving_digest or NO_DIGEST
+        adapters = tuple(
+            (version.model, digest)
+            for digest in sorted(self._admitted - {serving})
+            if (version := self._versions.get(digest)) is not None
+        )
+        self.control.set_facts(
+            Facts(
+                service=self.service,
+                version_digest=serving,
+                adapters=adapters,
+                drained=facts.drained or self._draining,
+                ready=serving in self._admitted,
+                phase=facts.phase.value,
+                failed_digest=facts.failed_digest or NO_DIGEST,
+            )
+        )
+
+    async def _copy_when_joined(self, version: VersionReference) -> None:
+        """Start a copy once the zone's agents are in view, or soon after this one started.
+
+        Agents of a zone that start together would otherwise each take the whole from the origin.
+        """
+        deadline_seconds = self._started_seconds + JOIN_SECONDS
+        while self.copies is not None and time.monotonic() < deadline_seconds:
+            if self.copies.zone_peers() + 1 >= self._expected_in_zone:
+                break
+            await asyncio.sleep(JOIN_POLL_SECONDS)
+        if self.copies is not None:
+            self.copies.start_copy(version)
+
+    async def _load_version(self, command: LoadVersion) -> None:
+        version = command.version
+        digest = version.manifest_digest
+        try:
+            async with self._orders:
+                await self._order_load(command)
+        except EgretrouterError as error:
+            log_message("agent:load_failed", digest=digest, error=str(error))
+            self._tell(LoadEnded(manifest_digest=digest, reason=str(error)))
+            return
+        log_message("agent:version_loaded", digest=digest)
+        self._tell(LoadEnded(manifest_digest=digest))
+
+    async def _order_load(self, command: LoadVersion) -> None:
+        if self.engine is None or self.copies is None:
+            raise OrderError("no engine stands behind this agent")
+        version = command.version
+        manifest = self.copies.manifest(version.manifest_digest)
+        if manifest is None:
+            raise OrderError(f"weights {version.manifest_digest} are not in memory")
+        await self.engine.load(
+            model=version.model,
+            version=version.version,
+            manifest_digest=version.manifest_digest,
+            weights_digest=manifest.weights_digest,
+            content=self.copies.content(version.manifest_digest),
+            fencing_number=await self._lease(),
+            base_model=command.base_model,
+        )
+
+    async def _unload_version(self, command: UnloadVersion) -> None:
+        version = command.version
+        try:
+            async with self._orders:
+                if self.engine is not None:
+                    await self.engine.unload(
+                        model=version.model,
+                        version=version.version,
+                        fencing_number=await self._lease(),
+                    )
+        except EgretrouterError as error:
+            log_message("agent:unload_failed", error=str(error))
+
+    async def _lease(self) -> int:
+        """Take the fencing number of the endpoint once and keep it."""
+        while self._fencing_number is None:
+            key = f"fencing/{self.agent_settings.endpoint.endpoint_id}"
+            try:
+                try:
+                    stored = await self.store.get(key)
+                    number, version = int(stored.content) + 1, stored.version
+                except ObjectMissingError:
+                    number, version = 1, 0
+                await self.store.put(key, str(number).encode(), expected_version=version)
+                self._fencing_number = number
+            except VersionConflictError:
+                continue
+            except BackendError:
+                await asyncio.sleep(LEASE_RETRY_SECONDS)
+        return self._fencing_number
+
+    async def _confirm_lease(self) -> None:
+        self.calls.apply(EpochRead(epoch=self.calls.registry.epoch))
+
+    @Service.task
+    async def _tick(self) -> None:
+        while not self.should_stop:
+            await self.sleep(TICK_SECONDS)
+            self.calls.tick()
+            if self.copies is not None:
+                self._tell(CallsInProgress(counts=dict(self.calls.calls_per_version)))
+                self._tell(Tick())
+            elif self._admitted:
+                running = self.calls.registry.in_progress
+                self.control.set_load(LoadReport(running_calls=running))
+
+    @Service.task
+    async def _poll_engine(self) -> None:
+        while not self.should_stop:
+            await self.sleep(REPORT_SECONDS)
+            if self.engine is not None:
+                await self._read_report()
+
+    async def _read_report(self) -> None:
+        if self.engine is None:
+            return
+        try:
+            report = await self.engine.report()
+        except BackendError:
+            # An engine that does not answer has nothing loaded that a call could use.
+            report = EngineReport()
+        loaded = tuple(
+            VersionReference(
+                model=loaded.model, version=loaded.version, manifest_digest=loaded.manifest_digest
+            )
+            for loaded in report.loaded
+        )
+        self._versions = {version.manifest_digest: version for version in loaded}
+        load = LoadReport(queued_calls=report.queued_calls, running_calls=report.running_calls)
+        self.control.set_load(load)
+        self._tell(EngineReported(loaded=loaded))
+
+    @property
+    def admitted(self) -> frozenset[Digest]:
+        """Return the versions that calls may use."""
+        return frozenset(self._admitted)
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether the endpoint takes calls."""
+        return super().ready and bool(self._admitted) and not self._draining
+
+    def dump(self) -> dict[str, Any]:
+        """Return the whole state of the agent."""
+        return {
+            **super().dump(),
+            "service": self.service,
+            "fencing_number": self._fencing_number,
+            "admitted": sorted(self._admitted),
+            "draining": self._draining,
+            "calls": self.calls.snapshot(),
+            "rollout": self.rollout.snapshot(),
+            "weights": self.copies.snapshot() if self.copies is not None else None,
+        }
+
+
+def _replica(member: Any) -> ReplicaFacts:
+    facts = member.facts
+    return ReplicaFacts(
+        instance_id=member.instance_id,
+        zone=member.zone,
+        service=facts.service,
+        serving_digest=(facts.version_digest or None) if facts.ready else None,
+        drained=facts.drained,
+        phase=Phase(facts.phase or Phase.IDLE.value),
+        failed_digest=facts.failed_digest or None,
+    )
+
+
+def _link_shares(distribution: DistributionFile, *, agents: int) -> LinkShares:
+    """Build the buckets for an agent's share of its links."""
+    instance = distribution.instance_link_bytes_per_second * distribution.link_share
+    regional_bytes = distribution.inter_region_bits_per_second / BITS_PER_BYTE
+    regional = regional_bytes * distribution.inter_region_share / agents
+    return LinkShares(
+        instance=TokenBucket(bytes_per_second=instance, burst_bytes=_burst(instance)),
+        between_regions=TokenBucket(bytes_per_second=regional, burst_bytes=_burst(regional)),
+    )
+
+
+def _burst(bytes_per_second: float) -> int:
+    return max(MINIMUM_BURST_BYTES, int(bytes_per_second * LINK_BURST_SECONDS))
--- a/egretrouter/daemons/_caller_stream.py
+++ b/egretrouter/daemons/_caller_stream.py
@@ -4,6 +4,7 @@
 from enum import Enum
 
 from aiohttp import web
+from multidict import CIMultiDict
 
 from egretrouter.core.calls import AnswerData, AnswerHead, FailCaller
 from egretrouter.core.identifiers import CallId
@@ -103,8 +104,8 @@
 
     async def start(self) -> None:
         """Send the head and what is held, and pass later pieces straight on."""
-        response = self._response = web.StreamResponse(status=self._status(), reason=None)
-        self._copy_headers(response)
+        response = web.StreamResponse(status=self._status(), headers=self._headers())
+        self._response = response
         await response.prepare(self._request)
         while self._held:
             held, self._held = b"".join(self._held), []
@@ -135,18 +136,16 @@
     def _status(self) -> int:
         return self._head.status if self._head is not None else _STATUS_UNKNOWN
 
-    def _copy_headers(self, response: web.StreamResponse) -> None:
-        if self._head is not None:
-            for name, value in self._head.headers:
-                response.headers.add(name, value)
-        response.headers["X-Request-Id"] = self._request_id
+    def _headers(self) -> CIMultiDict[str]:
+        headers = CIMultiDict(self._head.headers if self._head is not None else ())
+        headers["X-Request-Id"] = self._request_id
+        return headers
 
     def _whole_response(self) -> web.Response:
         if self.state is CallerState.FINISHED:
-            response = web.Response(status=self._status(), body=b"".join(self._held))
-            del response.headers["Content-Type"]
-            self._copy_headers(response)
-            return response
+            return web.Response(
+                status=self._status(), body=b"".join(self._held), headers=self._headers()
+            )
         failure = self.failure
         assert failure is not None
         return problem_response(
--- a/egretrouter/daemons/_endpoint.py
+++ b/egretrouter/daemons/_endpoint.py
@@ -6,12 +6,14 @@
 import aiohttp
 from yarl import URL
 
+from egretrouter.backends import send_once
 from egretrouter.core.calls import AnswerData, AnswerHead
 from egretrouter.core.errors import CallNotRunError, CallUnknownError
 from egretrouter.core.identifiers import CallId
 from egretrouter.protocol import egretrouter_pb2 as pb
 
 CONNECT_TIMEOUT_SECONDS = 2.0
+READ_BUFFER_BYTES = 256 * 1024
 DIGEST_HEADER = "X-Manifest-Digest"
 
 _EVENT_STREAM = "text/event-stream"
@@ -62,11 +64,13 @@
 
     trace = aiohttp.TraceConfig()
     trace.on_connection_create_end.append(connected)
-    # A request on a connection that the endpoint is closing would be sent again by the client,
-    # and could run twice; so each call has a connection of its own.
-    connector = aiohttp.TCPConnector(force_close=True, limit=0)
+    # A request on a connection that the endpoint is closing may be lost without a trace, so each
+    # call has a connection of its own.
     return aiohttp.ClientSession(
-        connector=connector, trace_configs=[trace], auto_decompress=False, read_bufsize=2**18
+        connector=aiohttp.TCPConnector(force_close=True, limit=0),
+        trace_configs=[trace],
+        auto_decompress=False,
+        read_bufsize=READ_BUFFER_BYTES,
     )
 
 
@@ -100,6 +104,7 @@
                 timeout=timeout,
                 allow_redirects=False,
                 trace_request_ctx=on_connected,
+                middlewares=(send_once(),),
             ) as response:
                 async for part in _parts(response, call.version_digest):
                     yield part
--- /dev/null
+++ b/egretrouter/daemons/_endpoint_view.py
@@ -0,0 +1,161 @@
+"""Derive the endpoints that a router may use from membership."""
+
+import time
+from collections.abc import Callable, Mapping
+
+import msgspec
+
+from egretrouter.core.identifiers import (
+    Digest,
+    EndpointId,
+    InstanceId,
+    ModelName,
+    RegionId,
+    ServiceName,
+    ZoneId,
+)
+from egretrouter.core.membership import Member, MemberRole, Membership, VersionSummary
+from egretrouter.core.routing import (
+    EndpointGone,
+    EndpointSeen,
+    EndpointSelector,
+    LoadReported,
+    RouteRequest,
+    RoutersCounted,
+)
+
+# Load reports travel by gossip, which takes about this long inside a zone.
+GOSSIP_AGE_SECONDS = 1.0
+
+
+class _Known(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold what was last told to the selector about an endpoint."""
+
+    seen: EndpointSeen
+    serving_digest: Digest
+    adapters: dict[ModelName, Digest]
+
+
+class EndpointView:
+    """Keep a selector's endpoints in step with the members of all zones."""
+
+    def __init__(
+        self,
+        *,
+        membership: Membership,
+        selector: EndpointSelector,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._membership = membership
+        self._selector = selector
+        self._clock = clock
+        self._regions: Mapping[ZoneId, RegionId] = {}
+        self._known: dict[EndpointId, _Known] = {}
+        self._loads: dict[InstanceId, object] = {}
+
+    def set_regions(self, regions: Mapping[ZoneId, RegionId]) -> None:
+        """Learn the region of each zone."""
+        self._regions = regions
+
+    def serving_digest(self, endpoint_id: EndpointId, route: RouteRequest) -> Digest | None:
+        """Return the version that an endpoint would answer a call from."""
+        known = self._known.get(endpoint_id)
+        if known is None:
+            return None
+        if route.adapter is not None:
+            return known.adapters.get(route.adapter)
+        if route.version_digest is not None:
+            served = route.version_digest in known.seen.version_digests
+            return route.version_digest if served else None
+        return known.serving_digest
+
+    def services(self) -> frozenset[ServiceName]:
+        """Return the services that have an endpoint in view."""
+        return frozenset(known.seen.service for known in self._known.values())
+
+    def routers(self) -> tuple[int, int]:
+        """Return the live routers of this zone and of all zones."""
+        members = self._membership.members()
+        near = 1 + sum(member.role is MemberRole.ROUTER for member in members)
+        summaries = self._membership.summaries(now_seconds=self._clock())
+        return near, near + sum(summary.routers for summary in summaries)
+
+    def refresh(self) -> None:
+        """Tell the selector what changed."""
+        now = self._clock()
+        current = {e.seen.endpoint_id: e for e in (*self._near(now), *self._far(now))}
+        for endpoint_id in self._known.keys() - current.keys():
+            self._selector.handle(EndpointGone(endpoint_id=endpoint_id), now_seconds=now)
+        for endpoint_id, known in current.items():
+            previous = self._known.get(endpoint_id)
+            if previous is None or previous.seen != known.seen:
+                self._selector.handle(known.seen, now_seconds=now)
+        self._known = current
+        self._refresh_loads(now)
+        near, _ = self.routers()
+        self._selector.handle(RoutersCounted(routers=near), now_seconds=now)
+
+    def _near(self, now: float) -> list[_Known]:
+        members = self._membership.usable_members(now_seconds=now)
+        return [
+            self._from_member(member)
+            for member in members
+            if member.role is MemberRole.AGENT and member.facts.ready and not member.facts.drained
+        ]
+
+    def _from_member(self, member: Member) -> _Known:
+        facts = member.facts
+        adapters = {ModelName(model): Digest(digest) for model, digest in facts.adapters}
+        seen = EndpointSeen(
+            endpoint_id=EndpointId(member.instance_id),
+            address=member.address,
+            zone=member.zone,
+            region=self._region(member.zone),
+            service=facts.service,
+            version_digests=frozenset({facts.version_digest, *adapters.values()}),
+            adapters=frozenset(adapters),
+        )
+        return _Known(seen=seen, serving_digest=facts.version_digest, adapters=adapters)
+
+    def _far(self, now: float) -> list[_Known]:
+        known = []
+        for summary in self._membership.summaries(now_seconds=now):
+            for version in summary.versions:
+                known += self._from_summary(summary.zone, version)
+        return known
+
+    def _from_summary(self, zone: ZoneId, version: VersionSummary) -> list[_Known]:
+        return [
+            _Known(
+                seen=EndpointSeen(
+                    endpoint_id=EndpointId(instance_id),
+                    address=address,
+                    zone=zone,
+                    region=self._region(zone),
+                    service=ServiceName(version.service),
+                    version_digests=frozenset({version.version_digest}),
+                ),
+                serving_digest=version.version_digest,
+                adapters={},
+            )
+            for instance_id, address in version.samples
+        ]
+
+    def _region(self, zone: ZoneId) -> RegionId:
+        return self._regions.get(zone, RegionId(zone))
+
+    def _refresh_loads(self, now: float) -> None:
+        for endpoint_id in self._known:
+            load = self._membership.load(InstanceId(endpoint_id))
+            if load is None or self._loads.get(InstanceId(endpoint_id)) == load:
+                continue
+            self._loads[InstanceId(endpoint_id)] = load
+            self._selector.handle(
+                LoadReported(
+                    endpoint_id=endpoint_id,
+                    queued_calls=load.queued_calls,
+                    running_calls=load.running_calls,
+                    age_seconds=GOSSIP_AGE_SECONDS,
+                ),
+                now_seconds=now,
+            )
--- /dev/null
+++ b/egretrouter/daemons/_peers.py
@@ -0,0 +1,62 @@
+"""Answer the requests of other processes of the system."""
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+from egretrouter.core.identifiers import Digest
+from egretrouter.daemons._control import ControlService
+from egretrouter.daemons._copies import CopyService
+from egretrouter.protocol import egretrouter_pb2 as pb
+from egretrouter.protocol import egretrouter_pb2_grpc as pb_grpc
+
+
+class PeersServicer(pb_grpc.PeersServicer):
+    """Pass peers' requests to the service that owns the state."""
+
+    def __init__(self, *, dump: Callable[[], dict[str, Any]]) -> None:
+        self.control: ControlService | None = None
+        self.copies: CopyService | None = None
+        self._dump = dump
+
+    async def Gossip(self, request: pb.GossipMessage, context: Any) -> pb.GossipReply:  # noqa: N802
+        """Take a gossip message."""
+        if self.control is not None:
+            self.control.gossip_received(request)
+        return pb.GossipReply()
+
+    async def FetchConfiguration(  # noqa: N802
+        self, request: pb.ConfigurationRequest, context: Any
+    ) -> pb.ConfigurationReply:
+        """Send the index and parts of the generation in force."""
+        if self.control is None:
+            return pb.ConfigurationReply()
+        return self.control.configuration_reply(request)
+
+    async def FetchManifest(  # noqa: N802
+        self, request: pb.ManifestRequest, context: Any
+    ) -> pb.ManifestReply:
+        """Send a manifest."""
+        if self.copies is None:
+            return pb.ManifestReply()
+        return pb.ManifestReply(
+            manifest=self.copies.manifest_content(Digest(request.manifest_digest))
+        )
+
+    async def NotifyCopy(  # noqa: N802
+        self, request: pb.CopyNotice, context: Any
+    ) -> pb.CopyNoticeReply:
+        """Take a message of another agent's copy."""
+        if self.copies is not None:
+            self.copies.notice_received(request)
+        return pb.CopyNoticeReply()
+
+    async def FetchChunk(self, request: pb.ChunkRequest, context: Any) -> pb.ChunkReply:  # noqa: N802
+        """Send a chunk of weights."""
+        if self.copies is None:
+            return pb.ChunkReply(status=pb.ChunkReply.MISSING)
+        return await self.copies.chunk_requested(request, context)
+
+    async def DumpState(self, request: pb.DumpRequest, context: Any) -> pb.DumpReply:  # noqa: N802
+        """Send the state of this process."""
+        return pb.DumpReply(state=json.dumps(self._dump(), default=str).encode())
--- /dev/null
+++ b/egretrouter/daemons/_process.py
@@ -0,0 +1,176 @@
+"""Assemble what routers and agents have in common."""
+
+import random
+import time
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+from aiohttp import web
+from mode import Service
+
+from egretrouter.backends import HttpInstanceList, HttpObjectStore, ObjectStore
+from egretrouter.core.identifiers import InstanceId, ZoneId
+from egretrouter.core.membership import Member, MemberRole, Seed
+from egretrouter.core.settings import ListenSettings, ProcessSettings, SecuritySettings
+from egretrouter.daemons._control import ControlService
+from egretrouter.daemons._metrics import ProcessMetrics
+from egretrouter.daemons._operators import operators_application
+from egretrouter.daemons._peers import PeersServicer
+from egretrouter.daemons._rpc import ChannelPool, PeerSecurity, TlsFiles, bind_server, build_server
+from egretrouter.protocol import egretrouter_pb2_grpc as pb_grpc
+
+SERVER_GRACE_SECONDS = 0.5
+PLATFORM_CONNECTIONS = 256
+
+
+def peer_security(settings: SecuritySettings) -> PeerSecurity:
+    """Read what authenticates the processes to each other."""
+    secret = None
+    if settings.shared_secret_file is not None:
+        secret = Path(settings.shared_secret_file).read_text().strip()
+    tls = None
+    if settings.peer_tls is not None and settings.peer_tls.authority_file is not None:
+        tls = TlsFiles(
+            certificate=Path(settings.peer_tls.certificate_file),
+            key=Path(settings.peer_tls.private_key_file),
+            authority=Path(settings.peer_tls.authority_file),
+        )
+    return PeerSecurity(secret=secret, tls=tls)
+
+
+class ProcessService(Service):
+    """Own the sockets and the control part that every process has."""
+
+    role: MemberRole
+
+    def __init__(
+        self,
+        settings: ProcessSettings,
+        *,
+        metrics: ProcessMetrics,
+        rng: random.Random,
+        **kwargs: Any,
+    ) -> None:
+        super().__init__(**kwargs)
+        self.settings = settings
+        self.rng = rng
+        self.process_metrics = metrics
+        self.security = peer_security(settings.security)
+        self.channels = ChannelPool(self.security)
+        self.peer_address = ""
+        self.operators_port = 0
+        self.control: ControlService
+        self.store: ObjectStore
+        self.session: aiohttp.ClientSession
+        self._server: Any = None
+        self._runners: list[web.AppRunner] = []
+
+    async def start_process(
+        self, *, servicers: Callable[[Any], None], peers: PeersServicer
+    ) -> None:
+        """Listen for peers and operators, and join the zone."""
+        platform = self.settings.platform
+        self._server = build_server(self.security)
+        servicers(self._server)
+        pb_grpc.add_PeersServicer_to_server(peers, self._server)
+        listen = self.settings.peers
+        port = bind_server(self._server, f"{listen.address}:{listen.port}", self.security)
+        self.peer_address = f"{listen.reachable_address}:{port}"
+        self.control = ControlService(
+            own=self._own_member(),
+            store=self.store,
+            instance_list=(
+                HttpInstanceList(
+                    self.session,
+                    base_url=platform.instance_list_url,
+                    timeout_seconds=platform.timeout_seconds,
+                )
+                if platform.instance_list_url
+                else None
+            ),
+            seeds=self._seeds(),
+            channels=self.channels,
+            rng=self.rng,
+            beacon=self.beacon,
+        )
+        peers.control = self.control
+        await self._server.start()
+        await self.add_runtime_dependency(self.control)
+        self.operators_port = await self.listen_http(
+            operators_application(
+                dump=self.dump,
+                metrics=self.process_metrics,
+                ready=lambda: self.ready,
+                token_sha256=self.settings.security.operators_token_sha256,
+            ),
+            self.settings.operators,
+        )
+
+    async def open_platform(self) -> None:
+        """Create the clients of the platform's systems."""
+        platform = self.settings.platform
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=PLATFORM_CONNECTIONS)
+        )
+        self.store = HttpObjectStore(
+            self.session,
+            base_url=platform.object_store_url,
+            timeout_seconds=platform.timeout_seconds,
+            watch_seconds=platform.watch_seconds,
+        )
+
+    async def listen_http(
+        self, application: web.Application, listen: ListenSettings, **options: Any
+    ) -> int:
+        """Serve an application and return its port."""
+        runner = web.AppRunner(application, access_log=None, **options)
+        await runner.setup()
+        site = web.TCPSite(runner, listen.address, listen.port)
+        await site.start()
+        self._runners.append(runner)
+        port: int = runner.addresses[0][1]
+        return port
+
+    async def on_stop(self) -> None:
+        """Close every socket."""
+        for runner in self._runners:
+            await runner.cleanup()
+        if self._server is not None:
+            await self._server.stop(SERVER_GRACE_SECONDS)
+        await self.channels.close()
+        await self.session.close()
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether this process can do its work."""
+        return self.control.configuration.configuration is not None
+
+    def dump(self) -> dict[str, Any]:
+        """Return the whole state of the process."""
+        return {
+            "instance_id": self.settings.instance_id,
+            "zone": self.settings.zone,
+            "role": self.role.value,
+            "peer_address": self.peer_address,
+            "ready": self.ready,
+            "control": self.control.snapshot(),
+        }
+
+    def _own_member(self) -> Member:
+        return Member(
+            instance_id=InstanceId(self.settings.instance_id),
+            zone=ZoneId(self.settings.zone),
+            role=self.role,
+            address=self.peer_address,
+            # A restarted process must overrule what is remembered of the one before.
+            incarnation=int(time.time()),
+        )
+
+    def _seeds(self) -> tuple[Seed, ...]:
+        zone = ZoneId(self.settings.zone)
+        return tuple(
+            Seed(instance_id=InstanceId(f"seed-{address}"), zone=zone, address=address)
+            for address in self.settings.seeds
+        )
--- /dev/null
+++ b/egretrouter/daemons/_router.py
@@ -0,0 +1,144 @@
+"""Run a router: the entry instance's process."""
+
+import asyncio
+import random
+from typing import Any
+
+from aiohttp import web
+from mode import Service
+
+from egretrouter.core.configuration import Configuration
+from egretrouter.core.identifiers import InstanceId, RegionId, ServiceName, ZoneId
+from egretrouter.core.limits import Backoff, HedgingBudget, RetryBudget
+from egretrouter.core.membership import MemberRole
+from egretrouter.core.routing import EndpointSelector
+from egretrouter.core.settings import RouterSettings
+from egretrouter.daemons._call_driver import CallServices
+from egretrouter.daemons._callers import CallerHandler
+from egretrouter.daemons._endpoint_view import EndpointView
+from egretrouter.daemons._link import AgentLink
+from egretrouter.daemons._metrics import RouterMetrics
+from egretrouter.daemons._peers import PeersServicer
+from egretrouter.daemons._process import ProcessService
+
+REFRESH_SECONDS = 0.5
+LINK_IDLE_TICKS = 120
+
+
+class RouterService(ProcessService):
+    """Own the callers' port, the links to agents and the choice of endpoint."""
+
+    role = MemberRole.ROUTER
+
+    def __init__(self, settings: RouterSettings, *, rng: random.Random, **kwargs: Any) -> None:
+        self.metrics = RouterMetrics()
+        super().__init__(settings, metrics=self.metrics, rng=rng, **kwargs)
+        self.router_settings = settings
+        self.callers_port = 0
+        self.handler: CallerHandler
+        self.selector: EndpointSelector
+        self.view: EndpointView
+        self._links: dict[str, AgentLink] = {}
+
+    async def on_start(self) -> None:
+        """Join the zone and listen for callers."""
+        await self.open_platform()
+        peers = PeersServicer(dump=self.dump)
+        self.selector = EndpointSelector(
+            zone=ZoneId(self.settings.zone),
+            region=RegionId(self.settings.region),
+            random_generator=random.Random(self.rng.random()),
+        )
+        await self.start_process(servicers=lambda _: None, peers=peers)
+        self.view = EndpointView(membership=self.control.membership, selector=self.selector)
+        self.handler = CallerHandler(
+            services=self._call_services(),
+            limits=self.router_settings.limits,
+            metrics=self.metrics,
+        )
+        self.control.on_configuration.append(self._configure)
+        self.control.on_members.append(self.view.refresh)
+        in_force = self.control.configuration.configuration
+        if in_force is not None:
+            self._configure(in_force)
+        limits = self.router_settings.limits
+        application = web.Application(client_max_size=limits.max_body_bytes)
+        application.add_routes(self.handler.routes())
+        self.callers_port = await self.listen_http(
+            application,
+            self.router_settings.callers,
+            handler_cancellation=True,
+            max_field_size=limits.max_header_bytes,
+            max_line_size=limits.max_header_bytes,
+            keepalive_timeout=limits.idle_connection_seconds,
+        )
+
+    async def drain(self) -> None:
+        """Refuse new calls and wait until the open ones ended."""
+        self.handler.drain()
+        await self.control.leave()
+        await self.handler.idle.wait()
+
+    def served_services(self) -> frozenset[ServiceName]:
+        """Return the services that have an endpoint in view."""
+        return self.view.services()
+
+    def _call_services(self) -> CallServices:
+        return CallServices(
+            selector=self.selector,
+            links=self._link,
+            serving_digest=self.view.serving_digest,
+            retry_budget=RetryBudget(),
+            hedging_budget=HedgingBudget(),
+            backoff=Backoff(random.Random(self.rng.random())),
+            rng=self.rng,
+        )
+
+    def _link(self, address: str) -> AgentLink:
+        link = self._links.get(address)
+        if link is None:
+            link = self._links[address] = AgentLink(
+                address=address,
+                router_id=InstanceId(self.settings.instance_id),
+                channels=self.channels,
+                beacon=self.beacon,
+            )
+            self.add_future(self.add_runtime_dependency(link))
+        return link
+
+    def _configure(self, configuration: Configuration) -> None:
+        self.process_metrics.generation.set({}, configuration.generation)
+        self.handler.configure(configuration)
+        zones = configuration.deployment.zones
+        self.view.set_regions({ZoneId(z.name): RegionId(z.region) for z in zones})
+        self.view.refresh()
+
+    @Service.task
+    async def _refresh(self) -> None:
+        while not self.should_stop:
+            await self.sleep(REFRESH_SECONDS)
+            self.view.refresh()
+            self.handler.count_routers(self.view.routers()[1])
+            self.handler.tick()
+
+    async def on_stop(self) -> None:
+        """Close links before the sockets below them."""
+        for link in self._links.values():
+            await link.stop()
+        await super().on_stop()
+
+    @property
+    def ready(self) -> bool:
+        """Tell whether callers can be answered."""
+        return super().ready and self.handler.ready
+
+    def dump(self) -> dict[str, Any]:
+        """Return the whole state of the router."""
+        now_seconds = asyncio.get_running_loop().time()
+        return {
+            **super().dump(),
+            "callers_port": self.callers_port,
+            "calls": self.handler.snapshot(),
+            "selector": self.selector.snapshot(now_seconds=now_seconds),
+            "links": {address: link.link_state.value for address, link in self._links.items()},
+        }
--- /dev/null
+++ b/egretrouter/daemons/_running.py
@@ -0,0 +1,62 @@
+"""Run a daemon until it is told to stop."""
+
+import asyncio
+import random
+import signal
+from collections.abc import Callable
+from pathlib import Path
+from typing import TextIO
+
+from eliot import FileDestination, add_destinations
+
+from egretrouter.core.settings import AgentSettings, ProcessSettings, RouterSettings
+from egretrouter.daemons._agent import AgentService
+from egretrouter.daemons._router import RouterService
+
+
+def run_router(settings: RouterSettings) -> None:
+    """Run a router until SIGTERM; a second SIGTERM stops it at once."""
+    _run(settings, lambda rng: RouterService(settings, rng=rng))
+
+
+def run_agent(settings: AgentSettings) -> None:
+    """Run an agent until SIGTERM; a second SIGTERM stops it at once."""
+    _run(settings, lambda rng: AgentService(settings, rng=rng))
+
+
+def _run(
+    settings: ProcessSettings, build: Callable[[random.Random], RouterService | AgentService]
+) -> None:
+    log = _open_log(settings)
+    try:
+        asyncio.run(_serve(build(random.Random())))
+    finally:
+        log.close()
+
+
+def _open_log(settings: ProcessSettings) -> TextIO:
+    path = settings.log_file or "/dev/stderr"
+    log = Path(path).open("a", encoding="utf-8")  # noqa: SIM115
+    add_destinations(FileDestination(file=log))
+    return log
+
+
+async def _serve(service: RouterService | AgentService) -> None:
+    stop, stop_at_once = asyncio.Event(), asyncio.Event()
+
+    def signalled() -> None:
+        (stop_at_once if stop.is_set() else stop).set()
+
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, signalled)
+    await service.start()
+    try:
+        await stop.wait()
+        drained = asyncio.create_task(service.drain())
+        hurried = asyncio.create_task(stop_at_once.wait())
+        await asyncio.wait([drained, hurried], return_when=asyncio.FIRST_COMPLETED)
+        drained.cancel()
+        hurried.cancel()
+    finally:
+        await service.stop()
--- /dev/null
+++ b/egretrouter/demo/_fleet.py
@@ -0,0 +1,212 @@
+"""Run a whole deployment with stand-ins in one process, on loopback."""
+
+import asyncio
+import random
+from collections.abc import Iterable
+from pathlib import Path
+
+import aiohttp
+import msgspec
+
+from egretrouter.backends import HttpObjectStore, HttpWeightSource
+from egretrouter.core.configuration import FILE_ADAPTER as OPERATOR_FILE_ADAPTER
+from egretrouter.core.configuration import (
+    DeploymentFile,
+    ModelServiceFile,
+    PlainServiceFile,
+    encode_part,
+    part_name,
+)
+from egretrouter.core.settings import AgentSettings, RouterSettings
+from egretrouter.daemons import AgentService, RouterService
+from egretrouter.publishing import pinned_collection, publish
+from egretrouter.standins import (
+    EngineStandin,
+    InstanceListStandin,
+    ObjectApiStandin,
+    OriginStandin,
+    PlainServiceStandin,
+)
+
+MEBIBYTE = 1024 * 1024
+POLL_SECONDS = 0.02
+
+Part = DeploymentFile | ModelServiceFile | PlainServiceFile
+Endpoint = EngineStandin | PlainServiceStandin
+
+
+class FleetOptions(msgspec.Struct, frozen=True, kw_only=True):
+    """Set the size and speed of a fleet."""
+
+    routers: int = 15
+    token_interval_seconds: float = 0.02
+    weight_memory_bytes: int = 256 * MEBIBYTE
+    origin_hold_seconds: float = 0.0
+    list_lag_seconds: float = 0.0
+    seed: int = 0
+
+
+def read_parts(directory: Path) -> dict[str, Part]:
+    """Read the operators' files of a directory by name of part."""
+    parts = [
+        OPERATOR_FILE_ADAPTER.validate_json(path.read_bytes())
+        for path in sorted(directory.glob("*.json"))
+    ]
+    return {part_name(part): part for part in parts}
+
+
+class Fleet:
+    """Own the stand-ins, routers and agents of one deployment."""
+
+    def __init__(self, parts: dict[str, Part], *, options: FleetOptions | None = None) -> None:
+        """Take the operators' files; publish puts them in force."""
+        self.parts = parts
+        self.options = options or FleetOptions()
+        self.object_api = ObjectApiStandin()
+        self.origin = OriginStandin(seed=self.options.seed)
+        self.instance_list = InstanceListStandin(lag_seconds=self.options.list_lag_seconds)
+        self.endpoints: dict[str, Endpoint] = {}
+        self.agents: dict[str, AgentService] = {}
+        self.routers: dict[str, RouterService] = {}
+        self._rng = random.Random(self.options.seed)
+        self._session: aiohttp.ClientSession
+
+    @property
+    def deployment(self) -> DeploymentFile:
+        """Return the deployment's own file."""
+        return next(p for p in self.parts.values() if isinstance(p, DeploymentFile))
+
+    def services(self) -> list[ModelServiceFile | PlainServiceFile]:
+        """Return the services' files."""
+        return [p for p in self.parts.values() if not isinstance(p, DeploymentFile)]
+
+    def engines(self) -> dict[str, EngineStandin]:
+        """Return the model engines by instance."""
+        return {n: e for n, e in self.endpoints.items() if isinstance(e, EngineStandin)}
+
+    async def start(self) -> None:
+        """Start the platform, then the endpoints with their agents, then the routers."""
+        self._session = aiohttp.ClientSession()
+        for standin in (self.object_api, self.origin, self.instance_list):
+            await standin.start()
+        for service in self.services():
+            for placement in service.placement:
+                for number in range(placement.replicas):
+                    instance_id = f"{service.name}-{placement.zone}-{number}"
+                    await self.start_endpoint(instance_id, service, zone=placement.zone)
+        zones = [zone.name for zone in self.deployment.zones]
+        for number in range(self.options.routers):
+            zone = zones[number % len(zones)]
+            await self.start_router(f"entry-{zone}-{number // len(zones)}", zone=zone)
+
+    async def start_endpoint(
+        self, instance_id: str, service: ModelServiceFile | PlainServiceFile, *, zone: str
+    ) -> None:
+        """Start one endpoint instance: the endpoint and its agent."""
+        endpoint: Endpoint
+        if isinstance(service, ModelServiceFile):
+            endpoint = EngineStandin(
+                checks_fencing=service.endpoint.checks_fencing,
+                token_interval_seconds=self.options.token_interval_seconds,
+            )
+        else:
+            endpoint = PlainServiceStandin()
+        await endpoint.start()
+        self.endpoints[instance_id] = endpoint
+        await self.start_agent(instance_id, service.name, zone=zone)
+
+    async def start_agent(self, instance_id: str, service: str, *, zone: str) -> AgentService:
+        """Start the agent of an endpoint that runs already."""
+        settings = AgentSettings.model_validate(
+            {
+                **self._process_settings(instance_id, zone),
+                "kind": "agent",
+                "endpoint": {
+                    "endpoint_id": instance_id,
+                    "service": service,
+                    "url": self.endpoints[instance_id].url,
+                },
+                "weight_memory_bytes": self.options.weight_memory_bytes,
+                "origin_hold_seconds": self.options.origin_hold_seconds,
+            }
+        )
+        agent = AgentService(settings, rng=random.Random(self._rng.random()))
+        await agent.start()
+        self.agents[instance_id] = agent
+        self.instance_list.add(
+            instance_id, zone=zone, role=f"agent:{service}", address=agent.peer_address
+        )
+        return agent
+
+    async def start_router(self, instance_id: str, *, zone: str) -> RouterService:
+        """Start one entry instance."""
+        settings = RouterSettings.model_validate(
+            {
+                **self._process_settings(instance_id, zone),
+                "kind": "router",
+                "callers": {"port": 0},
+            }
+        )
+        router = RouterService(settings, rng=random.Random(self._rng.random()))
+        await router.start()
+        self.routers[instance_id] = router
+        self.instance_list.add(instance_id, zone=zone, role="router", address=router.peer_address)
+        return router
+
+    def _process_settings(self, instance_id: str, zone: str) -> dict[str, object]:
+        region = next(z.region for z in self.deployment.zones if z.name == zone)
+        return {
+            "instance_id": instance_id,
+            "zone": zone,
+            "region": region,
+            "platform": {
+                "object_store_url": self.object_api.url,
+                "origin_url": self.origin.url,
+                "instance_list_url": self.instance_list.url,
+            },
+        }
+
+    async def publish(self) -> int:
+        """Publish the operators' files and return the generation."""
+        files = {f"{name}.json": encode_part(part) for name, part in self.parts.items()}
+        origin = HttpWeightSource(self._session, base_url=self.origin.url)
+        store = HttpObjectStore(self._session, base_url=self.object_api.url)
+        collection, _ = await pinned_collection(files, origin)
+        return (await publish(store, collection)).generation
+
+    def replace(self, part: Part) -> None:
+        """Edit one operators' file; publish puts it in force."""
+        self.parts[part_name(part)] = part
+
+    def replicas(self, manifest_digest: str) -> int:
+        """Return how many agents admit calls of a version that their engine has loaded."""
+        return sum(
+            manifest_digest in agent.admitted for agent in self.agents.values() if agent.started
+        )
+
+    async def wait_for_replicas(
+        self, manifest_digest: str, count: int, *, timeout_seconds: float
+    ) -> None:
+        """Wait until a version serves on so many endpoints; raises TimeoutError."""
+        async with asyncio.timeout(timeout_seconds):
+            while self.replicas(manifest_digest) < count:  # noqa: ASYNC110
+                await asyncio.sleep(POLL_SECONDS)
+
+    async def wait_for_routes(self, services: Iterable[str], *, timeout_seconds: float) -> None:
+        """Wait until every router has an endpoint of each service; raises TimeoutError."""
+        wanted = set(services)
+        async with asyncio.timeout(timeout_seconds):
+            while not all(  # noqa: ASYNC110
+                wanted <= router.served_services() for router in self.routers.values()
+            ):
+                await asyncio.sleep(POLL_SECONDS)
+
+    async def stop(self) -> None:
+        """Stop everything, callers' side first."""
+        await asyncio.gather(*(router.stop() for router in self.routers.values()))
+        await asyncio.gather(*(agent.stop() for agent in self.agents.values()))
+        for endpoint in self.endpoints.values():
+            await endpoint.stop()
+        for standin in (self.object_api, self.origin, self.instance_list):
+            await standin.stop()
+        await self._session.close()
--- /dev/null
+++ b/tests/test_whole_path.py
@@ -0,0 +1,56 @@
+"""Test the whole path from published files to answers."""
+
+import random
+from collections.abc import AsyncIterator
+from pathlib import Path
+
+import aiohttp
+import pytest
+
+from egretrouter.demo import Fleet, FleetOptions, read_parts
+from egretrouter.standins import expected_answer
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+WAIT_SECONDS = 60.0
+
+
+@pytest.fixture
+async def fleet() -> AsyncIterator[Fleet]:
+    fleet = Fleet(
+        read_parts(EXAMPLES / "ovo-justo"),
+        options=FleetOptions(routers=3, token_interval_seconds=0.001),
+    )
+    await fleet.start()
+    yield fleet
+    await fleet.stop()
+
+
+class TestWholePath:
+    """Guard against any broken step between publishing and an answer."""
+
+    async def test_serves_published_weights_and_plain_services(self, fleet: Fleet) -> None:
+        manifest = fleet.origin.add_version(
+            "cotacoes", "2026-11", random.Random(1).randbytes(600_000), chunk_bytes=65536
+        )
+        await fleet.publish()
+        await fleet.wait_for_replicas(manifest.digest, 6, timeout_seconds=WAIT_SECONDS)
+        await fleet.wait_for_routes(
+            ["llm-cotacoes", "razao-vendas", "portal-socio"], timeout_seconds=WAIT_SECONDS
+        )
+        assert fleet.origin.sent_bytes < 3.2 * manifest.weight_bytes
+        async with aiohttp.ClientSession() as session:
+            for router in fleet.routers.values():
+                url = f"http://127.0.0.1:{router.callers_port}"
+                body = {"model": "cotacoes", "prompt": "ovos", "max_tokens": 8}
+                async with session.post(f"{url}/v1/completions", json=body) as response:
+                    answer = await response.json()
+                text = expected_answer(manifest.digest, "ovos", count=8)
+                assert answer["choices"][0]["text"] == text
+                async with session.post(
+                    f"{url}/v1/completions", json={**body, "stream": True}
+                ) as response:
+                    content = await response.read()
+                assert content.endswith(b"data: [DONE]\n\n")
+                host = {"Host": "portal.ovo-justo.example", "X-Workspace": "socios"}
+                async with session.get(f"{url}/socio/7", headers=host) as response:
+                    assert response.status == 200
