--- a/egretrouter/core/weights/_claims.py
+++ b/egretrouter/core/weights/_claims.py
@@ -22,6 +22,9 @@
         self.pending: set[InstanceId] = set()
         self.fetching = False
         self.waited_for_zones = False
+        self.source_answered = False
+        self.ready = False
+        self.stale = False
         self.alternate = 0
         self.next_alternate_seconds = now_seconds
 
@@ -55,10 +58,22 @@
         self._claims.pop(index, None)
         self.holders.pop(index, None)
 
-    def working_on(self, index: ChunkIndex) -> bool:
-        """Tell whether this agent, as the best-ranked owner, is about to get a chunk."""
+    def working_on(self, index: ChunkIndex, *, asker: InstanceId) -> bool:
+        """Tell whether this agent is about to get a chunk that the asker should leave to it."""
+        if self.holders.get(index):
+            return True
         claim = self._claims.get(index)
-        return bool(self.holders.get(index)) or (claim is not None and claim.rank == 0)
+        if claim is None or (claim.rank > 0 and not claim.ready):
+            return False
+        # Between two agents that are both ready the rank decides, so that one of them goes.
+        return asker not in self._ownership.owners(index, self._zone)[: claim.rank]
+
+    def hold_back(self, index: ChunkIndex, *, now_seconds: float) -> None:
+        """Ask again before the next try, since other owners may be first after an outage."""
+        claim = self._claims[index]
+        claim.position, claim.ready, claim.stale = 0, False, True
+        claim.waited_for_zones = claim.source_answered = False
+        claim.next_seconds = now_seconds + (claim.rank + 1) * self._settings.fallback_seconds
 
     def step(
         self, due: dict[ChunkIndex, int], *, now_seconds: float
@@ -80,10 +95,14 @@
                 self._resolve(claim, now_seconds=now_seconds)
                 if claim.next_seconds > now_seconds:
                     continue
-            groups = self._groups(index, rank)
+            groups = self._groups(index, rank, stale=claim.stale)
+            last_question = len(groups) > 1 and claim.position == len(groups) - 1
+            if last_question and self._wait_for_zones(index, claim, now_seconds=now_seconds):
+                continue
             if claim.position < len(groups):
                 self._ask(index, claim, groups[claim.position], asks, now_seconds=now_seconds)
-            elif not self._wait_for_zones(index, claim, now_seconds=now_seconds):
+            else:
+                claim.ready = True
                 ready.append(index)
         return ready, asks
 
@@ -114,6 +133,7 @@
                 self.holders[index].add(answer.peer)
             was_pending = answer.peer in claim.pending
             claim.pending.discard(answer.peer)
+            claim.source_answered = claim.source_answered or was_pending
             claim.fetching = claim.fetching or (index in fetching and was_pending)
             if was_pending and not claim.pending and index not in held:
                 self._resolve(claim, now_seconds=now_seconds)
@@ -135,15 +155,19 @@
         """Return the state for the state dump."""
         return {"claims": len(self._claims), "held_elsewhere": len(self.holders)}
 
-    def _groups(self, index: ChunkIndex, rank: int) -> list[list[InstanceId]]:
+    def _groups(self, index: ChunkIndex, rank: int, *, stale: bool) -> list[list[InstanceId]]:
         groups = []
-        if rank > 0:
-            groups.append(self._ownership.owners(index, self._zone)[:rank])
+        owners = self._ownership.owners(index, self._zone)
+        first = owners[: self._settings.fallback_depth] if stale else owners[:rank]
+        if first and first != [self._instance_id]:
+            groups.append(first)
         if self._settings.objective is Objective.ORIGIN_BYTES:
             source = self._ownership.source_zone(index, self._zone)
             if source is not None:
                 owners = self._ownership.owners(index, source)[:SOURCE_OWNERS]
                 groups.extend([owner] for owner in owners)
+                # Asked once more, after the time that the source zone's own fallback takes.
+                groups.append(owners)
         return groups
 
     def _ask(
@@ -174,10 +198,11 @@
 
     def _wait_for_zones(self, index: ChunkIndex, claim: _Claim, *, now_seconds: float) -> bool:
         """Stagger the zones that lost touch with the source zone, so that one asks the origin."""
-        if claim.waited_for_zones or self._settings.objective is Objective.TIME:
+        if claim.waited_for_zones:
             return False
         claim.waited_for_zones = True
         order = self._ownership.zone_order(index)
         place = order.index(self._zone) if self._zone in order else 0
-        claim.next_seconds = now_seconds + place * self._settings.fallback_seconds
-        return place > 0
+        turns = 2 * (place + 1) if claim.source_answered else place
+        claim.next_seconds = now_seconds + turns * self._settings.fallback_seconds
+        return turns > 0
--- a/egretrouter/core/weights/_copy.py
+++ b/egretrouter/core/weights/_copy.py
@@ -277,7 +277,9 @@
             self._serving.answer(
                 message,
                 held=self._held,
-                working_on=lambda index: planner.working_on(index, now_seconds=now_seconds),
+                working_on=lambda index: planner.working_on(
+                    index, asker=message.peer, now_seconds=now_seconds
+                ),
             )
         ]
 
--- a/egretrouter/core/weights/_planner.py
+++ b/egretrouter/core/weights/_planner.py
@@ -100,11 +100,11 @@
         remote = peer is not None and peer.zone != self.own.zone
         return SourceKind.REMOTE if remote else SourceKind.ZONE
 
-    def working_on(self, index: ChunkIndex, *, now_seconds: float) -> bool:
+    def working_on(self, index: ChunkIndex, *, asker: InstanceId, now_seconds: float) -> bool:
         """Tell whether a chunk is in flight or about to be fetched by this agent."""
         if self.transfers.mask >> index & 1:
             return True
-        return self.claims.working_on(index) and self.sources.usable(
+        return self.claims.working_on(index, asker=asker) and self.sources.usable(
             ORIGIN, now_seconds=now_seconds
         )
 
@@ -248,6 +248,9 @@
                 break
             commands.append(self._fetch(ORIGIN, ready.pop(), now_seconds))
             free -= 1
+        if not self.sources.usable(ORIGIN, now_seconds=now_seconds):
+            for index in ready:
+                self.claims.hold_back(index, now_seconds=now_seconds)
         if by_time or not usable:
             for index in ready[:ELSEWHERE_PER_STEP]:
                 self.claims.ask_elsewhere(index, asks, now_seconds=now_seconds)
--- /dev/null
+++ b/tests/test_weights_messages.py
@@ -0,0 +1,279 @@
+"""Test single decisions of a copy of weights."""
+
+from random import Random
+
+import pytest
+
+from benchmarks.copy_loop import make_peers
+from egretrouter.core.errors import CorruptedChunkError, ManifestMismatchError, WeightMemoryError
+from egretrouter.core.identifiers import ChunkIndex, Digest, InstanceId, ModelName, VersionName
+from egretrouter.core.weights import (
+    ORIGIN,
+    AllowanceAsked,
+    CancelFetch,
+    ChunkArrived,
+    ChunkFailed,
+    ChunkMemory,
+    ChunkRequested,
+    CopyCommand,
+    CopyCompleted,
+    CopyHalted,
+    CopyMessage,
+    CopySettings,
+    CopyState,
+    FetchChunk,
+    FetchManifest,
+    GiveAllowance,
+    LinkShares,
+    Loaded,
+    ManifestArrived,
+    Missing,
+    OriginAllowance,
+    PeerAnnounced,
+    PeersChanged,
+    RefuseChunk,
+    SendChunk,
+    Superseded,
+    Tick,
+    TokenBucket,
+    UploadEnded,
+    VerifyWhole,
+    WeightCopy,
+    WholeVerified,
+    build_manifest,
+    split_chunks,
+)
+
+CONTENT = bytes(range(256)) * 4
+PIECES = split_chunks(CONTENT, chunk_bytes=128)
+ALL = (1 << len(PIECES)) - 1
+
+
+class Harness:
+    """Drive one copy by hand."""
+
+    def __init__(
+        self,
+        *,
+        peers: int = 1,
+        budget: int = 1 << 30,
+        memory: ChunkMemory | None = None,
+        content: bytes = CONTENT,
+        links: LinkShares | None = None,
+    ) -> None:
+        self.peers = make_peers(peers, zones=1, regions=1)
+        self.manifest = build_manifest(
+            model=ModelName("m"), version=VersionName("v"), content=content, chunk_bytes=128
+        )
+        self.memory = memory or ChunkMemory(weight_memory_bytes=2048)
+        self.allowance = OriginAllowance(
+            zone_bytes_per_minute=budget,
+            instance_id=self.peers[0].instance_id,
+            joined_seconds=-100.0,
+        )
+        self.copy = WeightCopy(
+            manifest=self.manifest,
+            pinned_digest=self.manifest.digest,
+            own=self.peers[0],
+            memory=self.memory,
+            allowance=self.allowance,
+            settings=CopySettings(),
+            random=Random(3),
+            links=links,
+        )
+        self.now = 0.0
+
+    def tell(self, message: CopyMessage, *, after: float = 0.1) -> list[CopyCommand]:
+        self.now += after
+        return self.copy.handle(message, now_seconds=self.now)
+
+    def start(self) -> list[CopyCommand]:
+        commands = self.tell(PeersChanged(peers=tuple(self.peers)))
+        return commands + self.tell(Tick(), after=1.5)
+
+    def announce(self, peer: int, held: int = ALL) -> list[CopyCommand]:
+        message = PeerAnnounced(peer=self.peers[peer].instance_id, held=held.to_bytes(1, "little"))
+        return self.tell(message)
+
+    def arrive(
+        self, source: InstanceId, index: int, content: bytes | None = None
+    ) -> list[CopyCommand]:
+        content = PIECES[index] if content is None else content
+        return self.tell(ChunkArrived(source=source, index=ChunkIndex(index), content=content))
+
+    def finish(self) -> list[CopyCommand]:
+        return [c for index in range(len(PIECES)) for c in self.arrive(ORIGIN, index)]
+
+
+def fetches(commands: list[CopyCommand]) -> list[FetchChunk]:
+    return [command for command in commands if isinstance(command, FetchChunk)]
+
+
+class TestVerification:
+    """Guard against weights that are partial, mixed or not those pinned."""
+
+    def test_completes_only_after_the_whole_is_verified(self) -> None:
+        harness = Harness()
+        harness.start()
+        commands = harness.finish()
+        assert VerifyWhole() in commands
+        assert CopyCompleted() not in commands
+        assert CopyCompleted() in harness.tell(WholeVerified(matches=True))
+
+    def test_halts_if_the_whole_does_not_match(self) -> None:
+        harness = Harness()
+        harness.start()
+        harness.finish()
+        halted = harness.tell(WholeVerified(matches=False))[-1]
+        assert isinstance(halted, CopyHalted)
+        assert isinstance(halted.error, CorruptedChunkError)
+        assert harness.copy.state is CopyState.HALTED
+
+    def test_stores_no_corrupted_chunk(self) -> None:
+        harness = Harness()
+        harness.start()
+        harness.arrive(ORIGIN, 0, b"x" * 128)
+        assert harness.memory.held(harness.manifest.digest) == 0
+
+    def test_stores_the_first_of_two_results_once(self) -> None:
+        harness = Harness()
+        harness.start()
+        harness.arrive(ORIGIN, 0)
+        harness.arrive(InstanceId("i9"), 0, b"x" * 128)
+        assert harness.memory.get(harness.manifest.digest, ChunkIndex(0)) == PIECES[0]
+
+    def test_a_changed_manifest_at_the_origin_halts(self) -> None:
+        harness = Harness()
+        started = harness.start()
+        commands = []
+        for order in fetches(started)[:1] * 3:
+            commands += harness.arrive(ORIGIN, order.index, b"other")
+        assert FetchManifest() in commands
+        other = Harness(content=CONTENT[::-1]).manifest
+        halted = harness.tell(ManifestArrived(content=other.to_json()))[-1]
+        assert isinstance(halted, CopyHalted)
+        assert isinstance(halted.error, ManifestMismatchError)
+
+    def test_refuses_a_manifest_that_is_not_pinned(self) -> None:
+        harness = Harness()
+        with pytest.raises(ManifestMismatchError, match="pins"):
+            WeightCopy(
+                manifest=harness.manifest,
+                pinned_digest=Digest("0" * 64),
+                own=harness.peers[0],
+                memory=harness.memory,
+                allowance=harness.allowance,
+                settings=CopySettings(),
+                random=Random(1),
+            )
+
+    def test_refuses_weights_that_do_not_fit(self) -> None:
+        with pytest.raises(WeightMemoryError):
+            Harness(memory=ChunkMemory(weight_memory_bytes=1000))
+
+
+class TestSupersession:
+    """Guard against work and memory kept for a replaced version."""
+
+    def test_cancels_fetches_and_frees_memory(self) -> None:
+        memory = ChunkMemory(weight_memory_bytes=1024)
+        harness = Harness(memory=memory)
+        orders = fetches(harness.start())
+        commands = harness.tell(Superseded())
+        assert {CancelFetch(source=o.source, index=o.index) for o in orders} == set(commands)
+        newer = Harness(memory=memory, content=CONTENT[::-1])
+        assert newer.memory.held(newer.manifest.digest) == 0
+        assert harness.arrive(ORIGIN, 0) == []
+        assert memory.held(harness.manifest.digest) == 0
+
+    def test_ends_serving_some_time_after_the_load(self) -> None:
+        harness = Harness()
+        harness.start()
+        harness.finish()
+        harness.tell(WholeVerified(matches=True))
+        harness.tell(Loaded())
+        harness.tell(Tick(), after=119.0)
+        assert harness.copy.state is CopyState.COMPLETED
+        harness.tell(Tick(), after=2.0)
+        assert harness.copy.state is CopyState.ENDED
+
+    def test_a_restarted_copy_takes_over_what_memory_holds(self) -> None:
+        memory = ChunkMemory(weight_memory_bytes=1024)
+        harness = Harness(memory=memory)
+        harness.start()
+        harness.finish()
+        harness.tell(Superseded())
+        assert VerifyWhole() in Harness(memory=memory).start()
+
+
+class TestSources:
+    """Guard against waiting for a peer that is slow, gone or busy."""
+
+    def test_hedges_a_stalled_fetch_and_cancels_the_slower(self) -> None:
+        harness = Harness(peers=3)
+        harness.start()
+        first = fetches(harness.announce(1, held=1))
+        assert [order.source for order in first] == [harness.peers[1].instance_id]
+        assert not fetches(harness.announce(2, held=1))
+        second = fetches(harness.tell(Tick(), after=4.5))
+        assert harness.peers[2].instance_id in {o.source for o in second if o.index == 0}
+        commands = harness.arrive(harness.peers[2].instance_id, 0)
+        assert CancelFetch(source=harness.peers[1].instance_id, index=ChunkIndex(0)) in commands
+
+    def test_drops_fetches_from_a_departed_peer(self) -> None:
+        harness = Harness(peers=2)
+        harness.start()
+        harness.announce(1, held=1)
+        commands = harness.tell(PeersChanged(peers=tuple(harness.peers[:1])))
+        assert CancelFetch(source=harness.peers[1].instance_id, index=ChunkIndex(0)) in commands
+
+    def test_forgets_what_a_peer_turned_out_to_miss(self) -> None:
+        harness = Harness(peers=2)
+        harness.start()
+        harness.announce(1, held=1)
+        peer = harness.peers[1].instance_id
+        failed = ChunkFailed(source=peer, index=ChunkIndex(0), reason=Missing())
+        assert peer not in {order.source for order in fetches(harness.tell(failed))}
+
+
+class TestServing:
+    """Guard against uploads that crowd out live requests."""
+
+    def complete(self, links: LinkShares | None = None) -> Harness:
+        harness = Harness(links=links)
+        harness.start()
+        harness.finish()
+        return harness
+
+    def request(self, harness: Harness, number: int) -> CopyCommand:
+        peer = InstanceId(f"p{number}")
+        return harness.tell(ChunkRequested(peer=peer, index=ChunkIndex(0)))[0]
+
+    def test_is_busy_beyond_its_upload_slots(self) -> None:
+        harness = self.complete()
+        replies = [self.request(harness, number) for number in range(5)]
+        assert [type(reply) for reply in replies] == [SendChunk] * 4 + [RefuseChunk]
+        harness.tell(UploadEnded(peer=InstanceId("p0"), index=ChunkIndex(0)))
+        assert isinstance(self.request(harness, 9), SendChunk)
+
+    def test_paces_uploads_to_the_share_of_the_link(self) -> None:
+        bucket = TokenBucket(bytes_per_second=256.0, burst_bytes=128)
+        harness = self.complete(LinkShares(instance=bucket, between_regions=bucket))
+        replies = [self.request(harness, number) for number in range(4)]
+        delays = [r.delay_seconds for r in replies if isinstance(r, SendChunk)]
+        assert delays == pytest.approx([0.0, 0.4, 0.8])
+        assert isinstance(replies[3], RefuseChunk)
+
+    def test_a_halted_copy_serves_nothing(self) -> None:
+        harness = self.complete()
+        harness.tell(WholeVerified(matches=False))
+        reply = self.request(harness, 1)
+        assert reply == RefuseChunk(peer=InstanceId("p1"), index=ChunkIndex(0), reason=Missing())
+
+    def test_gives_allowance_only_when_it_needs_none(self) -> None:
+        harness = Harness(budget=1024)
+        harness.start()
+        asked = AllowanceAsked(peer=InstanceId("p1"), size_bytes=100)
+        assert not any(isinstance(c, GiveAllowance) for c in harness.tell(asked))
+        harness.finish()
+        assert GiveAllowance(peer=InstanceId("p1"), size_bytes=100) in harness.tell(asked)
