--- /dev/null
+++ b/tests/test_rollout.py
@@ -0,0 +1,435 @@
+"""Test the placement of services and the rollout of versions."""
+
+from collections import Counter
+
+import pytest
+
+from egretrouter.core.configuration import (
+    Configuration,
+    ConfigurationError,
+    ConfigurationIndex,
+    DeploymentFile,
+    ModelServiceFile,
+)
+from egretrouter.core.digests import content_digest
+from egretrouter.core.identifiers import (
+    Digest,
+    Generation,
+    InstanceId,
+    ModelName,
+    PublicationId,
+    ServiceName,
+    VersionName,
+    ZoneId,
+)
+from egretrouter.core.rollout import (
+    AdmitVersion,
+    Assignment,
+    AssignmentChanged,
+    CallsInProgress,
+    DrainVersion,
+    EngineReported,
+    LoadEnded,
+    LoadVersion,
+    Phase,
+    PlacementMember,
+    PublishFacts,
+    ReadEngine,
+    ReplicaFacts,
+    ReplicasSeen,
+    ReportHalted,
+    Rollout,
+    RolloutCommand,
+    RolloutMessage,
+    StartCopy,
+    Tick,
+    UnloadVersion,
+    VersionReference,
+    WeightsFailed,
+    WeightsReady,
+    place,
+)
+
+ZONE = ZoneId("serra-z1")
+
+
+def version(name: str, *, model: str = "m") -> VersionReference:
+    return VersionReference(
+        model=ModelName(model),
+        version=VersionName(name),
+        manifest_digest=content_digest(f"{model}/{name}".encode()),
+    )
+
+
+def assignment(name: str, *, min_ready: int = 2, adapters: tuple[str, ...] = ()) -> Assignment:
+    return Assignment(
+        service=ServiceName("llm"),
+        base=version(name),
+        adapters=tuple(version(adapter, model="a") for adapter in adapters),
+        min_ready=min_ready,
+        halt_after_failures=2,
+    )
+
+
+class FakeAgent:
+    """Carry out the commands of one rollout on a fake engine."""
+
+    def __init__(self, name: str, zone: "FakeZone") -> None:
+        self.name, self.zone = InstanceId(name), zone
+        self.rollout = Rollout(instance_id=self.name, zone=ZONE)
+        self.engine: dict[Digest, VersionReference] = {}
+        self.admitted: set[Digest] = set()
+        self.calls: Counter[Digest] = Counter()
+        self.log: list[RolloutCommand] = []
+        self.inbox: list[RolloutMessage] = []
+        self.single_slot = False
+
+    def tell(self, message: RolloutMessage) -> None:
+        self.inbox.append(message)
+
+    def work(self) -> None:
+        inbox, self.inbox = self.inbox, []
+        for message in inbox:
+            for command in self.rollout.handle(message, now_seconds=self.zone.now):
+                self.log.append(command)
+                self.carry(command)
+
+    def carry(self, command: RolloutCommand) -> None:
+        match command:
+            case StartCopy(version=v):
+                if v.version not in self.zone.uncopyable:
+                    self.tell(WeightsReady(manifest_digest=v.manifest_digest))
+                else:
+                    self.tell(WeightsFailed(manifest_digest=v.manifest_digest, reason="halted"))
+            case LoadVersion(version=v, base_model=base):
+                bad = v.version in self.zone.unloadable
+                if self.single_slot and base is None:
+                    assert not sum(self.calls.values())
+                    self.engine.clear()
+                if not bad:
+                    self.engine[v.manifest_digest] = v
+                reason = "out of memory" if bad else None
+                self.tell(LoadEnded(manifest_digest=v.manifest_digest, reason=reason))
+            case UnloadVersion(version=v):
+                assert not self.calls[v.manifest_digest], "unloaded under a call"
+                del self.engine[v.manifest_digest]
+            case ReadEngine():
+                self.tell(EngineReported(loaded=tuple(self.engine.values())))
+            case AdmitVersion(manifest_digest=digest):
+                assert digest in self.engine, "admitted a version that is not loaded"
+                self.admitted.add(digest)
+            case DrainVersion(manifest_digest=digest):
+                self.admitted.discard(digest)
+            case PublishFacts(facts=facts):
+                self.zone.gossip.append((self.zone.now + self.zone.lag, facts))
+
+
+class FakeZone:
+    """Run the agents of one zone with lagging gossip, second by second."""
+
+    def __init__(self, count: int, *, lag: float = 1.0) -> None:
+        self.now = 0.0
+        self.lag = lag
+        self.gossip: list[tuple[float, ReplicaFacts]] = []
+        self.facts: dict[InstanceId, ReplicaFacts] = {}
+        self.uncopyable: set[str] = set()
+        self.unloadable: set[str] = set()
+        self.agents = [FakeAgent(f"i{number}", self) for number in range(count)]
+        self.fewest_serving = count
+
+    def assign(self, target: Assignment | None) -> None:
+        for agent in self.agents:
+            agent.tell(AssignmentChanged(assignment=target))
+
+    def serving(self, name: str) -> int:
+        return sum(version(name).manifest_digest in agent.admitted for agent in self.agents)
+
+    def run(self, seconds: int) -> None:
+        for _ in range(seconds):
+            self.now += 1
+            due = [facts for when, facts in self.gossip if when <= self.now]
+            self.gossip = [(w, f) for w, f in self.gossip if w > self.now]
+            self.facts |= {facts.instance_id: facts for facts in due}
+            for agent in self.agents:
+                agent.tell(ReplicasSeen(replicas=tuple(self.facts.values())))
+                agent.tell(CallsInProgress(counts=dict(agent.calls)))
+                agent.tell(Tick())
+                while agent.inbox:
+                    agent.work()
+            admitting = sum(bool(agent.admitted) for agent in self.agents)
+            self.fewest_serving = min(self.fewest_serving, admitting)
+
+    def all_logged(self, kind: type[RolloutCommand]) -> list[RolloutCommand]:
+        return [c for agent in self.agents for c in agent.log if isinstance(c, kind)]
+
+
+def serving_zone(count: int, *, lag: float = 1.0) -> FakeZone:
+    zone = FakeZone(count, lag=lag)
+    zone.assign(assignment("v1"))
+    zone.run(20)
+    assert zone.serving("v1") == count
+    zone.fewest_serving = count
+    return zone
+
+
+class TestWaves:
+    """Guard against too few replicas that serve during a rollout."""
+
+    @pytest.mark.parametrize("lag", [0.0, 1.0, 2.5])
+    def test_min_ready_replicas_serve_throughout(self, lag: float) -> None:
+        zone = serving_zone(6, lag=lag)
+        zone.assign(assignment("v2", min_ready=4))
+        for agent in zone.agents:
+            # A call that lasts keeps each replica draining for a while.
+            agent.calls[version("v1").manifest_digest] = 1
+        for second in range(150):
+            zone.run(1)
+            if second % 8 == 7:
+                for agent in zone.agents:
+                    if not agent.admitted:
+                        agent.calls.clear()
+        assert zone.serving("v2") == 6
+        assert zone.fewest_serving >= 4
+
+    def test_an_agent_that_never_gets_its_weights_holds_up_nobody(self) -> None:
+        zone = serving_zone(3)
+        zone.agents[0].carry = lambda command: None  # type: ignore[method-assign]
+        zone.assign(assignment("v2"))
+        zone.run(60)
+        assert zone.serving("v2") == 2
+
+    def test_waits_while_dead_replicas_leave_no_spare(self) -> None:
+        zone = serving_zone(3)
+        gone = zone.agents.pop()
+        del zone.facts[gone.name]
+        zone.assign(assignment("v2", min_ready=2))
+        zone.run(60)
+        assert zone.serving("v1") == 2
+
+    def test_an_empty_engine_loads_at_once(self) -> None:
+        zone = FakeZone(1)
+        zone.assign(assignment("v1", min_ready=1))
+        zone.run(1)
+        assert zone.serving("v1") == 1
+
+
+class TestUnloading:
+    """Guard against calls cut off by an unload."""
+
+    def test_waits_for_calls_in_progress(self) -> None:
+        zone = serving_zone(3)
+        busy = zone.agents[0]
+        busy.calls[version("v1").manifest_digest] = 2
+        zone.assign(assignment("v2"))
+        zone.run(60)
+        assert version("v1").manifest_digest in busy.engine
+        assert zone.serving("v2") < 3
+        busy.calls.clear()
+        zone.run(60)
+        assert zone.serving("v2") == 3
+        assert version("v1").manifest_digest not in busy.engine
+
+    def test_does_not_trust_counts_from_before_the_drain(self) -> None:
+        zone = serving_zone(3)
+        agent = zone.agents[0]
+        agent.tell(AssignmentChanged(assignment=assignment("v2")))
+        while agent.rollout.facts().phase is not Phase.DRAINING:
+            zone.now += 1
+            agent.tell(Tick())
+            agent.work()
+        agent.tell(Tick())
+        agent.work()
+        assert agent.rollout.facts().phase is Phase.DRAINING
+
+    def test_retires_after_calls_ended(self) -> None:
+        zone = serving_zone(3)
+        zone.assign(None)
+        zone.agents[0].calls[version("v1").manifest_digest] = 1
+        zone.run(60)
+        assert zone.agents[0].engine
+        assert sum(not agent.engine for agent in zone.agents) == 1
+        assert zone.serving("v1") >= 1
+
+
+class TestFailedLoads:
+    """Guard against a bad version that takes a service down."""
+
+    @pytest.mark.parametrize("single_slot", [False, True])
+    def test_halts_after_the_limit_and_keeps_the_old_version(self, single_slot: bool) -> None:
+        zone = serving_zone(6)
+        zone.unloadable.add("v2")
+        for agent in zone.agents:
+            agent.single_slot = single_slot
+        zone.assign(assignment("v2", min_ready=5))
+        zone.run(120)
+        assert zone.serving("v1") == 6
+        attempts = [c for c in zone.all_logged(LoadVersion) if c.version == version("v2")]  # type: ignore[attr-defined]
+        assert len(attempts) == 2
+        assert len(zone.all_logged(ReportHalted)) == 6
+
+    def test_the_next_version_rolls_out_after_a_halt(self) -> None:
+        zone = serving_zone(3)
+        zone.unloadable.add("v2")
+        zone.assign(assignment("v2"))
+        zone.run(60)
+        zone.assign(assignment("v3"))
+        zone.run(60)
+        assert zone.serving("v3") == 3
+
+    def test_a_halted_copy_leaves_the_old_version(self) -> None:
+        zone = serving_zone(3)
+        zone.uncopyable.add("v2")
+        zone.assign(assignment("v2"))
+        zone.run(60)
+        assert zone.serving("v1") == 3
+
+    def test_an_engine_that_loaded_something_else_is_not_admitted(self) -> None:
+        zone = serving_zone(3)
+        agent = zone.agents[0]
+        agent.rollout.handle(AssignmentChanged(assignment=assignment("v2")), now_seconds=0.0)
+        digest = version("v2").manifest_digest
+        commands = [
+            command
+            for message in (
+                WeightsReady(manifest_digest=digest),
+                Tick(),
+                CallsInProgress(counts={}),
+                LoadEnded(manifest_digest=digest),
+                EngineReported(loaded=(version("v1"),)),
+            )
+            for command in agent.rollout.handle(message, now_seconds=zone.now + 10)
+        ]
+        assert AdmitVersion(manifest_digest=digest) not in commands
+
+    def test_a_restarted_engine_is_loaded_again(self) -> None:
+        zone = serving_zone(3)
+        agent = zone.agents[0]
+        agent.engine.clear()
+        agent.tell(EngineReported(loaded=()))
+        zone.run(5)
+        assert zone.serving("v1") == 3
+
+    def test_a_version_that_changes_during_the_load_is_not_served(self) -> None:
+        zone = serving_zone(3)
+        zone.assign(assignment("v2"))
+        zone.run(5)
+        zone.assign(assignment("v3"))
+        zone.run(60)
+        assert zone.serving("v3") == 3
+        assert all(set(a.engine) == {version("v3").manifest_digest} for a in zone.agents)
+
+    def test_takes_over_what_the_engine_has_loaded(self) -> None:
+        zone = FakeZone(1)
+        agent = zone.agents[0]
+        agent.engine[version("v1").manifest_digest] = version("v1")
+        zone.assign(assignment("v1"))
+        zone.run(2)
+        assert zone.serving("v1") == 1
+        assert not zone.all_logged(LoadVersion)
+
+
+class TestAdapters:
+    """Guard against adapters without their base, and drains for an adapter's sake."""
+
+    def test_load_and_unload_beside_the_serving_base(self) -> None:
+        zone = serving_zone(3)
+        adapter = version("x", model="a").manifest_digest
+        zone.assign(assignment("v1", adapters=("x",)))
+        zone.run(10)
+        assert all(adapter in agent.admitted for agent in zone.agents)
+        zone.agents[0].calls[adapter] = 1
+        zone.assign(assignment("v1"))
+        zone.run(10)
+        assert [adapter in agent.engine for agent in zone.agents] == [True, False, False]
+        zone.agents[0].calls.clear()
+        zone.run(10)
+        assert adapter not in zone.agents[0].engine
+        assert zone.fewest_serving == 3
+
+    def test_follow_to_a_new_base(self) -> None:
+        zone = serving_zone(3)
+        for agent in zone.agents:
+            agent.single_slot = True
+        zone.assign(assignment("v1", adapters=("x",)))
+        zone.run(10)
+        zone.assign(assignment("v2", adapters=("x",)))
+        zone.run(60)
+        adapter = version("x", model="a").manifest_digest
+        assert zone.serving("v2") == 3
+        assert all(adapter in agent.admitted for agent in zone.agents)
+
+    def test_a_failed_adapter_leaves_the_base_serving(self) -> None:
+        zone = serving_zone(3)
+        zone.unloadable.add("x")
+        zone.assign(assignment("v1", adapters=("x",)))
+        zone.run(10)
+        assert zone.serving("v1") == 3
+        assert len(zone.all_logged(LoadVersion)) == 6
+
+
+def configuration(*services: tuple[str, int], pinned: bool = True) -> Configuration:
+    files = {
+        ServiceName(name): ModelServiceFile.model_validate(
+            {
+                "kind": "model",
+                "name": name,
+                "model": name,
+                "version": "v1",
+                "manifest_digest": content_digest(name.encode()) if pinned else None,
+                "placement": [{"zone": ZONE, "replicas": replicas}],
+                "min_ready": 2,
+            }
+        )
+        for name, replicas in services
+    }
+    deployment = DeploymentFile.model_validate(
+        {
+            "kind": "deployment",
+            "name": "d",
+            "zones": [{"name": ZONE, "region": "serra"}],
+            "workspaces": [{"name": "w"}],
+        }
+    )
+    index = ConfigurationIndex(
+        generation=Generation(1), publication_id=PublicationId("p"), parts={}
+    )
+    return Configuration(index=index, deployment=deployment, services=files)
+
+
+def members(count: int) -> list[PlacementMember]:
+    return [PlacementMember(instance_id=InstanceId(f"i{n}"), zone=ZONE) for n in range(count)]
+
+
+class TestPlacement:
+    """Guard against agents that disagree on who runs what."""
+
+    def test_fills_every_service_and_ignores_the_order_of_members(self) -> None:
+        wanted = configuration(("alpha", 5), ("beta", 3))
+        placed = place(wanted, members(9))
+        assert Counter(a.service for a in placed.values()) == {"alpha": 5, "beta": 3}
+        assert place(wanted, reversed(members(9))) == placed
+
+    def test_a_lost_agent_moves_few_others(self) -> None:
+        wanted = configuration(("alpha", 20), ("beta", 20))
+        before = place(wanted, members(45))
+        after = place(wanted, members(44))
+        moved = [m for m in after if m in before and before[m].service != after[m].service]
+        assert len(moved) <= 2
+
+    def test_a_short_zone_keeps_min_ready_of_every_service(self) -> None:
+        placed = place(configuration(("alpha", 9), ("beta", 3)), members(5))
+        assert Counter(a.service for a in placed.values())["beta"] >= 2
+
+    def test_an_engine_of_one_service_runs_nothing_else(self) -> None:
+        agents = [
+            PlacementMember(
+                instance_id=InstanceId(f"i{n}"), zone=ZONE, only_service=ServiceName("beta")
+            )
+            for n in range(4)
+        ]
+        placed = place(configuration(("alpha", 2), ("beta", 2)), agents)
+        assert {a.service for a in placed.values()} == {"beta"}
+
+    def test_refuses_a_version_that_is_not_pinned(self) -> None:
+        with pytest.raises(ConfigurationError, match="alpha"):
+            place(configuration(("alpha", 1), pinned=False), members(1))
