Check calls over random interleavings of faults

Cause: at-most-once execution rests on the registry, the attempt and the claim book together, so it must be checked on all three at once.

Change: a seeded driver joins them over loss, duplication, reordering, death, replacement while paused, and lost or late store writes. It checks executions per call and key, not_run, whole answers and that every caller gets an end. Twenty-one guards are taken out one by one and the same check must fail. The registry keeps the order of admission, so runs do not depend on hash seeds.

--- a/egretrouter/core/calls/_registry.py
+++ b/egretrouter/core/calls/_registry.py
@@ -75,7 +75,8 @@
         self._version_digest = version_digest
         self._limits = limits or RegistryLimits()
         self._calls: dict[CallId, _Call] = {}
-        self._running: set[CallId] = set()
+        # A dict keeps the order of admission, so equal inputs give equal commands.
+        self._running: dict[CallId, None] = {}
         self._kept: dict[CallId, None] = {}
         self._kept_bytes = 0
         self._lost_routers: dict[InstanceId, float] = {}
@@ -131,7 +132,7 @@
         if reason is not None:
             return self._refuse(message, reason)
         call.buffer = AnswerBuffer(message.call_id, limit_bytes=self._limits.call_buffer_bytes)
-        self._running.add(message.call_id)
+        self._running[message.call_id] = None
         return [StartCall(call_id=message.call_id)]
 
     def _refusal_reason(self, message: AdmitCall) -> RefusalReason | None:
@@ -215,7 +216,7 @@
     ) -> list[RegistryCommand]:
         call.state = state
         call.ended_at_seconds = now
-        self._running.discard(call_id)
+        self._running.pop(call_id, None)
         self._kept[call_id] = None
         self._kept_bytes += call.buffer.held_bytes if call.buffer else 0
         self._drop_answers(now)
--- /dev/null
+++ b/tests/calls_router.py
@@ -0,0 +1,214 @@
+"""Carry out a router's commands in the virtual world of calls_world."""
+
+from typing import Any
+
+from egretrouter.core import calls
+from egretrouter.core.calls import ClaimEnd, ClaimStatus, ClaimVerdict, SettledClaim
+from egretrouter.core.identifiers import CallId, Digest, InstanceId, WorkspaceId
+
+CALL_SECONDS = 4.0
+VERSION = Digest("v1")
+
+
+class Process:
+    """Hold what a router and an agent have in common."""
+
+    def __init__(self, name: str) -> None:
+        self.id = InstanceId(name)
+        self.dead = False
+        self.paused_until = 0.0
+
+
+class Call:
+    """Hold one request of a caller and what the caller got."""
+
+    def __init__(self, call_id: CallId, *, key: str | None, idempotent: bool) -> None:
+        self.id, self.key, self.idempotent = call_id, key, idempotent
+        rules = calls.AttemptRules(idempotent=idempotent, keyed=key is not None, hedged=True)
+        self.attempt = calls.CallAttempt(call_id, rules=rules)
+        self.router: Router | None = None
+        self.gone = False
+        self.deadline = 0.0
+        self.content = b""
+        self.result: str | None = None
+        self.decided: calls.ClaimDecided | None = None
+        self.targets: dict[int, calls.Target] = {}
+
+
+class Router(Process):
+    """Carry out the commands of attempts and of the claim book."""
+
+    def __init__(self, world: Any, name: str) -> None:
+        super().__init__(name)
+        self.world = world
+        self.book = calls.ClaimBook(limits=calls.ClaimLimits(shards=1))
+        self.calls: dict[CallId, Call] = {}
+
+    def begin(self, call: Call) -> None:
+        self.calls[call.id] = call
+        call.router = self
+        call.deadline = self.world.now + CALL_SECONDS
+        self.execute(call, call.attempt.start())
+        world = self.world
+        world.at(CALL_SECONDS, self, lambda: self.handle(call, calls.DeadlineReached()))
+        call.gone = world.random.random() < 0.05
+        hedge = calls.CallerGone() if call.gone else calls.HedgeDue()
+        world.at(world.random.random(), self, lambda: self.handle(call, hedge))
+
+    def handle(self, call: Call, message: Any) -> None:
+        self.execute(call, call.attempt.handle(message, now_seconds=self.world.now))
+
+    def execute(self, call: Call, commands: list[Any]) -> None:
+        for command in commands:
+            getattr(self, f"_{type(command).__name__}")(call, command)
+
+    def _ChooseEndpoint(self, call: Call, command: calls.ChooseEndpoint) -> None:  # noqa: N802
+        world = self.world
+        agents = [a for a in world.agents.values() if a.id not in command.avoid_agents]
+        if not agents or world.random.random() < 0.05:
+            self.handle(call, calls.NoEndpoint())
+            return
+        agent = world.random.choice(agents)
+        target = calls.Target(
+            agent_id=agent.id,
+            address=agent.address,
+            epoch=agent.epoch,
+            call_id=call.attempt.target_call_id(command.attempt),
+            expires_at_seconds=agent.clock(call.deadline),
+        )
+        call.targets[command.attempt] = target
+        self.handle(call, calls.EndpointChosen(target=target, version_digest=VERSION))
+
+    def _RecordTarget(  # noqa: N802
+        self, call: Call, command: calls.RecordTarget, replaces: calls.ClaimEntry | None = None
+    ) -> None:
+        self.claim(
+            calls.PlaceClaim(
+                key_digest=call.key or "",
+                workspace=WorkspaceId("w"),
+                fingerprint=Digest("f"),
+                claim_id=call.id,
+                router_id=self.id,
+                attempt=command.attempt,
+                target=command.target,
+                deadline_at_seconds=call.deadline,
+                replaces=replaces,
+            )
+        )
+
+    def claim(self, message: Any) -> None:
+        for command in self.book.handle(message, now_seconds=self.world.now):
+            if isinstance(command, calls.ClaimDecided):
+                self.decided(self.calls[CallId(command.claim_id)], command)
+            else:
+                self.world.store(self, command)
+
+    def decided(self, call: Call, decided: calls.ClaimDecided) -> None:
+        attempt, verdict = decided.attempt, decided.verdict
+        call.decided = decided
+        if verdict is ClaimVerdict.GRANTED:
+            self.handle(call, calls.TargetRecorded(attempt=attempt))
+        elif verdict in {ClaimVerdict.STORE_OUT, ClaimVerdict.SHARD_FULL}:
+            self.handle(call, calls.TargetDenied(attempt=attempt, held_elsewhere=False))
+        elif verdict is ClaimVerdict.SETTLE:
+            assert decided.entry is not None
+            self.world.settle(
+                self, decided.entry.target, lambda reply: self.settled(call, decided, reply)
+            )
+        else:
+            self.handle(call, calls.TargetDenied(attempt=attempt, held_elsewhere=True))
+
+    def settled(
+        self, call: Call, decided: calls.ClaimDecided, reply: calls.ReplySettle | None
+    ) -> None:
+        kept = reply is not None and reply.content is not None
+        judged = calls.judge_settled(reply.state if reply else None, answer_kept=kept)
+        if judged is SettledClaim.REPLACE:
+            record = calls.RecordTarget(
+                attempt=decided.attempt, target=call.targets[decided.attempt]
+            )
+            self._RecordTarget(call, record, decided.entry)
+            return
+        if judged is SettledClaim.REPLAY and reply is not None and decided.entry is not None:
+            self.end_claim(call, decided.entry.claim_id, ClaimStatus.FINISHED, reply.content)
+        self.handle(call, calls.TargetDenied(attempt=decided.attempt, held_elsewhere=True))
+
+    def end_claim(
+        self, call: Call, claim_id: str, status: ClaimStatus | None, content: bytes | None = None
+    ) -> None:
+        answer = None if content is None else calls.ClaimAnswer(status=200, content=content)
+        self.claim(
+            calls.EndClaim(
+                key_digest=call.key or "", claim_id=claim_id, status=status, answer=answer
+            )
+        )
+
+    def _SendOpen(self, call: Call, command: calls.SendOpen) -> None:  # noqa: N802
+        target = command.target
+        admit = calls.AdmitCall(
+            call_id=target.call_id,
+            router_id=self.id,
+            epoch=target.epoch,
+            version_digest=command.version_digest,
+            expires_at_seconds=target.expires_at_seconds,
+            idempotent=call.idempotent,
+        )
+        self.send(call, command, admit)
+
+    def _SendResume(self, call: Call, command: calls.SendResume) -> None:  # noqa: N802
+        start, call_id = command.next_sequence, command.target.call_id
+        resume = calls.ResumeCall(call_id=call_id, router_id=self.id, next_sequence=start)
+        self.send(call, command, resume)
+
+    def _SendCancel(self, call: Call, command: calls.SendCancel) -> None:  # noqa: N802
+        call_id, expires = command.target.call_id, command.target.expires_at_seconds
+        self.send(call, command, calls.CancelCall(call_id=call_id, expires_at_seconds=expires))
+
+    def send(self, call: Call, command: Any, message: Any) -> None:
+        world, target = self.world, command.target
+        agent = world.every_agent[target.agent_id]
+        lost = world.random.random() < 0.15
+        copies = 0 if lost and world.random.random() < 0.5 else world.random.choice([1, 1, 1, 2])
+        for _ in range(copies):
+            world.at(world.delay(), agent, lambda: agent.handle(message))
+        if lost or agent.dead:
+            gone = calls.LinkLost(attempt=command.attempt)
+            world.at(world.delay(), self, lambda: self.handle(call, gone))
+            world.at(
+                world.delay(), agent, lambda: agent.handle(calls.RouterLost(router_id=self.id))
+            )
+            world.at(3, agent, lambda: agent.handle(calls.RouterAttached(router_id=self.id)))
+
+    def _SendSettle(self, call: Call, command: calls.SendSettle) -> None:  # noqa: N802
+        def answered(reply: calls.ReplySettle | None) -> None:
+            message: Any = calls.SettleFailed(attempt=command.attempt)
+            if reply is not None:
+                message = calls.SettleAnswered(attempt=command.attempt, state=reply.state)
+            self.handle(call, message)
+
+        self.world.settle(self, command.target, answered)
+
+    def _ForwardToCaller(self, call: Call, command: calls.ForwardToCaller) -> None:  # noqa: N802
+        if isinstance(command.body, calls.AnswerData):
+            call.content += command.body.data
+
+    def _FinishCaller(self, call: Call, command: Any) -> None:  # noqa: N802
+        self.world.finish(call, "whole")
+
+    def _FailCaller(self, call: Call, command: calls.FailCaller) -> None:  # noqa: N802
+        self.world.finish(call, command.outcome.value)
+
+    def _DeferToClaim(self, call: Call, command: Any) -> None:  # noqa: N802
+        decided = call.decided
+        assert decided is not None
+        answer = decided.entry.answer if decided.entry else None
+        if decided.verdict is ClaimVerdict.REPLAY and answer and answer.content is not None:
+            call.content = answer.content
+            self.world.finish(call, "replay")
+        else:
+            self.world.finish(call, decided.verdict.value)
+
+    def _CloseClaim(self, call: Call, command: calls.CloseClaim) -> None:  # noqa: N802
+        status = None if command.end is ClaimEnd.RELEASED else ClaimStatus(command.end.value)
+        content = call.content if status is ClaimStatus.FINISHED else None
+        self.end_claim(call, call.id, status, content)
--- /dev/null
+++ b/tests/test_calls_world.py
@@ -0,0 +1,186 @@
+"""Test that no interleaving of faults runs a call twice or refuses one falsely."""
+
+from collections.abc import Callable
+from typing import Any
+
+import pytest
+from calls_router import CALL_SECONDS
+from calls_world import World
+from msgspec.structs import replace
+
+from egretrouter.core import calls
+from egretrouter.core.calls import CallAttempt, CallRegistry, CallState, ClaimBook, SettledClaim
+from egretrouter.core.calls._attempt import _LaneState
+from egretrouter.core.calls._claim_batch import ClaimBatch
+
+SEEDS = 10_000
+MUTANTS: list[Any] = []
+
+
+def mutant(owner: Any, name: str) -> Callable[[Callable[..., Any]], Callable[..., Any]]:
+    """Register a function that stands in for a method and is given the original first."""
+
+    def register(function: Callable[..., Any]) -> Callable[..., Any]:
+        MUTANTS.append(pytest.param(owner, name, function, id=function.__name__))
+        return function
+
+    return register
+
+
+@mutant(CallRegistry, "_remember")
+def refused_ids_are_not_remembered(original: Any, self: Any, call_id: Any, call: Any) -> Any:
+    return call.state is CallState.REFUSED or original(self, call_id, call)
+
+
+@mutant(CallRegistry, "_remember")
+def ids_that_do_not_fit_are_admitted_later(original: Any, self: Any, *args: Any) -> Any:
+    remembered = original(self, *args)
+    self._refuse_until_seconds = float("-inf")
+    return remembered
+
+
+@mutant(CallRegistry, "_tombstone")
+def settle_leaves_no_tombstone(original: Any, self: Any, *args: Any) -> None:
+    pass
+
+
+@mutant(CallRegistry, "_forget")
+def ids_are_forgotten_at_once(original: Any, self: Any, now: float) -> None:
+    for key in set(self._calls) - set(self._running) - set(self._kept):
+        del self._calls[key]
+
+
+@mutant(CallRegistry, "handle")
+def expiry_counts_from_arrival(original: Any, self: Any, message: Any, *, now_seconds: Any) -> Any:
+    if isinstance(message, calls.AdmitCall):
+        message = replace(message, expires_at_seconds=now_seconds + CALL_SECONDS)
+    return original(self, message, now_seconds=now_seconds)
+
+
+@mutant(CallRegistry, "handle")
+def forgotten_ids_count_as_new(original: Any, self: Any, message: Any, *, now_seconds: Any) -> Any:
+    if isinstance(message, calls.SettleCall):
+        latest = max(message.expires_at_seconds, now_seconds - self._limits.settle_seconds)
+        message = replace(message, expires_at_seconds=latest)
+    return original(self, message, now_seconds=now_seconds)
+
+
+@mutant(CallRegistry, "handle")
+def another_epoch_settles(original: Any, self: Any, message: Any, **time: Any) -> Any:
+    if isinstance(message, calls.SettleCall):
+        message = replace(message, epoch=self.epoch)
+    return original(self, message, **time)
+
+
+@mutant(CallRegistry, "handle")
+def failed_calls_count_as_not_run(original: Any, self: Any, message: Any, **time: Any) -> Any:
+    if isinstance(message, calls.CallFailed) and message.call_id in self._running:
+        self._calls[message.call_id].state = CallState.ADMITTED
+    return original(self, message, **time)
+
+
+@mutant(CallRegistry, "handle")
+def copies_start_again(original: Any, self: Any, message: Any, **time: Any) -> Any:
+    commands = original(self, message, **time)
+    if isinstance(message, calls.AdmitCall) and not commands:
+        return [calls.StartCall(call_id=message.call_id)]
+    return commands
+
+
+@mutant(CallAttempt, "_may_retry")
+def any_call_is_retried(original: Any, self: Any) -> bool:
+    return len(self._lanes) < 3
+
+
+@mutant(CallAttempt, "_may_have_run")
+def failures_are_called_not_run(original: Any, self: Any) -> bool:
+    return False
+
+
+@mutant(CallAttempt, "handle")
+def any_call_is_hedged(original: Any, self: Any, message: Any, **time: Any) -> Any:
+    if isinstance(message, calls.HedgeDue) and not self.ended:
+        return self._choose()
+    return original(self, message, **time)
+
+
+@mutant(CallAttempt, "handle")
+def ended_calls_are_sent(original: Any, self: Any, message: Any, **time: Any) -> Any:
+    if isinstance(message, calls.TargetRecorded) and self.ended:
+        return self._open(self._lanes[message.attempt])
+    return original(self, message, **time)
+
+
+@mutant(CallAttempt, "handle")
+def later_targets_are_not_recorded(original: Any, self: Any, message: Any, **time: Any) -> Any:
+    commands = original(self, message, **time)
+    if isinstance(message, calls.EndpointChosen) and len(self._lanes) > 1 and commands:
+        return self._open(self._lanes[len(self._lanes)])
+    return commands
+
+
+@mutant(CallAttempt, "_end")
+def checksum_is_not_compared(original: Any, self: Any, lane: Any, body: Any) -> Any:
+    return original(self, lane, lane.checksum.end())
+
+
+@mutant(CallAttempt, "handle")
+def sequence_is_not_checked(original: Any, self: Any, message: Any, **time: Any) -> Any:
+    if isinstance(message, calls.FrameArrived) and isinstance(message.body, calls.AnswerEnd):
+        lane = self._lane(message.attempt, _LaneState.OPEN)
+        if lane is not None:
+            lane.next_sequence = message.sequence
+            message = replace(message, body=lane.checksum.end())
+    return original(self, message, **time)
+
+
+@mutant(CallAttempt, "_take_source")
+def hedged_answers_are_mixed(original: Any, self: Any, lane: Any) -> Any:
+    self._forwarded_bytes = lane.checksum.total_bytes
+    return []
+
+
+@mutant(ClaimBook, "handle")
+def undecided_writes_count_as_written(original: Any, self: Any, message: Any, **time: Any) -> Any:
+    if isinstance(message, calls.ShardWriteUndecided):
+        version = self._shards[message.shard].version + 1
+        message = calls.ShardWritten(shard=message.shard, request=message.request, version=version)
+    return original(self, message, **time)
+
+
+@mutant(ClaimBatch, "_replaces")
+def settled_claims_replace_any_other(original: Any, self: Any, message: Any, entry: Any) -> Any:
+    return message.replaces is not None
+
+
+@mutant(ClaimBatch, "_is_expired")
+def claims_expire_with_the_deadline(original: Any, self: Any, entry: Any, now: float) -> bool:
+    return now > entry.deadline_at_seconds
+
+
+@mutant(calls, "judge_settled")
+def claims_with_unknown_fate_are_replaced(original: Any, state: Any, **kept: Any) -> SettledClaim:
+    judged = original(state, **kept)
+    return SettledClaim.REPLACE if judged is SettledClaim.UNKNOWN else judged
+
+
+class TestAtMostOnce:
+    """Guard against double executions, false not_run and answers that are not whole."""
+
+    def test_ten_thousand_seeds_break_no_promise(self) -> None:
+        broken = {seed: found for seed in range(SEEDS) if (found := World(seed).run().violations())}
+        assert broken == {}
+
+    def test_runs_reach_every_outcome(self) -> None:
+        results = {call.result for seed in range(300) for call in World(seed).run().calls}
+        assert {"whole", "not_run", "unknown", "replay", "in_progress", "settle"} <= results
+
+    @pytest.mark.parametrize(("owner", "name", "function"), MUTANTS)
+    def test_catches_a_missing_guard(
+        self, owner: Any, name: str, function: Any, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        original = getattr(owner, name)
+        monkeypatch.setattr(
+            owner, name, lambda *args, **kwargs: function(original, *args, **kwargs)
+        )
+        assert any(World(seed).run().violations() for seed in range(SEEDS))
