Add the routing benchmark and prefer the common place of a prefix

Cause: with few engines per zone each router found prefixes only in its own late view. Change: all routers agree on a place for each prompt beginning by consistent hashing and expect a measured part of it cached there. Workspaces below their fair share start above the limit. benchmarks/routing.py measures the targets of the design against baselines.

--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Hold the benchmarks, which print one JSON object each."""
--- /dev/null
+++ b/benchmarks/routing.py
@@ -0,0 +1,210 @@
+"""Measure the Routing targets of docs/design.md and print one JSON object.
+
+Usage: python -m benchmarks.routing [--seed 1]
+"""
+
+import argparse
+import json
+import platform
+import random
+import time
+from collections.abc import Sequence
+
+import msgspec
+
+import egretrouter
+from benchmarks.routing_model import BASELINES, SERVICE, RoutingModel, Scenario
+from egretrouter.core.identifiers import CallId, EndpointId, RegionId, ZoneId
+from egretrouter.core.routing import (
+    CallSent,
+    Choice,
+    EndpointSeen,
+    EndpointSelector,
+    FirstTokenSeen,
+    LoadReported,
+    RouteRequest,
+    RoutersCounted,
+)
+
+ENGINES = (6, 8, 10)
+SMALL = ("small-1", "small-2", "small-3")
+
+
+def quantile(values: Sequence[float], share: float) -> float:
+    """Return a quantile by rank, in seconds."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(len(ordered) * share))]
+
+
+def waits_by_policy(seed: int, lag_seconds: float, load: float) -> dict[str, object]:
+    """Measure waits for first tokens, pooled over the engine counts, same calls for each policy."""
+    result: dict[str, object] = {}
+    p95: dict[str, float] = {}
+    for policy in (*BASELINES, "selector"):
+        runs = [
+            RoutingModel(
+                Scenario(
+                    policy=policy,
+                    seed=seed + number,
+                    engines=engines,
+                    load=load,
+                    report_lag_seconds=lag_seconds,
+                )
+            ).run()
+            for number, engines in enumerate(ENGINES)
+        ]
+        waits = [wait for run in runs for wait in run.waits()]
+        p95[policy] = quantile(waits, 0.95)
+        result[policy] = {
+            "calls": len(waits),
+            "p50_seconds": round(quantile(waits, 0.5), 4),
+            "p95_seconds": round(p95[policy], 4),
+            "p99_seconds": round(quantile(waits, 0.99), 4),
+            "cached_share": round(sum(run.cached_share() for run in runs) / len(runs), 3),
+        }
+    result["ratio_to_least_outstanding"] = round(p95["selector"] / p95["least_outstanding"], 3)
+    result["ratio_to_prefix_hash"] = round(p95["selector"] / p95["prefix_hash"], 3)
+    return result
+
+
+def goodput(seed: int) -> dict[str, object]:
+    """Measure goodput from below capacity to three times the highest goodput found."""
+    loads = (1.0, 1.25, 1.5, 1.75, 2.0)
+    found = {load: _goodput(seed, load) for load in loads}
+    best_load = max(loads, key=lambda load: found[load])
+    overloaded = _goodput(seed, best_load * 3)
+    return {
+        "per_second_by_load": {str(load): round(value, 1) for load, value in found.items()},
+        "capacity_load": best_load,
+        "at_three_times_per_second": round(overloaded, 1),
+        "ratio": round(overloaded / found[best_load], 3),
+    }
+
+
+def _goodput(seed: int, load: float) -> float:
+    scenario = Scenario(policy="selector", seed=seed, load=load, limits=True, duration_seconds=90.0)
+    return RoutingModel(scenario).run().goodput_per_second()
+
+
+def fairness(seed: int) -> dict[str, object]:
+    """Measure small workspaces' waits beside a large one that offers three times the capacity."""
+    small = dict.fromkeys(SMALL, 0.05)
+    result: dict[str, object] = {}
+    p95 = {}
+    for name, loads in (("alone", small), ("beside_large", {**small, "large": 4.5})):
+        scenario = Scenario(
+            policy="selector", seed=seed, limits=True, workspace_loads=loads, duration_seconds=150.0
+        )
+        run = RoutingModel(scenario).run()
+        waits = [wait for workspace in SMALL for wait in run.waits(workspace)]
+        refused = sum(c.refused for c in run.measured() if c.workspace in SMALL)
+        p95[name] = quantile(waits, 0.95)
+        result[name] = {
+            "calls": len(waits),
+            "refused": refused,
+            "p95_seconds": round(p95[name], 4),
+        }
+    result["ratio"] = round(p95["beside_large"] / p95["alone"], 3)
+    return result
+
+
+def outage(seed: int) -> dict[str, object]:
+    """Measure attempts per call when a third of the engines refuse connections."""
+    result: dict[str, object] = {}
+    for name, budget in (("with_budget", True), ("without_budget", False)):
+        scenario = Scenario(
+            policy="selector",
+            seed=seed,
+            engines=9,
+            load=0.6,
+            outage_from_seconds=30.0,
+            retry_budget=budget,
+        )
+        run = RoutingModel(scenario).run()
+        result[name] = {
+            "calls": len(run.calls),
+            "added_attempts_share": round(run.attempts / len(run.calls) - 1, 4),
+            "failed_share": round(sum(c.refused for c in run.calls) / len(run.calls), 4),
+        }
+    return result
+
+
+def decision_cost(seed: int) -> dict[str, object]:
+    """Measure the time of one decision and its messages with 400 endpoints."""
+    source = random.Random(seed)
+    selector = EndpointSelector(zone=ZoneId("z0"), region=RegionId("r0"), random_generator=source)
+    ids = [EndpointId(f"e{number}") for number in range(400)]
+    for number, endpoint_id in enumerate(ids):
+        seen = EndpointSeen(
+            endpoint_id=endpoint_id,
+            address=f"127.0.0.1:{number}",
+            zone=ZoneId(f"z{number % 3}"),
+            region=RegionId(f"r{number % 3}"),
+            service=SERVICE,
+        )
+        selector.handle(seen, now_seconds=0.0)
+        report = LoadReported(
+            endpoint_id=endpoint_id, queued_calls=2, running_calls=9, age_seconds=1.0
+        )
+        selector.handle(report, now_seconds=0.0)
+    selector.handle(RoutersCounted(routers=1800), now_seconds=0.0)
+    choose_costs, message_costs = [], []
+    for number in range(5000):
+        template = source.randrange(300)
+        blocks = (*(template * 100 + n for n in range(12)), source.getrandbits(60))
+        request = RouteRequest(service=SERVICE, prompt_tokens=416, prompt_blocks=blocks)
+        now = number / 37
+        started = time.perf_counter()
+        choice = selector.choose(request, now_seconds=now)
+        middle = time.perf_counter()
+        assert isinstance(choice, Choice)
+        call_id = CallId(str(number))
+        sent = CallSent(
+            call_id=call_id,
+            endpoint_id=choice.endpoint_id,
+            prompt_tokens=416,
+            prompt_blocks=blocks,
+            placed=choice.placed,
+        )
+        selector.handle(sent, now_seconds=now)
+        selector.handle(FirstTokenSeen(call_id=call_id, cached_tokens=0), now_seconds=now + 0.1)
+        ended = time.perf_counter()
+        choose_costs.append(middle - started)
+        message_costs.append(ended - middle)
+    return {
+        "endpoints": len(ids),
+        "decisions": len(choose_costs),
+        "choose_p50_microseconds": round(quantile(choose_costs, 0.5) * 1e6, 1),
+        "choose_p99_microseconds": round(quantile(choose_costs, 0.99) * 1e6, 1),
+        "messages_p50_microseconds": round(quantile(message_costs, 0.5) * 1e6, 1),
+    }
+
+
+def main() -> None:
+    """Run everything and print the figures."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    seed = parser.parse_args().seed
+    started = time.perf_counter()
+    figures: dict[str, object] = {
+        "seed": seed,
+        "versions": {
+            "egretrouter": getattr(egretrouter, "__version__", "0.1.0"),
+            "python": platform.python_version(),
+            "msgspec": msgspec.__version__,
+        },
+        "sizes": {"engines": ENGINES, "routers": 15, "zones": 3, "seconds_per_run": 120},
+        "load_definition": "1.0 is the rate that engines can prefill with nothing cached",
+        "first_token_lag_1_load_0.8": waits_by_policy(seed, 1.0, 0.8),
+        "first_token_lag_10_load_0.8": waits_by_policy(seed, 10.0, 0.8),
+        "goodput": goodput(seed),
+        "fairness": fairness(seed),
+        "outage": outage(seed),
+        "decision": decision_cost(seed),
+    }
+    figures["run_seconds"] = round(time.perf_counter() - started, 1)
+    print(json.dumps(figures, indent=2))
+
+
+if __name__ == "__main__":
+    main()
--- a/egretrouter/core/limits/_admission.py
+++ b/egretrouter/core/limits/_admission.py
@@ -41,6 +41,7 @@
         self._queue = FairQueue(limit_calls=queue_limit_calls)
         self._concurrency = concurrency or AdaptiveConcurrency()
         self._calls: dict[CallId, _Admitted] = {}
+        self._running: dict[WorkspaceId, int] = {}
 
     @singledispatchmethod
     def handle(self, message: LimitsMessage, *, now_seconds: float) -> list[LimitsCommand]:
@@ -122,17 +123,45 @@
             wait = self._queue.estimated_wait_seconds(call.workspace_id, weight=1)
             self._release(call_id)
             commands.append(_refuse(call_id, LimitReason.DEADLINE, wait))
-        while len(self._queue) and self._concurrency.has_room():
-            next_id = self._queue.take(now_seconds=now_seconds)
+        while len(self._queue):
+            next_id = self._queue.take_from(self._below_share(), now_seconds=now_seconds)
+            urgent = next_id is not None
+            if next_id is None and self._concurrency.has_room():
+                next_id = self._queue.take(now_seconds=now_seconds)
             if next_id is None:
                 break
-            self._calls[next_id].running = True
+            call = self._calls[next_id]
+            call.running = True
+            self._running[call.workspace_id] = self._running.get(call.workspace_id, 0) + 1
             self._concurrency.started()
-            commands.append(StartCall(call_id=next_id))
+            commands.append(StartCall(call_id=next_id, urgent=urgent))
         return commands
 
+    def _below_share(self) -> list[WorkspaceId]:
+        """Return the waiting workspaces that run less than their fair share of the limit.
+
+        Their calls start above the limit: a slot frees up only every few hundred milliseconds
+        on a small router, which is longer than their whole wait when alone. Shares add up to
+        the limit, so calls in flight stay below twice the limit.
+        """
+        waiting = self._queue.waiting_workspaces()
+        active = set(waiting).union(self._running)
+        if len(active) < 2:
+            return []
+        weights = sum(self._limiter.weight(w) for w in active)
+        limit = self._concurrency.limit_calls
+        return [
+            w
+            for w in waiting
+            if self._running.get(w, 0) + 1 <= limit * self._limiter.weight(w) / weights
+        ]
+
     def _release(self, call_id: CallId, *, used_tokens: int | None = 0) -> None:
         call = self._calls.pop(call_id)
+        if call.running:
+            self._running[call.workspace_id] -= 1
+            if not self._running[call.workspace_id]:
+                del self._running[call.workspace_id]
         used = call.tokens if used_tokens is None else used_tokens
         self._limiter.release(call.workspace_id, unused_tokens=call.tokens - used)
 
--- a/egretrouter/core/limits/_fair_queue.py
+++ b/egretrouter/core/limits/_fair_queue.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+from collections.abc import Iterable
 
 from egretrouter.core.identifiers import CallId, WorkspaceId
 from egretrouter.core.limits._messages import LimitReason
@@ -107,7 +108,11 @@
 
     def take(self, *, now_seconds: float) -> CallId | None:
         """Return the next call to serve."""
-        flow = min((f for f in self._flows.values() if f.waiting), key=_finish, default=None)
+        return self.take_from(self.waiting_workspaces(), now_seconds=now_seconds)
+
+    def take_from(self, workspaces: Iterable[WorkspaceId], *, now_seconds: float) -> CallId | None:
+        """Return the next call among some waiting workspaces."""
+        flow = min((self._flows[w] for w in workspaces), key=_finish, default=None)
         if flow is None:
             return None
         call = _pop(flow)
@@ -119,6 +124,10 @@
         self._forget_idle()
         return call.call_id
 
+    def waiting_workspaces(self) -> list[WorkspaceId]:
+        """Return the workspaces with queued calls."""
+        return [w for w, flow in self._flows.items() if flow.waiting]
+
     def remove(self, call_id: CallId) -> bool:
         """Remove a call whose caller left, and tell whether it was queued."""
         call = self._calls.pop(call_id, None)
--- a/egretrouter/core/limits/_messages.py
+++ b/egretrouter/core/limits/_messages.py
@@ -82,6 +82,8 @@
     """Send the call to an endpoint now."""
 
     call_id: CallId
+    urgent: bool = False
+    """The workspace is below its fair share; endpoints with priorities serve the call first."""
 
 
 class RefuseCall(msgspec.Struct, frozen=True, kw_only=True):
--- a/egretrouter/core/routing/_messages.py
+++ b/egretrouter/core/routing/_messages.py
@@ -82,6 +82,8 @@
     prompt_tokens: int = 0
     prompt_blocks: tuple[int, ...] = ()
     request_bytes: int = 0
+    placed: bool = False
+    """Copied from the choice."""
 
 
 class FirstTokenSeen(msgspec.Struct, frozen=True, kw_only=True):
@@ -142,6 +144,8 @@
     estimated_wait_seconds: float
     cached_tokens: int = 0
     other_zone: bool = False
+    placed: bool = False
+    """Whether all routers send prompts with this beginning to the endpoint."""
 
 
 class RefusalReason(Enum):
@@ -175,6 +179,12 @@
 
     random_candidates: int = 3
     affinity_candidates: int = 2
+    affinity_blocks: int = 4
+    """Leading blocks that decide where a new prefix is placed."""
+    zone_ring_endpoints: int = 8
+    """Endpoints from which a zone places prefixes alone; fewer have too little cache for that."""
+    initial_place_trust: float = 0.6
+    """Part of a prompt that its place is taken to hold before measurements are in."""
     holder_candidates: int = 4
     block_tokens: int = 32
     index_entries: int = 65_536
--- a/egretrouter/core/routing/_selector.py
+++ b/egretrouter/core/routing/_selector.py
@@ -35,13 +35,22 @@
 SLOW_START_FLOOR = 0.1
 NO_ENDPOINT_RETRY_SECONDS = 1.0
 SECOND_LOOK_CANDIDATES = 32
+PLACE_LEARNING_SHARE = 0.02
 
 
 class _OpenCall:
-    __slots__ = ("endpoint_id", "prompt_tokens", "sent_at_seconds", "uncached_tokens", "waiting")
+    __slots__ = (
+        "endpoint_id",
+        "placed",
+        "prompt_tokens",
+        "sent_at_seconds",
+        "uncached_tokens",
+        "waiting",
+    )
 
     def __init__(self, sent: CallSent, *, uncached_tokens: int, now_seconds: float) -> None:
         self.endpoint_id = sent.endpoint_id
+        self.placed = sent.placed
         self.prompt_tokens = sent.prompt_tokens
         self.sent_at_seconds = now_seconds
         self.uncached_tokens = uncached_tokens
@@ -53,6 +62,7 @@
     cost_seconds: float
     wait_seconds: float
     cached_tokens: int
+    placed: bool
 
 
 class EndpointSelector:
@@ -84,6 +94,7 @@
         self._started: dict[EndpointId, float] = {}
         self._calls: dict[CallId, _OpenCall] = {}
         self._routers = 1
+        self._place_trust = self._settings.initial_place_trust
         self._link_bytes = 0.0
         self._link_at_seconds = 0.0
 
@@ -176,6 +187,9 @@
         uncached = call.uncached_tokens
         if message.cached_tokens is not None:
             uncached = max(0, call.prompt_tokens - message.cached_tokens)
+            if call.placed and call.prompt_tokens:
+                share = min(1.0, message.cached_tokens / call.prompt_tokens)
+                self._place_trust += PLACE_LEARNING_SHARE * (share - self._place_trust)
         load.first_token(
             wait_seconds=now_seconds - call.sent_at_seconds,
             uncached_tokens=uncached,
@@ -214,10 +228,10 @@
             return Refusal(
                 reason=self._pools.explain(request), retry_after_seconds=NO_ENDPOINT_RETRY_SECONDS
             )
-        best = self._best(self._candidates(pool, request, now_seconds), request, now_seconds)
+        best = self._best(self._candidates(pool, request, now_seconds), pool, request, now_seconds)
         deadline = request.deadline_seconds
         if best is None or (deadline is not None and best.wait_seconds > deadline):
-            best = self._best(self._second_look(pool, request), request, now_seconds)
+            best = self._best(self._second_look(pool, request), pool, request, now_seconds)
         if best is None:
             return Refusal(
                 reason=RefusalReason.ALL_EXCLUDED, retry_after_seconds=NO_ENDPOINT_RETRY_SECONDS
@@ -233,6 +247,7 @@
             estimated_wait_seconds=best.wait_seconds,
             cached_tokens=best.cached_tokens,
             other_zone=best.endpoint.zone != self._zone,
+            placed=best.placed,
         )
 
     def state(self, endpoint_id: EndpointId, *, now_seconds: float) -> EndpointState:
@@ -252,6 +267,7 @@
             "open_calls": len(self._calls),
             "index_entries": len(self._index),
             "index_gaps": self._index.gaps,
+            "place_trust": self._place_trust,
             "endpoints": {
                 endpoint_id: {
                     "state": self.state(endpoint_id, now_seconds=now_seconds).value,
@@ -278,9 +294,7 @@
                 request.prompt_blocks, limit=settings.holder_candidates
             )
             found.update(dict.fromkeys(h for h in holders if h in pool.endpoints))
-            ring = pool.local_ring if pool.local else pool.whole_ring
-            places = ring.place(request.prompt_blocks[-1], limit=settings.affinity_candidates)
-            found.update(dict.fromkeys(places))
+            found.update(dict.fromkeys(self._places(pool, request.prompt_blocks)))
         for group in (pool.local, pool.remote):
             count = min(settings.random_candidates, len(group))
             found.update(dict.fromkeys(self._random.sample(group, count)))
@@ -288,6 +302,16 @@
         warm = [e for e in usable if self._passes_slow_start(e, now_seconds)]
         return warm or usable
 
+    def _places(self, pool: Pool, blocks: tuple[int, ...]) -> list[EndpointId]:
+        if not blocks:
+            return []
+        settings = self._settings
+        in_zone = len(pool.local) >= settings.zone_ring_endpoints
+        ring = pool.local_ring if in_zone else pool.whole_ring
+        # The last blocks are a prompt's own; only its beginning is shared with others.
+        key = blocks[: settings.affinity_blocks][-1]
+        return ring.place(key, limit=settings.affinity_candidates)
+
     def _second_look(self, pool: Pool, request: RouteRequest) -> list[EndpointId]:
         # Ejected endpoints count here: a probable failure is better than a certain refusal.
         left = [e for e in pool.endpoints if e not in request.excluded]
@@ -312,16 +336,23 @@
         return share >= 1.0 or self._random.random() < share
 
     def _best(
-        self, candidates: list[EndpointId], request: RouteRequest, now_seconds: float
+        self, candidates: list[EndpointId], pool: Pool, request: RouteRequest, now_seconds: float
     ) -> _Scored | None:
-        scored = [self._score(e, request, now_seconds) for e in candidates]
+        place = next(iter(self._places(pool, request.prompt_blocks)), None)
+        scored = [self._score(e, request, now_seconds, placed=e == place) for e in candidates]
         return min(scored, key=lambda s: s.cost_seconds, default=None)
 
-    def _score(self, endpoint_id: EndpointId, request: RouteRequest, now_seconds: float) -> _Scored:
+    def _score(
+        self, endpoint_id: EndpointId, request: RouteRequest, now_seconds: float, *, placed: bool
+    ) -> _Scored:
         endpoint = self._pools.endpoints[endpoint_id]
         load = self._loads[endpoint_id]
         cached = self._cached_tokens(endpoint_id, request.prompt_blocks, request.prompt_tokens)
-        prefill = (request.prompt_tokens - cached) * load.token_seconds
+        likely = cached
+        if placed:
+            # Other routers send the same beginning there, so it is likely to be cached.
+            likely = max(cached, int(self._place_trust * request.prompt_tokens))
+        prefill = (request.prompt_tokens - likely) * load.token_seconds
         backlog = load.backlog_seconds(routers=self._routers, now_seconds=now_seconds)
         distance = self._distance_seconds(endpoint, request, now_seconds)
         wait = backlog + prefill + distance
@@ -331,6 +362,7 @@
             wait_seconds=wait,
             cost_seconds=wait + margin + self._settings.cached_work_weight * prefill,
             cached_tokens=cached,
+            placed=placed,
         )
 
     def _distance_seconds(
--- a/tests/test_routing_selector.py
+++ b/tests/test_routing_selector.py
@@ -37,6 +37,7 @@
 V1 = Digest("1" * 64)
 ENDPOINTS = [EndpointId(f"e{n}") for n in range(6)]
 REQUEST = RouteRequest(service=SERVICE, prompt_tokens=320, prompt_blocks=tuple(range(10)))
+PLAIN = RouteRequest(service=SERVICE, prompt_tokens=320)
 
 
 def seen(endpoint_id: EndpointId, **changes: object) -> EndpointSeen:
@@ -136,8 +137,8 @@
         router.handle(seen(EndpointId("e3"), loaded_age_seconds=0.0), now_seconds=0.0)
         router.handle(report(EndpointId("e0"), 2), now_seconds=0.0)
         assert router.state(EndpointId("e3"), now_seconds=1.0) is EndpointState.SLOW_START
-        early = sum(chosen(router, now=0.5) == "e3" for _ in range(200))
-        late = sum(chosen(router, now=12.0) == "e3" for _ in range(200))
+        early = sum(chosen(router, PLAIN, now=0.5) == "e3" for _ in range(200))
+        late = sum(chosen(router, PLAIN, now=12.0) == "e3" for _ in range(200))
         assert 0 < early < 60 < late < 200
         assert router.state(EndpointId("e3"), now_seconds=16.0) is EndpointState.READY
 
@@ -205,12 +206,10 @@
         assert stale.estimated_wait_seconds < fresh.estimated_wait_seconds / 3
 
     def test_endpoints_without_reports_are_used(self) -> None:
-        plain = RouteRequest(service=SERVICE, prompt_tokens=320)
-        assert {chosen(selector(seed), plain) for seed in range(30)} >= {"e0", "e3"}
+        assert {chosen(selector(seed), PLAIN) for seed in range(30)} >= {"e0", "e3"}
 
     def test_routers_with_equal_stale_reports_spread_their_calls(self) -> None:
         counts = dict.fromkeys(ENDPOINTS, 0)
-        plain = RouteRequest(service=SERVICE, prompt_tokens=320)
         for seed in range(15):
             router = selector(seed)
             router.handle(RoutersCounted(routers=15), now_seconds=0.0)
@@ -218,7 +217,7 @@
                 queued = 0 if endpoint == "e0" else 2
                 router.handle(report(endpoint, queued, age=10.0), now_seconds=10.0)
             for number in range(20):
-                choice = chosen(router, plain, now=10.0 + number * 0.1)
+                choice = chosen(router, PLAIN, now=10.0 + number * 0.1)
                 counts[EndpointId(choice)] += 1
                 send(router, f"{seed}-{number}", choice, 10.0 + number * 0.1)
         # 300 calls over six endpoints: the endpoint that looks idle must not take the bulk.
@@ -318,6 +317,6 @@
             send(router, str(number), "e0", now)
             first = FirstTokenSeen(call_id=CallId(str(number)), cached_tokens=0)
             router.handle(first, now_seconds=now + 0.016)
-        choice = router.choose(REQUEST, now_seconds=10_000.0)
+        choice = router.choose(PLAIN, now_seconds=10_000.0)
         assert isinstance(choice, Choice)
         assert choice.estimated_wait_seconds == pytest.approx(0.016, rel=0.2)
