Give the calls' world its version digests as a set

Cause: the registry takes several version digests since the agent's call service was added; the random interleavings were written against one. Change: one argument of the test's agent.

--- a/tests/calls_world.py
+++ b/tests/calls_world.py
@@ -33,7 +33,7 @@
         self.world = world
         self.registry = calls.CallRegistry(
             epoch=self.epoch,
-            version_digest=VERSION,
+            version_digests=frozenset({VERSION}),
             limits=replace(
                 REGISTRY_LIMITS,
                 remembered_calls=world.random.choice([1, 12]),
