Add the demo: a rollout under live calls with checked answers

Cause: the product had no single command that shows its main job. Change: 'egretrouter demo' runs a deployment with stand-ins on loopback, serves a first version, rolls a second out under model calls and keyed calls, and checks every answer against the versions' expected tokens.

--- a/egretrouter/cli/_commands.py
+++ b/egretrouter/cli/_commands.py
@@ -13,6 +13,7 @@
 from pydantic import TypeAdapter, ValidationError
 
 from egretrouter.backends import HttpObjectStore, HttpWeightSource
+from egretrouter.cli._demo import Demo
 from egretrouter.cli._dump import fetch_state
 from egretrouter.cli._exit import EXIT_CODES_HELP, ExitCode, reported_errors
 from egretrouter.cli._files import ANY_ADAPTER, KINDS, check_files, read_files
@@ -278,4 +279,4 @@
 class Egretrouter:
     """Hold the chosen command."""
 
-    command: cappa.Subcommands[Check | Schema | Dump | Router | Agent | Publish | Status]
+    command: cappa.Subcommands[Check | Schema | Dump | Router | Agent | Publish | Status | Demo]
--- /dev/null
+++ b/egretrouter/demo/_load.py
@@ -0,0 +1,222 @@
+"""Send live calls to a fleet and check every answer."""
+
+import asyncio
+import json
+import random
+import time
+import uuid
+from collections import Counter
+from collections.abc import Iterable
+
+import aiohttp
+import msgspec
+
+from egretrouter.core.configuration import ModelServiceFile, PlainServiceFile
+from egretrouter.demo._fleet import Fleet
+from egretrouter.standins import PlainServiceStandin, expected_answer, prompt_text
+
+CALL_TIMEOUT_SECONDS = 30.0
+MODEL_TOKENS = 24
+REPEAT_SHARE = 0.3
+
+
+class CallCounts(msgspec.Struct, kw_only=True):
+    """Count what became of the calls."""
+
+    sent: int = 0
+    completed: int = 0
+    not_run: int = 0
+    unknown: int = 0
+    wrong_answers: int = 0
+    false_not_run: int = 0
+    first_token_seconds: list[float] = msgspec.field(default_factory=list)
+    reasons: Counter[str] = msgspec.field(default_factory=Counter)
+
+
+class LoadGenerator:
+    """Send model calls and non-idempotent calls through the routers of a fleet."""
+
+    def __init__(
+        self, fleet: Fleet, *, manifest_digests: Iterable[str], calls_per_second: float, seed: int
+    ) -> None:
+        """Accept answers of the given versions only."""
+        self.counts = CallCounts()
+        self._fleet = fleet
+        self._digests = list(manifest_digests)
+        self._interval_seconds = 1.0 / calls_per_second
+        self._rng = random.Random(seed)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._stopped = asyncio.Event()
+        self._not_run_keys: set[str] = set()
+        self._unsettled_keys: set[str] = set()
+
+    async def run(self) -> None:
+        """Send calls at a steady rate until stopped, and wait for the last answers."""
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_SECONDS)
+        connector = aiohttp.TCPConnector(limit=0)
+        async with aiohttp.ClientSession(timeout=timeout, connector=connector) as session:
+            while not self._stopped.is_set():
+                self._start_call(session)
+                await asyncio.sleep(self._interval_seconds)
+            await asyncio.gather(*self._tasks)
+
+    def stop(self) -> None:
+        """Send no more calls."""
+        self._stopped.set()
+
+    def max_executions_per_key(self) -> int:
+        """Return how often the most repeated non-idempotent call ran."""
+        executions: Counter[str] = Counter()
+        for endpoint in self._fleet.endpoints.values():
+            if isinstance(endpoint, PlainServiceStandin):
+                executions.update(endpoint.executions)
+        self.counts.false_not_run = sum(
+            executions[key] > 0 for key in self._not_run_keys - self._unsettled_keys
+        )
+        return max(executions.values(), default=0)
+
+    def _start_call(self, session: aiohttp.ClientSession) -> None:
+        models = [s for s in self._fleet.services() if isinstance(s, ModelServiceFile)]
+        plain = [
+            s
+            for s in self._fleet.services()
+            if isinstance(s, PlainServiceFile) and any(not r.idempotent for r in s.idempotency)
+        ]
+        if plain and self._rng.random() < 0.3:
+            work = self._order(session, self._rng.choice(plain))
+        else:
+            work = self._complete(session, self._rng.choice(models))
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+    def _url(self) -> str:
+        router = self._rng.choice(list(self._fleet.routers.values()))
+        return f"http://127.0.0.1:{router.callers_port}"
+
+    def _workspace(self, allowed: tuple[str, ...]) -> str:
+        workspaces = [
+            w for w in self._fleet.deployment.workspaces if not allowed or w.name in allowed
+        ]
+        return self._rng.choices(workspaces, weights=[w.weight for w in workspaces])[0].name
+
+    async def _complete(self, session: aiohttp.ClientSession, service: ModelServiceFile) -> None:
+        prompt = f"{self._rng.choice(PROMPTS)} {self._rng.randrange(1000)}"
+        body = {
+            "model": service.model,
+            "messages": [{"role": "user", "content": prompt}],
+            "max_tokens": MODEL_TOKENS,
+            "stream": self._rng.random() < 0.7,
+        }
+        asked = prompt_text(body)
+        headers = {"X-Workspace": self._workspace(service.workspaces)}
+        self.counts.sent += 1
+        started_seconds = time.monotonic()
+        try:
+            async with session.post(
+                f"{self._url()}/v1/chat/completions", json=body, headers=headers
+            ) as response:
+                first = await response.content.readany()
+                self.counts.first_token_seconds.append(time.monotonic() - started_seconds)
+                content = first + await response.content.read()
+        except (aiohttp.ClientError, TimeoutError):
+            self._failed("unknown", "connection")
+            return
+        if response.status != 200:
+            self._refused(content)
+            return
+        text = _text_of(content, stream=bool(body["stream"]))
+        if text is None:
+            self._failed("unknown", "truncated")
+        elif any(text == expected_answer(d, asked, count=MODEL_TOKENS) for d in self._digests):
+            self.counts.completed += 1
+        else:
+            self.counts.wrong_answers += 1
+
+    async def _order(self, session: aiohttp.ClientSession, service: PlainServiceFile) -> None:
+        key = uuid.UUID(int=self._rng.getrandbits(128)).hex
+        rule = next(r for r in service.idempotency if not r.idempotent)
+        path = f"{rule.path_prefix.rstrip('/')}/new"
+        content = json.dumps({"item": self._rng.randrange(1000)}).encode()
+        workspace = self._workspace(service.workspaces)
+        repeats = 2 if self._rng.random() < REPEAT_SHARE else 1
+        # A caller that lost patience repeats its order through another router.
+        await asyncio.gather(
+            *(
+                self._send_order(session, service, key, path, content, workspace)
+                for _ in range(repeats)
+            )
+        )
+
+    async def _send_order(
+        self,
+        session: aiohttp.ClientSession,
+        service: PlainServiceFile,
+        key: str,
+        path: str,
+        content: bytes,
+        workspace: str,
+    ) -> None:
+        headers = {
+            "Host": service.hosts[0] if service.hosts else "localhost",
+            "Idempotency-Key": key,
+            "X-Workspace": workspace,
+            "Content-Type": "application/json",
+        }
+        self.counts.sent += 1
+        try:
+            async with session.post(
+                f"{self._url()}{path}", data=content, headers=headers
+            ) as response:
+                answer = await response.read()
+        except (aiohttp.ClientError, TimeoutError):
+            self._unsettled_keys.add(key)
+            self._failed("unknown", "connection")
+            return
+        if response.status != 200:
+            outcome = self._refused(answer)
+            (self._not_run_keys if outcome == "not_run" else self._unsettled_keys).add(key)
+            return
+        self._unsettled_keys.add(key)
+        expected = PlainServiceStandin.expected_answer(
+            key, method="POST", path=path, content=content
+        )
+        if answer == expected:
+            self.counts.completed += 1
+        else:
+            self.counts.wrong_answers += 1
+
+    def _refused(self, content: bytes) -> str:
+        try:
+            problem = json.loads(content)
+            outcome, reason = str(problem["outcome"]), str(problem["type"])
+        except (ValueError, KeyError, TypeError):
+            outcome, reason = "unknown", "no problem document"
+        self._failed(outcome, reason)
+        return outcome
+
+    def _failed(self, outcome: str, reason: str) -> None:
+        self.counts.reasons[f"{outcome}: {reason}"] += 1
+        if outcome == "not_run":
+            self.counts.not_run += 1
+        else:
+            self.counts.unknown += 1
+
+
+def _text_of(content: bytes, *, stream: bool) -> str | None:
+    """Return the answer's text, or None if it is not whole."""
+    if not stream:
+        message = json.loads(content)["choices"][0]["message"]
+        return str(message["content"])
+    events = [line[6:] for line in content.decode().split("\n\n") if line.startswith("data: ")]
+    if not events or events[-1] != "[DONE]":
+        return None
+    deltas = [json.loads(event)["choices"][0]["delta"] for event in events[:-1]]
+    return "".join(delta["content"] for delta in deltas)
+
+
+PROMPTS = (
+    "Summarise today's prices for large white eggs in the last three markets.",
+    "Why did the price of a dozen brown eggs rise since Monday, and will it hold?",
+    "Draft a short note on the cost of maize and soy meal for laying hens.",
+)
