Add SWIM-like membership with zone summaries

Cause: routers and agents need to know who lives, leaves and serves what, at a cost that does not grow with the zone. Change: the Membership aggregate with probes, indirect probes, suspicion, refutation, bounded piggybacking, exchanges that send only buckets whose digests differ, urgent spreading of withdrawals, summaries between zones, pause detection, and gossip messages in MessagePack. A death heard of a member believed alive is verified by a probe, so a healed partition declares nobody dead. A member that hears nobody judges nobody.

--- /dev/null
+++ b/tests/test_membership.py
@@ -0,0 +1,448 @@
+"""Test membership under loss, cuts, pauses and restarts."""
+
+import random
+from collections import Counter
+from typing import Any
+
+import pytest
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, invariant, rule, run_state_machine_as_test
+
+from benchmarks.virtual_zone import VirtualZone
+from egretrouter.core.identifiers import Digest, Generation, InstanceId, ServiceName, ZoneId
+from egretrouter.core.membership import (
+    Facts,
+    FactsChanged,
+    GenerationInForce,
+    GossipMalformedError,
+    GossipReceived,
+    Leave,
+    LoadReport,
+    LoadReported,
+    Member,
+    MemberRole,
+    MembersChanged,
+    Membership,
+    MembershipCommand,
+    MemberStatus,
+    PauseDetected,
+    PeerGenerationHeard,
+    Probe,
+    ProbeAnswer,
+    Seed,
+    SeedsListed,
+    SendGossip,
+    Tick,
+    Updates,
+    ZoneSummaryChanged,
+    decode_gossip,
+    encode_gossip,
+)
+from egretrouter.core.membership._table import MemberTable, Merge
+
+ZONE = ZoneId("serra-z1")
+
+
+def member(name: str, **changes: Any) -> Member:
+    return Member(
+        instance_id=InstanceId(name),
+        zone=ZONE,
+        role=MemberRole.AGENT,
+        address=f"{name}:1",
+        **changes,
+    )
+
+
+def make(*others: Member, kind: type[Membership] = Membership) -> Membership:
+    own = kind(own=member("own"), rng=random.Random(0))
+    for other in others:
+        own.handle(GossipReceived(body=Updates(sender=other)), now_seconds=0.0)
+    return own
+
+
+def tick(own: Membership, seconds: float, *, start: float = 0.0) -> list[MembershipCommand]:
+    steps = range(1, round(seconds / 0.2) + 1)
+    return [c for n in steps for c in own.handle(Tick(), now_seconds=start + n * 0.2)]
+
+
+def status(own: Membership, name: str) -> MemberStatus | None:
+    found = {m.instance_id: m.status for m in own.members()}
+    return found.get(InstanceId(name))
+
+
+def settled_zone(count: int, *, kind: type[Membership] = Membership, seed: int = 0) -> VirtualZone:
+    zone = VirtualZone(seed=seed, kind=kind)
+    names = [zone.add(f"instance-{n}", agent=n > 1) for n in range(count)]
+    zone.list_seeds(names, to=names)
+    assert zone.run_until(zone.views_agree, limit_seconds=60) is not None
+    return zone
+
+
+class TestGossip:
+    """Guard against messages that do not survive the wire."""
+
+    def test_survives_encoding(self) -> None:
+        body = Probe(sender=member("a"), updates=(member("b", incarnation=3),), sequence=7)
+        assert decode_gossip(encode_gossip(body)) == body
+
+    @pytest.mark.parametrize("payload", [b"", b"\x93", b"\xc0", b"\x92\x63\x00"])
+    def test_rejects_malformed_payloads(self, payload: bytes) -> None:
+        with pytest.raises(GossipMalformedError):
+            decode_gossip(payload)
+
+
+class TestMembership:
+    """Guard against wrong beliefs about single members."""
+
+    def test_a_silent_member_is_probed_indirectly_then_suspected_then_dead(self) -> None:
+        own = make(member("a"), member("b"))
+        seen = [type(c.body).__name__ for c in tick(own, 2.4) if isinstance(c, SendGossip)]
+        assert "Probe" in seen
+        assert "IndirectProbe" in seen
+        tick(own, 1.0, start=2.4)
+        assert MemberStatus.SUSPECT in (status(own, "a"), status(own, "b"))
+        tick(own, 12.0, start=3.4)
+        assert own.members() == []
+
+    def test_an_answer_through_a_proxy_prevents_suspicion(self) -> None:
+        own = make(member("a"))
+        probes = [c for c in tick(own, 1.2) if isinstance(c, SendGossip)]
+        (probe,) = [c.body for c in probes if isinstance(c.body, Probe)]
+        answer = ProbeAnswer(sender=member("proxy"), sequence=probe.sequence)
+        own.handle(GossipReceived(body=answer), now_seconds=1.3)
+        tick(own, 0.8, start=1.2)
+        assert status(own, "a") is MemberStatus.ALIVE
+
+    def test_refutes_suspicion_with_a_higher_incarnation(self) -> None:
+        own = make(member("a"))
+        rumour = member("own", status=MemberStatus.SUSPECT)
+        body = Updates(sender=member("a"), updates=(rumour,))
+        own.handle(GossipReceived(body=body), now_seconds=0.1)
+        assert own.own.incarnation == 2
+        assert own.own.status is MemberStatus.ALIVE
+
+    def test_the_list_never_overrules_gossip(self) -> None:
+        own = make(member("a", status=MemberStatus.LEAVING, incarnation=4))
+        seeds = tuple(Seed(instance_id=InstanceId(n), zone=ZONE, address=n) for n in "ab")
+        own.handle(SeedsListed(seeds=seeds), now_seconds=0.1)
+        assert status(own, "a") is MemberStatus.LEAVING
+        assert status(own, "b") is None
+
+    def test_older_facts_do_not_overrule(self) -> None:
+        newer = Facts(service=ServiceName("llm"), version_digest=Digest("v2"))
+        own = make(member("a", facts=newer, facts_version=2))
+        stale = member("a", facts_version=1, status=MemberStatus.SUSPECT)
+        body = Updates(sender=member("b"), updates=(stale,))
+        own.handle(GossipReceived(body=body), now_seconds=0.1)
+        (found,) = [m for m in own.members() if m.instance_id == "a"]
+        assert (found.facts, found.status) == (newer, MemberStatus.SUSPECT)
+
+    def test_a_flapping_member_gets_no_work_for_a_growing_time(self) -> None:
+        own = make(member("a"))
+        for incarnation in range(1, 6):
+            for state in (MemberStatus.SUSPECT, MemberStatus.ALIVE):
+                number = incarnation + (state is MemberStatus.ALIVE)
+                claim = member("a", incarnation=number, status=state)
+                body = Updates(sender=member("b"), updates=(claim,))
+                own.handle(GossipReceived(body=body), now_seconds=0.1)
+        assert status(own, "a") is MemberStatus.ALIVE
+        assert "a" not in {m.instance_id for m in own.usable_members(now_seconds=1.0)}
+        assert "a" in {m.instance_id for m in own.usable_members(now_seconds=61.0)}
+
+    def test_piggybacking_is_bounded(self) -> None:
+        own = make(*(member(f"m{n}") for n in range(300)))
+        for n in range(300):
+            load = LoadReport(queued_calls=n)
+            own.handle(LoadReported(load=load), now_seconds=0.1)
+        bodies = [c.body for c in tick(own, 5.0) if isinstance(c, SendGossip)]
+        assert max(len(body.updates) for body in bodies) <= 13
+        assert max(len(body.loads) for body in bodies) <= 13
+
+    def test_a_pause_raises_the_incarnation_and_judges_nobody(self) -> None:
+        own = make(*(member(f"m{n}") for n in range(5)))
+        tick(own, 3.0)
+        commands = own.handle(Tick(), now_seconds=100.0)
+        assert PauseDetected(paused_seconds=97.0) in commands
+        assert own.own.incarnation == 2
+        assert {m.status for m in own.members()} == {MemberStatus.ALIVE}
+
+
+class TestZone:
+    """Guard against slow spreading and storms in a whole zone."""
+
+    @pytest.mark.parametrize("count", [10, 60])
+    def test_leaving_reaches_every_router_within_three_seconds(self, count: int) -> None:
+        zone = settled_zone(count)
+        leaver = InstanceId(f"instance-{count - 1}")
+        zone.deliver(leaver, Leave())
+        zone.run(0.05)
+        zone.remove(leaver)
+        zone.run(2.95)
+        for name, node in zone.nodes.items():
+            usable = {m.instance_id for m in node.usable_members(now_seconds=zone.now)}
+            assert leaver not in usable, name
+
+    def test_facts_loads_and_generation_reach_everyone(self) -> None:
+        zone = settled_zone(30)
+        heard: Counter[InstanceId] = Counter()
+        zone.on_command = lambda n, c: heard.update([n] * isinstance(c, PeerGenerationHeard))
+        source = InstanceId("instance-5")
+        facts = Facts(service=ServiceName("llm"), version_digest=Digest("v9"), ready=True)
+        zone.deliver(source, FactsChanged(facts=facts))
+        zone.deliver(source, GenerationInForce(generation=Generation(3)))
+        for _ in range(15):
+            zone.deliver(source, LoadReported(load=LoadReport(queued_calls=9)))
+            zone.run(1)
+        for name, node in zone.nodes.items():
+            if name != source:
+                assert facts in [m.facts for m in node.members()]
+                assert node.load(source) == LoadReport(queued_calls=9)
+        assert len(heard) >= 3
+
+    def test_healing_a_cut_zone_kills_nobody_and_causes_no_storm(self) -> None:
+        zone, deaths, rate = self.healed(Membership)
+        assert deaths == 0
+        assert rate < 15
+        assert zone.run_until(zone.views_agree, limit_seconds=60) is not None
+
+    def test_healing_check_catches_believing_deaths_at_once(self) -> None:
+        assert self.healed(CredulousMembership)[1] > 0
+
+    def healed(self, kind: type[Membership]) -> tuple[VirtualZone, int, float]:
+        zone = settled_zone(40, kind=kind)
+        side = {n: i < 20 for i, n in enumerate(zone.nodes)}
+        zone.is_cut = lambda a, b: side[a] != side[b]
+        zone.run(60)
+        assert all(len(node.members()) == 19 for node in zone.nodes.values())
+        deaths: list[Member] = []
+
+        def note(name: InstanceId, command: MembershipCommand) -> None:
+            if isinstance(command, MembersChanged):
+                deaths.extend(m for m in command.changed if m.status is MemberStatus.DEAD)
+
+        zone.on_command = note
+        zone.is_cut = lambda a, b: False
+        before = zone.messages
+        zone.run(10)
+        rate = (zone.messages - before) / 40 / 10
+        zone.run(20)
+        return zone, len(deaths), rate
+
+
+class TestZoneSummaries:
+    """Guard against zones that do not know what other zones serve."""
+
+    def test_summaries_reach_routers_of_other_zones_and_resume_after_a_cut(self) -> None:
+        zone = VirtualZone(seed=1)
+        zones = ("serra-z1", "taquari-z1", "oeste-sc-z1")
+        names = [zone.add(f"{z}-{n}", zone=z, agent=n > 2) for z in zones for n in range(10)]
+        zone.list_seeds(names, to=names)
+        zone.run(60)
+        routers = [n for n in zone.nodes.values() if n.own.role is MemberRole.ROUTER]
+        for router in routers:
+            summaries = router.summaries(now_seconds=zone.now)
+            assert {s.zone for s in summaries} == set(zones) - {router.own.zone}
+            assert all(s.versions[0].ready == 7 for s in summaries)
+            assert all(s.age_seconds < 30 for s in summaries)
+        zone.is_cut = lambda a, b: a[:5] != b[:5]
+        zone.run(120)
+        ages = [s.age_seconds for r in routers for s in r.summaries(now_seconds=zone.now)]
+        assert min(ages) > 100
+        zone.is_cut = lambda a, b: False
+        fresh: set[InstanceId] = set()
+        zone.on_command = lambda n, c: fresh.add(n) if isinstance(c, ZoneSummaryChanged) else None
+        zone.run(30)
+        assert {r.own.instance_id for r in routers} <= fresh
+
+
+class CredulousTable(MemberTable):
+    """Lack the verification of deaths."""
+
+    def merge(self, member: Member, *, now_seconds: float) -> Merge:
+        result = super().merge(member, now_seconds=now_seconds)
+        if result is Merge.VERIFY:
+            self.replace(member, now_seconds=now_seconds)
+            return Merge.APPLIED
+        return result
+
+
+class CredulousMembership(Membership):
+    """Believe a death at once."""
+
+    def __init__(self, *, own: Member, rng: random.Random) -> None:
+        super().__init__(own=own, rng=rng)
+        self._table.__class__ = CredulousTable
+
+
+class ForgetfulTable(MemberTable):
+    """Lack the comparison of incarnations."""
+
+    def merge(self, member: Member, *, now_seconds: float) -> Merge:
+        entry = self.entries.get(member.instance_id)
+        if entry is not None and member.status is not MemberStatus.DEAD and member != entry.member:
+            self.replace(member, now_seconds=now_seconds)
+            return Merge.APPLIED
+        return super().merge(member, now_seconds=now_seconds)
+
+
+class ForgetfulMembership(Membership):
+    """Take the last statement heard for the newest."""
+
+    def __init__(self, *, own: Member, rng: random.Random) -> None:
+        super().__init__(own=own, rng=rng)
+        self._table.__class__ = ForgetfulTable
+
+
+class MeekMembership(Membership):
+    """Lack the refutation of suspicion."""
+
+    def __init__(self, *, own: Member, rng: random.Random) -> None:
+        super().__init__(own=own, rng=rng)
+        self._view._refute = lambda claim: None  # type: ignore[method-assign]
+
+
+class ResumingMembership(Membership):
+    """Lack the detection of pauses."""
+
+    def _detect_pause(self, now_seconds: float) -> list[MembershipCommand]:
+        return []
+
+
+class LonelyMembership(Membership):
+    """Lack the contact with members that are believed dead but listed."""
+
+    def _dispatch(self, message: Any, *, now_seconds: float) -> list[MembershipCommand]:
+        if self._table.live_count:
+            self._seeds = ()
+        return super()._dispatch(message, now_seconds=now_seconds)
+
+
+def machine(kind: type[Membership]) -> type[RuleBasedStateMachine]:
+    """Return a machine over one zone of seven members and every fault at once."""
+
+    class Faults(RuleBasedStateMachine):
+        def __init__(self) -> None:
+            super().__init__()
+            self.zone = VirtualZone(seed=1, kind=kind)
+            self.names = [self.zone.add(f"instance-{n}", agent=n > 1) for n in range(7)]
+            self.zone.list_seeds(self.names, to=self.names)
+            self.zone.on_command = self.check
+            self.seen: dict[tuple[InstanceId, InstanceId], Member] = {}
+            self.resumed_at: dict[InstanceId, float] = {}
+            self.zone.run(5)
+
+        def check(self, observer: InstanceId, command: MembershipCommand) -> None:
+            if not isinstance(command, MembersChanged):
+                return
+            resumed = self.zone.paused_until.get(observer, -10.0)
+            for changed in command.changed:
+                key = observer, changed.instance_id
+                held = self.seen.pop(key, None)
+                if changed.status is MemberStatus.DEAD:
+                    ticked = isinstance(self.zone.handled, Tick)
+                    recent = ticked and 0 <= self.zone.now - resumed < 0.25
+                    sender = changed.instance_id in self.zone.nodes
+                    assert not (recent and sender), "paused process judged others"
+                    continue
+                self.seen[key] = changed
+                if held is not None:
+                    assert changed.incarnation >= held.incarnation, "incarnation reverted"
+                    assert changed.facts_version >= held.facts_version, "facts reverted"
+                    left = held.status is MemberStatus.LEAVING
+                    if left and changed.incarnation == held.incarnation:
+                        assert changed.status is MemberStatus.LEAVING, "leaving reverted"
+
+        @rule(seconds=st.floats(0.2, 20))
+        def wait(self, seconds: float) -> None:
+            self.zone.run(seconds)
+
+        @rule(number=st.integers(0, 6), seconds=st.floats(1, 40))
+        def pause(self, number: int, seconds: float) -> None:
+            self.zone.pause(self.names[number], seconds)
+
+        @rule(group=st.sets(st.integers(0, 6), max_size=4))
+        def cut(self, group: set[int]) -> None:
+            side = {self.names[n] for n in group}
+            self.zone.is_cut = lambda a, b: (a in side) != (b in side)
+
+        @rule()
+        def heal(self) -> None:
+            self.zone.is_cut = lambda a, b: False
+
+        @rule(loss=st.sampled_from([0.0, 0.1, 0.3]), duplication=st.sampled_from([0.0, 0.3]))
+        def disturb(self, loss: float, duplication: float) -> None:
+            self.zone.loss, self.zone.duplication = loss, duplication
+
+        @rule(number=st.integers(0, 6), graceful=st.booleans())
+        def restart(self, number: int, graceful: bool) -> None:
+            name = self.names[number]
+            if graceful:
+                self.zone.deliver(name, Leave())
+                self.zone.run(0.1)
+            self.zone.remove(name)
+            self.seen = {k: m for k, m in self.seen.items() if k[0] != name}
+            self.zone.paused_until.pop(name, None)
+            self.zone.add(name, agent=number > 1)
+            self.zone.list_seeds(self.names, to=[name])
+
+        @rule(number=st.integers(2, 6), version=st.integers(0, 9))
+        def load_version(self, number: int, version: int) -> None:
+            facts = Facts(service=ServiceName("llm"), version_digest=Digest(str(version)))
+            self.zone.deliver(self.names[number], FactsChanged(facts=facts))
+
+        @invariant()
+        def memory_is_bounded(self) -> None:
+            for node in self.zone.nodes.values():
+                assert len(node._table.entries) <= 6
+                assert len(node._table._queue) <= 7
+                assert len(node._table._load_queue) <= 256
+
+        def teardown(self) -> None:
+            self.zone.is_cut = lambda a, b: False
+            self.zone.loss = self.zone.duplication = 0.0
+            self.zone.run(45)
+            self.zone.list_seeds(self.names, to=self.names)
+            took = self.zone.run_until(self.converged, limit_seconds=120)
+            assert took is not None, "no convergence"
+
+        def converged(self) -> bool:
+            if not self.zone.views_agree():
+                return False
+            own = {n: node.own for n, node in self.zone.nodes.items()}
+            return all(
+                m == own[m.instance_id] for n in self.zone.nodes.values() for m in n.members()
+            )
+
+    return Faults
+
+
+SETTINGS = settings(
+    derandomize=True,
+    max_examples=60,
+    stateful_step_count=25,
+    deadline=None,
+    database=None,
+    phases=[Phase.generate],
+)
+MUTANT_SETTINGS = settings(SETTINGS, phases=[Phase.generate])
+
+
+class TestMembershipUnderFaults:
+    """Guard against reversal and divergence under random faults."""
+
+    def test_holds(self) -> None:
+        run_state_machine_as_test(machine(Membership), settings=SETTINGS)
+
+    @pytest.mark.parametrize(
+        ("kind", "failure"),
+        [
+            (ForgetfulMembership, "reverted"),
+            (MeekMembership, "no convergence"),
+            (LonelyMembership, "no convergence"),
+            (ResumingMembership, "paused process"),
+        ],
+    )
+    def test_catches_a_missing_guard(self, kind: type[Membership], failure: str) -> None:
+        with pytest.raises(AssertionError, match=failure):
+            run_state_machine_as_test(machine(kind), settings=MUTANT_SETTINGS)
