--- /dev/null
+++ b/tests/test_fencing.py
@@ -0,0 +1,335 @@
+"""Test that no stale agent gives orders."""
+
+import random
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import Phase, settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
+
+from egretrouter.core.errors import OrderError, StaleFencingNumberError
+from egretrouter.core.fencing import (
+    LEASE_SECONDS,
+    AnswerLost,
+    AskEndpoint,
+    Begin,
+    EndpointGuard,
+    EndpointReported,
+    EndpointSilent,
+    FencingRecord,
+    GiveOrder,
+    LeaseCommand,
+    LeaseHeld,
+    LeaseLost,
+    LeaseMessage,
+    NumberConflicted,
+    NumberRead,
+    NumberTaken,
+    OrderFoundStale,
+    OrderLease,
+    OrderWanted,
+    ReadNumber,
+    RefuseOrder,
+    TakeNumber,
+    Tick,
+)
+from egretrouter.core.identifiers import EndpointId, InstanceId
+
+
+def lease(
+    life: str = "one", *, checks: bool = True, kind: type[OrderLease] = OrderLease
+) -> OrderLease:
+    return kind(
+        endpoint_id=EndpointId("engine-1"),
+        instance_id=InstanceId("agent-1"),
+        life=life,
+        checks_fencing=checks,
+        rng=random.Random(life),
+    )
+
+
+def record(number: int, life: str) -> bytes:
+    held = FencingRecord(number=number, instance_id=InstanceId("agent-1"), life=life)
+    return msgspec.json.encode(held)
+
+
+def send(agent: OrderLease, message: LeaseMessage, now: float = 0.0) -> list[Any]:
+    return agent.handle(message, now_seconds=now)
+
+
+def read(agent: OrderLease, content: bytes | None, version: int, now: float = 0.0) -> list[Any]:
+    sequence = agent._sequence
+    return send(agent, NumberRead(content=content, version=version, sequence=sequence), now)
+
+
+def take(agent: OrderLease, *, number: int = 0, before: bytes | None = None) -> list[Any]:
+    send(agent, Begin())
+    send(agent, EndpointReported(fencing_number=number))
+    read(agent, before, 1 if before else 0)
+    return send(agent, NumberTaken())
+
+
+class TestOrderLease:
+    """Guard against two agents that order one engine."""
+
+    def test_takes_a_number_above_the_store_and_the_endpoint(self) -> None:
+        agent = lease()
+        assert send(agent, Begin()) == [AskEndpoint()]
+        send(agent, EndpointReported(fencing_number=7))
+        (command,) = read(agent, record(4, "zero"), 9)
+        assert command.expected_version == 9
+        assert msgspec.json.decode(command.content, type=FencingRecord).number == 8
+        assert send(agent, NumberTaken()) == [LeaseHeld(epoch=8)]
+
+    def test_settles_a_lost_answer_by_reading_back(self) -> None:
+        agent = lease()
+        send(agent, Begin())
+        send(agent, EndpointReported())
+        (command,) = read(agent, None, 0)
+        send(agent, AnswerLost())
+        send(agent, Tick(), 1.0)
+        assert read(agent, command.content, 1, 1.0) == [LeaseHeld(epoch=1)]
+
+    def test_gives_orders_without_the_store_while_not_paused(self) -> None:
+        agent = lease()
+        take(agent)
+        (order,) = send(agent, OrderWanted(order_id="load"), 1.0)
+        assert (order.order_id, order.fencing_number) == ("load", 1)
+
+    @pytest.mark.parametrize("overtaken", [False, True])
+    def test_re_reads_after_a_pause(self, overtaken: bool) -> None:
+        agent = lease()
+        take(agent)
+        (command,) = send(agent, OrderWanted(order_id="load"), LEASE_SECONDS + 1)
+        assert isinstance(command, ReadNumber)
+        content = record(2, "two") if overtaken else record(1, "one")
+        commands = read(agent, content, 2, LEASE_SECONDS + 1)
+        expected = [LeaseLost, RefuseOrder] if overtaken else [GiveOrder]
+        assert [type(c) for c in commands] == expected
+        if overtaken:
+            (refusal,) = send(agent, OrderWanted(order_id="again"), LEASE_SECONDS + 2)
+            assert isinstance(refusal.error, StaleFencingNumberError)
+
+    def test_a_late_answer_to_an_earlier_read_confirms_nothing(self) -> None:
+        agent = lease(checks=False)
+        take(agent)
+        (first,) = send(agent, OrderWanted(order_id="load"), 1.0)
+        send(agent, AnswerLost(), 2.0)
+        (second,) = send(agent, Tick(), 4.0)
+        late = NumberRead(content=record(1, "one"), version=1, sequence=first.sequence)
+        assert send(agent, late, 4.1) == []
+        assert second.sequence != first.sequence
+
+    def test_an_endpoint_that_ignores_numbers_waits_for_the_lease_before(self) -> None:
+        agent = lease(checks=False)
+        assert take(agent, before=record(1, "zero")) == []
+        assert send(agent, Tick(), LEASE_SECONDS - 0.1) == []
+        assert send(agent, Tick(), LEASE_SECONDS) == [LeaseHeld(epoch=2)]
+
+    def test_stops_when_the_endpoint_knows_a_higher_number(self) -> None:
+        agent = lease()
+        take(agent)
+        (lost,) = send(agent, OrderFoundStale())
+        assert isinstance(lost, LeaseLost)
+        assert agent.epoch is None
+
+    def test_pending_orders_are_bounded(self) -> None:
+        agent = lease()
+        commands = [c for n in range(100) for c in send(agent, OrderWanted(order_id=str(n)))]
+        assert len([c for c in commands if isinstance(c, RefuseOrder)]) == 36
+
+
+class TestEndpointGuard:
+    """Guard against stale orders at endpoints that do not check them."""
+
+    def test_refuses_lower_numbers_and_other_givers(self) -> None:
+        guard = EndpointGuard(checks_order_giver=False)
+        guard.admit(giver=InstanceId("a"), fencing_number=3)
+        guard.admit(giver=InstanceId("a"), fencing_number=3)
+        with pytest.raises(StaleFencingNumberError, match="below 3"):
+            guard.admit(giver=InstanceId("a"), fencing_number=2)
+        with pytest.raises(OrderError, match="number of 'a'"):
+            guard.admit(giver=InstanceId("b"), fencing_number=3)
+
+
+class HeedlessLease(OrderLease):
+    """Lack the check of the number before an order."""
+
+    def _needs_read(self) -> bool:
+        return False
+
+
+class HastyLease(OrderLease):
+    """Lack the wait for the end of the lease before."""
+
+    def _taken(self, number: int, now_seconds: float) -> list[LeaseCommand]:
+        self._waits = False
+        return super()._taken(number, now_seconds)
+
+
+class TrustingLease(OrderLease):
+    """Lack the reading back of a conflict."""
+
+    def _dispatch(self, message: Any, *, now_seconds: float) -> list[LeaseCommand]:
+        if isinstance(message, NumberConflicted):
+            return self._taken(self._proposed, now_seconds)
+        return super()._dispatch(message, now_seconds=now_seconds)
+
+
+def machine(kind: type[OrderLease], *, checks: bool) -> type[RuleBasedStateMachine]:
+    """Return a machine over one endpoint and successive agents, of which any may be paused."""
+
+    class Agents(RuleBasedStateMachine):
+        def __init__(self) -> None:
+            super().__init__()
+            self.now = 0.0
+            self.store: tuple[bytes | None, int] = (None, 0)
+            self.endpoint_number = 0
+            self.agents: list[OrderLease] = []
+            self.answers: list[tuple[OrderLease, LeaseMessage]] = []
+            self.orders: list[tuple[OrderLease, GiveOrder]] = []
+            self.held: dict[int, OrderLease] = {}
+            self.given = 0
+            self.start()
+
+        def run(self, agent: OrderLease, message: LeaseMessage) -> None:
+            for command in agent.handle(message, now_seconds=self.now):
+                self.execute(agent, command)
+
+        def execute(self, agent: OrderLease, command: LeaseCommand) -> None:
+            content, version = self.store
+            if isinstance(command, AskEndpoint):
+                number = self.endpoint_number if checks else 0
+                self.answers.append((agent, EndpointReported(fencing_number=number)))
+            elif isinstance(command, ReadNumber):
+                sequence = command.sequence
+                answer = NumberRead(content=content, version=version, sequence=sequence)
+                self.answers.append((agent, answer))
+            elif isinstance(command, TakeNumber):
+                if command.expected_version == version:
+                    self.store = (command.content, version + 1)
+                    self.answers.append((agent, NumberTaken()))
+                else:
+                    self.answers.append((agent, NumberConflicted()))
+            elif isinstance(command, LeaseHeld):
+                assert self.held.setdefault(command.epoch, agent) is agent, "epoch held twice"
+            elif isinstance(command, GiveOrder):
+                self.orders.append((agent, command))
+
+        @rule()
+        def start(self) -> None:
+            agent = lease(str(len(self.agents)), checks=checks, kind=kind)
+            self.agents.append(agent)
+            self.run(agent, Begin())
+
+        @rule(data=st.data(), fate=st.sampled_from(["deliver"] * 5 + ["lose"]))
+        def answer(self, data: st.DataObject, fate: str) -> None:
+            if not self.answers:
+                return
+            agent, message = self.answers.pop(data.draw(st.integers(0, len(self.answers) - 1)))
+            if fate == "lose":
+                silent = isinstance(message, EndpointReported)
+                message = EndpointSilent() if silent else AnswerLost()
+            self.run(agent, message)
+
+        @rule()
+        def answer_all(self) -> None:
+            for _ in range(6):
+                answers, self.answers = self.answers, []
+                for agent, message in answers:
+                    self.run(agent, message)
+
+        @rule(data=st.data())
+        def want(self, data: st.DataObject) -> None:
+            self.run(data.draw(st.sampled_from(self.agents)), OrderWanted(order_id="load"))
+
+        @rule(data=st.data())
+        def pass_time(self, data: st.DataObject) -> None:
+            """Let time pass for all agents but those that are paused."""
+            paused = data.draw(st.sets(st.sampled_from(range(len(self.agents)))))
+            for _ in range(data.draw(st.integers(1, 40))):
+                self.now += 0.5
+                for number, agent in enumerate(self.agents):
+                    if number not in paused:
+                        self.run(agent, Tick())
+
+        @rule(ticks=st.sampled_from([0, 12]))
+        def take_over(self, ticks: int) -> None:
+            """Start an agent and let it come as far as an order while the others are paused."""
+            self.start()
+            self.answer_all()
+            self.run(self.agents[-1], OrderWanted(order_id="load"))
+            for _ in range(ticks):
+                self.now += 0.5
+                self.run(self.agents[-1], Tick())
+                self.answer_all()
+
+        @rule(data=st.data())
+        def send_order(self, data: st.DataObject) -> None:
+            if self.orders:
+                self.send(data.draw(st.integers(0, len(self.orders) - 1)))
+
+        def send(self, position: int) -> None:
+            agent, order = self.orders.pop(position)
+            if self.now >= order.valid_until_seconds:
+                return
+            if checks and order.fencing_number < self.endpoint_number:
+                self.run(agent, OrderFoundStale())
+                return
+            assert order.fencing_number >= self.endpoint_number, "stale order"
+            self.endpoint_number = order.fencing_number
+            self.given += 1
+
+        def teardown(self) -> None:
+            """Check that an agent that starts after all others ended can give an order."""
+            self.answers.clear()
+            self.start()
+            for _ in range(60):
+                self.now += 0.5
+                self.run(self.agents[-1], Tick())
+                self.answer_all()
+            self.orders.clear()
+            self.want_last()
+
+        def want_last(self) -> None:
+            agent = self.agents[-1]
+            self.run(agent, OrderWanted(order_id="last"))
+            self.answer_all()
+            before = self.given
+            while self.orders:
+                self.send(0)
+            assert self.given == before + 1, "the newest agent gives no order"
+
+    return Agents
+
+
+SETTINGS = settings(
+    derandomize=True,
+    max_examples=200,
+    stateful_step_count=40,
+    deadline=None,
+    database=None,
+    phases=[Phase.generate],
+)
+
+
+class TestFencingUnderFaults:
+    """Guard against orders of a stale agent under pauses, lost answers and races."""
+
+    @pytest.mark.parametrize("checks", [False, True])
+    def test_holds(self, checks: bool) -> None:
+        run_state_machine_as_test(machine(OrderLease, checks=checks), settings=SETTINGS)
+
+    @pytest.mark.parametrize(
+        ("kind", "failure"),
+        [
+            (HeedlessLease, "stale order"),
+            (HastyLease, "stale order"),
+            (TrustingLease, "epoch held twice"),
+        ],
+    )
+    def test_catches_a_missing_guard(self, kind: type[OrderLease], failure: str) -> None:
+        with pytest.raises(AssertionError, match=failure):
+            run_state_machine_as_test(machine(kind, checks=False), settings=SETTINGS)
