Add the guarded object store

Cause: the store counts each call, has outages, and loses answers of writes that took effect. Change: GuardedStore wraps an ObjectStore for one purpose with a token bucket, a timeout, jittered backoff for reads and a circuit breaker shared by the process. A write is sent once; without an answer it raises LostAnswerError. A watch reads the object after each gap and never shows an older version.

--- a/egretrouter/backends/__init__.py
+++ b/egretrouter/backends/__init__.py
@@ -1,5 +1,14 @@
 """Offer the ports to the platform's systems and their HTTP clients."""
 
+from egretrouter.backends._guarded_store import (
+    GuardedStore,
+    StoreBudget,
+    StoreBudgetError,
+    StoreBudgets,
+    StoreCircuitOpenError,
+    StorePolicy,
+    StorePurpose,
+)
 from egretrouter.backends._ports import (
     Engine,
     EngineReport,
@@ -15,11 +24,18 @@
 __all__ = [
     "Engine",
     "EngineReport",
+    "GuardedStore",
     "InstanceList",
     "InstanceState",
     "ListedInstance",
     "LoadedVersion",
     "ObjectStore",
+    "StoreBudget",
+    "StoreBudgetError",
+    "StoreBudgets",
+    "StoreCircuitOpenError",
+    "StorePolicy",
+    "StorePurpose",
     "StoredObject",
     "WeightSource",
 ]
--- /dev/null
+++ b/egretrouter/backends/_guarded_store.py
@@ -0,0 +1,264 @@
+"""Keep calls to the object API within budgets, and survive its outages."""
+
+import asyncio
+import random
+import time
+from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable, Mapping
+from enum import Enum
+from typing import Any, TypeVar
+
+import msgspec
+
+from egretrouter.backends._ports import ObjectStore, StoredObject
+from egretrouter.core.errors import (
+    BackendUnavailableError,
+    LostAnswerError,
+    ObjectMissingError,
+    RateLimitedError,
+)
+from egretrouter.core.limits._circuit_breaker import CircuitBreaker
+from egretrouter.core.limits._token_bucket import TokenBucket
+
+Result = TypeVar("Result")
+
+
+class StorePurpose(Enum):
+    """Name what a call to the store is for; each purpose has a budget of its own."""
+
+    CONFIGURATION = "configuration"
+    FENCING = "fencing"
+    CLAIMS = "claims"
+    PUBLISH = "publish"
+
+
+class StoreBudget(msgspec.Struct, frozen=True, kw_only=True):
+    """Limit the calls of one process for one purpose."""
+
+    calls_per_second: float
+    burst: float
+
+
+DEFAULT_BUDGETS: Mapping[StorePurpose, StoreBudget] = {
+    StorePurpose.CONFIGURATION: StoreBudget(calls_per_second=1.0, burst=20.0),
+    StorePurpose.FENCING: StoreBudget(calls_per_second=1.0, burst=10.0),
+    StorePurpose.CLAIMS: StoreBudget(calls_per_second=5.0, burst=20.0),
+    StorePurpose.PUBLISH: StoreBudget(calls_per_second=20.0, burst=100.0),
+}
+
+
+class StorePolicy(msgspec.Struct, frozen=True, kw_only=True):
+    """State how long to wait for the store and how often to try again."""
+
+    timeout_seconds: float = 2.0
+    attempts: int = 3
+    first_backoff_seconds: float = 0.1
+    longest_backoff_seconds: float = 5.0
+    watch_timeout_seconds: float = 60.0
+    """A watch that showed nothing for so long is opened again, since it may be broken."""
+
+    longest_watch_backoff_seconds: float = 15.0
+
+
+class StoreBudgetError(BackendUnavailableError):
+    """The process has spent its budget of calls for a purpose."""
+
+
+class StoreCircuitOpenError(BackendUnavailableError):
+    """Calls are held back because the store failed several times in a row."""
+
+
+class StoreBudgets:
+    """Hold the token buckets and the circuit breaker that a process's wrappers share."""
+
+    def __init__(
+        self,
+        *,
+        budgets: Mapping[StorePurpose, StoreBudget] = DEFAULT_BUDGETS,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        """Start with full buckets."""
+        self.clock = clock
+        self.breaker = CircuitBreaker()
+        self.calls = dict.fromkeys(budgets, 0)
+        self._buckets = {
+            purpose: TokenBucket(
+                rate_per_second=budget.calls_per_second, burst=budget.burst, now_seconds=clock()
+            )
+            for purpose, budget in budgets.items()
+        }
+
+    def admit(self, purpose: StorePurpose) -> None:
+        """Count one call.
+
+        Raises StoreCircuitOpenError or StoreBudgetError.
+        """
+        now = self.clock()
+        # The budget comes first, so that a refused trial does not keep the breaker half open.
+        if not self._buckets[purpose].take(now_seconds=now):
+            raise StoreBudgetError(f"the budget of store calls for {purpose.value!r} is spent")
+        if not self.breaker.allows(now_seconds=now):
+            raise StoreCircuitOpenError("calls to the store are held back after failures")
+        self.calls[purpose] += 1
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return values for the state dump."""
+        return {
+            "breaker": self.breaker.state.value,
+            "calls": {purpose.value: count for purpose, count in self.calls.items()},
+        }
+
+
+class GuardedStore:
+    """Wrap an ObjectStore for one purpose with budgets, timeouts, retries and a breaker."""
+
+    def __init__(
+        self,
+        store: ObjectStore,
+        *,
+        purpose: StorePurpose,
+        budgets: StoreBudgets,
+        rng: random.Random,
+        policy: StorePolicy | None = None,
+        sleep: Callable[[float], Awaitable[None]] = asyncio.sleep,
+    ) -> None:
+        """Wrap a store; sleep is replaced in tests."""
+        self._store = store
+        self._purpose = purpose
+        self._budgets = budgets
+        self._rng = rng
+        self._policy = policy or StorePolicy()
+        self._sleep = sleep
+
+    async def get(self, key: str) -> StoredObject:
+        """Read one object, trying again within the budget.
+
+        Raises ObjectMissingError or BackendUnavailableError.
+        """
+        return await self._retrying(lambda: self._store.get(key))
+
+    async def list(self, prefix: str) -> "list[StoredObject]":
+        """Read all objects below a prefix, trying again within the budget.
+
+        Raises BackendUnavailableError.
+        """
+        return await self._retrying(lambda: self._store.list(prefix))
+
+    async def put(self, key: str, content: bytes, *, expected_version: int | None = None) -> int:
+        """Write one object once.
+
+        Raises VersionConflictError, RateLimitedError or BackendUnavailableError, and
+        LostAnswerError if the write may have taken effect: only the caller can tell by reading
+        back, so it is never sent twice here.
+        """
+        return await self._writing(
+            lambda: self._store.put(key, content, expected_version=expected_version)
+        )
+
+    async def delete(self, key: str, *, expected_version: int | None = None) -> None:
+        """Delete one object once.
+
+        Raises what put raises.
+        """
+        await self._writing(lambda: self._store.delete(key, expected_version=expected_version))
+
+    async def watch(self, key: str, *, after_version: int) -> AsyncIterator[StoredObject]:
+        """Yield each newer version for ever; after a gap, read the object before watching on.
+
+        Never raises for an outage: it backs off and resynchronizes.
+        """
+        seen = after_version
+        failures = 0
+        while True:
+            try:
+                current = await self._read_or_none(key)
+                if current is not None and current.version > seen:
+                    seen = current.version
+                    yield current
+                self._budgets.admit(self._purpose)
+                watch = self._store.watch(key, after_version=seen)
+                try:
+                    while (found := await self._next(watch)) is not None:
+                        failures = 0
+                        self._budgets.breaker.succeeded()
+                        if found.version > seen:
+                            seen = found.version
+                            yield found
+                finally:
+                    # A waiting watch counts as a call, so it must not outlive its reader.
+                    if isinstance(watch, AsyncGenerator):
+                        await watch.aclose()
+            except BackendUnavailableError as error:
+                failures += 1
+                wait = self._backoff(failures, self._policy.longest_watch_backoff_seconds)
+                if isinstance(error, RateLimitedError):
+                    wait = max(wait, error.retry_after_seconds)
+                await self._sleep(wait)
+
+    async def _next(self, watch: AsyncIterator[StoredObject]) -> StoredObject | None:
+        """Return the next value, or None once the watch has been quiet for long."""
+        try:
+            async with asyncio.timeout(self._policy.watch_timeout_seconds):
+                return await anext(watch)
+        except TimeoutError:
+            return None
+        except StopAsyncIteration:
+            raise BackendUnavailableError("the store ended a watch") from None
+        except BackendUnavailableError:
+            self._budgets.breaker.failed(now_seconds=self._budgets.clock())
+            raise
+
+    async def _read_or_none(self, key: str) -> StoredObject | None:
+        try:
+            return await self._calling(lambda: self._store.get(key))
+        except ObjectMissingError:
+            return None
+
+    async def _retrying(self, call: Callable[[], Awaitable[Result]]) -> Result:
+        for attempt in range(1, self._policy.attempts + 1):
+            try:
+                return await self._calling(call)
+            except (StoreBudgetError, StoreCircuitOpenError):
+                raise
+            except BackendUnavailableError as error:
+                if attempt == self._policy.attempts:
+                    raise
+                wait = self._backoff(attempt, self._policy.longest_backoff_seconds)
+                if isinstance(error, RateLimitedError):
+                    wait = max(wait, error.retry_after_seconds)
+                await self._sleep(wait)
+        raise AssertionError("unreachable: the last attempt returns or raises")
+
+    async def _writing(self, call: Callable[[], Awaitable[Result]]) -> Result:
+        try:
+            return await self._calling(call)
+        except _AnswerTimeoutError as error:
+            raise LostAnswerError(str(error)) from error
+
+    async def _calling(self, call: Callable[[], Awaitable[Result]]) -> Result:
+        """Make one call, and tell the breaker whether the store answered."""
+        self._budgets.admit(self._purpose)
+        breaker = self._budgets.breaker
+        try:
+            async with asyncio.timeout(self._policy.timeout_seconds):
+                result = await call()
+        except TimeoutError:
+            breaker.failed(now_seconds=self._budgets.clock())
+            seconds = self._policy.timeout_seconds
+            raise _AnswerTimeoutError(f"the store did not answer within {seconds} s") from None
+        except (BackendUnavailableError, LostAnswerError):
+            breaker.failed(now_seconds=self._budgets.clock())
+            raise
+        except Exception:
+            # A conflict or a missing object is an answer, so the store works.
+            breaker.succeeded()
+            raise
+        breaker.succeeded()
+        return result
+
+    def _backoff(self, attempt: int, longest_seconds: float) -> float:
+        delay = min(self._policy.first_backoff_seconds * 2.0 ** min(attempt, 20), longest_seconds)
+        return delay * (0.5 + self._rng.random() / 2)
+
+
+class _AnswerTimeoutError(BackendUnavailableError):
+    """The store did not answer in time."""
