--- a/egretrouter/core/membership/_table.py
+++ b/egretrouter/core/membership/_table.py
@@ -27,6 +27,8 @@
 FLAP_HALF_LIFE_SECONDS = 60.0
 LONGEST_DAMPING_SECONDS = 60.0
 
+_ENCODER = msgspec.msgpack.Encoder()
+
 
 class Merge(Enum):
     """Name what became of a statement about a member."""
@@ -63,8 +65,16 @@
     if member.status is MemberStatus.DEAD:
         return 0
     leaving = member.status is MemberStatus.LEAVING
-    text = f"{member.instance_id}\0{member.incarnation}\0{leaving}\0{member.facts_version}"
-    return xxhash.xxh3_64_intdigest(text.encode())
+    # The address and facts tell two lives of a process apart that began with one incarnation.
+    values = (
+        member.instance_id,
+        member.address,
+        member.incarnation,
+        leaving,
+        member.facts_version,
+        member.facts,
+    )
+    return xxhash.xxh3_64_intdigest(_ENCODER.encode(values))
 
 
 class MemberTable:
@@ -74,7 +84,7 @@
         """Start empty; the table holds the other members, never its owner."""
         self._rng = rng
         self.entries: dict[InstanceId, Entry] = {}
-        self._buckets: list[set[InstanceId]] = [set() for _ in range(BUCKETS)]
+        self._buckets: list[dict[InstanceId, None]] = [{} for _ in range(BUCKETS)]
         self._digests = [0] * BUCKETS
         self._live: list[InstanceId] = []
         self._live_position: dict[InstanceId, int] = {}
@@ -144,7 +154,7 @@
     def _set(self, entry: Entry) -> None:
         member = entry.member
         self.entries[member.instance_id] = entry
-        self._buckets[bucket_of(member.instance_id)].add(member.instance_id)
+        self._buckets[bucket_of(member.instance_id)][member.instance_id] = None
         self._toggle_digest(member)
         self._note_liveness(member, entry.changed_at_seconds)
 
@@ -198,7 +208,7 @@
     def _remove(self, instance_id: InstanceId) -> None:
         del self._dead_until[instance_id]
         del self.entries[instance_id]
-        self._buckets[bucket_of(instance_id)].discard(instance_id)
+        self._buckets[bucket_of(instance_id)].pop(instance_id, None)
         self._queue.pop(instance_id, None)
 
     @property
