Take orders to engines through the order lease and the guarded store

Cause: the agent took a fencing number with code of its own that knew neither pauses nor lost answers, and every call to the store went out without a budget. Change: the lease service carries out the order lease; configuration and fencing use the store with a budget for each purpose, backoff and a circuit breaker. Conclusion: an agent that was overtaken gives no order.

--- a/egretrouter/core/fencing.py
+++ b/egretrouter/core/fencing.py
@@ -123,6 +123,11 @@
         """Return the fencing number while it is held."""
         return Epoch(self._number) if self._state is LeaseState.HELD else None
 
+    @property
+    def is_lost(self) -> bool:
+        """Tell whether another agent has a higher number."""
+        return self._state is LeaseState.LOST
+
     def snapshot(self) -> dict[str, Any]:
         """Return values for the state dump."""
         return {
--- a/egretrouter/daemons/_agent.py
+++ b/egretrouter/daemons/_agent.py
@@ -16,16 +16,16 @@
     HttpEngine,
     HttpWeightSource,
     InstanceState,
+    StorePurpose,
     WeightSource,
 )
 from egretrouter.core.calls import CallRegistry, EpochRead, VersionsLoaded
-from egretrouter.core.configuration import Configuration, DistributionFile
+from egretrouter.core.configuration import Configuration, DistributionFile, EndpointFile
 from egretrouter.core.errors import (
     BackendError,
     EgretrouterError,
-    ObjectMissingError,
     OrderError,
-    VersionConflictError,
+    StaleFencingNumberError,
 )
 from egretrouter.core.identifiers import (
     Digest,
@@ -76,6 +76,7 @@
 from egretrouter.daemons._agent_calls import CallsServicer
 from egretrouter.daemons._copies import CopyPeer, CopyService
 from egretrouter.daemons._endpoint import EndpointClient, endpoint_session
+from egretrouter.daemons._lease import OrderLeaseService
 from egretrouter.daemons._metrics import AgentMetrics
 from egretrouter.daemons._peers import PeersServicer
 from egretrouter.daemons._process import ProcessService
@@ -83,7 +84,6 @@
 
 TICK_SECONDS = 0.5
 REPORT_SECONDS = 1.0
-LEASE_RETRY_SECONDS = 1.0
 JOIN_SECONDS = 8.0
 JOIN_POLL_SECONDS = 0.1
 BITS_PER_BYTE = 8
@@ -109,8 +109,8 @@
         self.calls: CallsServicer
         self.copies: CopyService | None = None
         self.engine: HttpEngine | None = None
+        self.lease: OrderLeaseService | None = None
         self._endpoint_session: aiohttp.ClientSession
-        self._fencing_number: int | None = None
         self._facts = ReplicaFacts(instance_id=self.instance_id, zone=self.zone)
         self._admitted: set[Digest] = set()
         self._versions: dict[Digest, VersionReference] = {}
@@ -132,7 +132,7 @@
                 now_seconds=time.monotonic(),
             ),
             endpoint=EndpointClient(base_url=endpoint.url, session=self._endpoint_session),
-            confirm_epoch=lambda: self._spawn(self._confirm_lease()),
+            confirm_epoch=self._confirm_epoch_soon,
         )
         peers = PeersServicer(dump=self.dump)
         await self.start_process(
@@ -158,8 +158,9 @@
     async def on_stop(self) -> None:
         """Close what stands before the endpoint."""
         await self.calls.close()
-        if self.copies is not None:
-            await self.copies.stop()
+        for service in (self.copies, self.lease):
+            if service is not None:
+                await service.stop()
         await self._endpoint_session.close()
         await super().on_stop()
 
@@ -180,18 +181,30 @@
             placement.replicas for placement in service.placement if placement.zone == self.zone
         )
         if self.copies is None:
-            self._start_engine(configuration, order_giver=service.endpoint.checks_order_giver)
+            self._start_engine(configuration, service.endpoint)
         self._assign(configuration)
 
-    def _start_engine(self, configuration: Configuration, *, order_giver: bool) -> None:
+    def _start_engine(self, configuration: Configuration, checks: EndpointFile) -> None:
         settings = self.agent_settings
         self.engine = HttpEngine(
             self.session,
             base_url=settings.endpoint.url,
             endpoint_id=EndpointId(settings.endpoint.endpoint_id),
-            order_giver=settings.instance_id if order_giver else None,
+            order_giver=settings.instance_id if checks.checks_order_giver else None,
             load_timeout_seconds=settings.load_timeout_seconds,
         )
+        self.lease = OrderLeaseService(
+            engine=self.engine,
+            endpoint_id=EndpointId(settings.endpoint.endpoint_id),
+            instance_id=self.instance_id,
+            checks_fencing=checks.checks_fencing,
+            checks_order_giver=checks.checks_order_giver,
+            lease_seconds=settings.lease_seconds,
+            store=self.guarded_store(StorePurpose.FENCING),
+            rng=random.Random(self.rng.random()),
+            beacon=self.beacon,
+        )
+        self._spawn(self.add_runtime_dependency(self.lease))
         distribution = configuration.deployment.distribution
         self.copies = CopyService(
             own=Peer(
@@ -410,6 +423,7 @@
             async with self._orders:
                 await self._order_load(command)
         except EgretrouterError as error:
+            self._note_refusal(error)
             log_message("agent:load_failed", digest=digest, error=str(error))
             self._tell(LoadEnded(manifest_digest=digest, reason=str(error)))
             return
@@ -444,28 +458,31 @@
                         fencing_number=await self._lease(),
                     )
         except EgretrouterError as error:
+            self._note_refusal(error)
             log_message("agent:unload_failed", error=str(error))
 
+    def _note_refusal(self, error: EgretrouterError) -> None:
+        if isinstance(error, StaleFencingNumberError) and self.lease is not None:
+            self.lease.found_stale()
+
     async def _lease(self) -> int:
-        """Take the fencing number of the endpoint once and keep it."""
-        while self._fencing_number is None:
-            key = f"fencing/{self.agent_settings.endpoint.endpoint_id}"
-            try:
-                try:
-                    stored = await self.store.get(key)
-                    number, version = int(stored.content) + 1, stored.version
-                except ObjectMissingError:
-                    number, version = 1, 0
-                await self.store.put(key, str(number).encode(), expected_version=version)
-                self._fencing_number = number
-            except VersionConflictError:
-                continue
-            except BackendError:
-                await asyncio.sleep(LEASE_RETRY_SECONDS)
-        return self._fencing_number
-
-    async def _confirm_lease(self) -> None:
-        self.calls.apply(EpochRead(epoch=self.calls.registry.epoch))
+        if self.lease is None:
+            raise OrderError("no engine stands behind this agent")
+        return await self.lease.permission()
+
+    def _confirm_epoch_soon(self) -> None:
+        # The registry asks while it handles a message, so the answer waits for its end.
+        asyncio.get_running_loop().call_soon(self._confirm_epoch)
+
+    def _confirm_epoch(self) -> None:
+        """Admit calls again after a pause, unless another agent took the endpoint over.
+
+        Calls need no answer of the store: each names this process's epoch, so one that was sent
+        to another process can't run here.
+        """
+        lost = self.lease is not None and self.lease.lease.is_lost
+        epoch = Epoch(0) if lost else self.calls.registry.epoch
+        self.calls.apply(EpochRead(epoch=epoch))
 
     @Service.task
     async def _tick(self) -> None:
@@ -520,7 +537,7 @@
         return {
             **super().dump(),
             "service": self.service,
-            "fencing_number": self._fencing_number,
+            "lease": self.lease.lease.snapshot() if self.lease is not None else None,
             "admitted": sorted(self._admitted),
             "draining": self._draining,
             "calls": self.calls.snapshot(),
--- a/egretrouter/daemons/_process.py
+++ b/egretrouter/daemons/_process.py
@@ -10,7 +10,15 @@
 from aiohttp import web
 from mode import Service
 
-from egretrouter.backends import HttpInstanceList, HttpObjectStore, ObjectStore
+from egretrouter.backends import (
+    GuardedStore,
+    HttpInstanceList,
+    HttpObjectStore,
+    ObjectStore,
+    StoreBudgets,
+    StorePolicy,
+    StorePurpose,
+)
 from egretrouter.core.identifiers import InstanceId, ZoneId
 from egretrouter.core.membership import Member, MemberRole, Seed
 from egretrouter.core.settings import ListenSettings, ProcessSettings, SecuritySettings
@@ -62,7 +70,8 @@
         self.peer_address = ""
         self.operators_port = 0
         self.control: ControlService
-        self.store: ObjectStore
+        self.store_budgets: StoreBudgets
+        self._object_store: ObjectStore
         self.session: aiohttp.ClientSession
         self._server: Any = None
         self._runners: list[web.AppRunner] = []
@@ -80,7 +89,7 @@
         self.peer_address = f"{listen.reachable_address}:{port}"
         self.control = ControlService(
             own=self._own_member(),
-            store=self.store,
+            store=self.guarded_store(StorePurpose.CONFIGURATION),
             instance_list=(
                 HttpInstanceList(
                     self.session,
@@ -114,13 +123,24 @@
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=PLATFORM_CONNECTIONS)
         )
-        self.store = HttpObjectStore(
+        self.store_budgets = StoreBudgets()
+        self._object_store = HttpObjectStore(
             self.session,
             base_url=platform.object_store_url,
             timeout_seconds=platform.timeout_seconds,
             watch_seconds=platform.watch_seconds,
         )
 
+    def guarded_store(self, purpose: StorePurpose) -> ObjectStore:
+        """Return the store with the budget of one purpose."""
+        return GuardedStore(
+            self._object_store,
+            purpose=purpose,
+            budgets=self.store_budgets,
+            rng=random.Random(self.rng.random()),
+            policy=StorePolicy(timeout_seconds=self.settings.platform.timeout_seconds),
+        )
+
     async def listen_http(
         self, application: web.Application, listen: ListenSettings, **options: Any
     ) -> int:
@@ -156,6 +176,7 @@
             "peer_address": self.peer_address,
             "ready": self.ready,
             "control": self.control.snapshot(),
+            "store": self.store_budgets.snapshot(),
         }
 
     def _own_member(self) -> Member:
