--- a/egretrouter/core/rollout/_rollout.py
+++ b/egretrouter/core/rollout/_rollout.py
@@ -330,7 +330,8 @@
             commands = self._serve(loaded)
             if old is not None and old.manifest_digest in self._engine:
                 commands += self._unload(old)
-            # Adapters may have gone with the old base model.
+            # Adapters may have gone with the old base model, so the report is out of date.
+            self._engine = None
             return [*commands, ReadEngine()]
         self._phase = Phase.COPYING
         if loaded == self._restoring:
--- a/egretrouter/core/weights/_messages.py
+++ b/egretrouter/core/weights/_messages.py
@@ -258,7 +258,7 @@
     fallback_seconds: float = 3.0
     ask_timeout_seconds: float = 1.0
     fallback_depth: int = 4
-    max_extensions: int = 5
+    max_extensions: int = 10
     deadline_initial_seconds: float = 4.0
     deadline_min_seconds: float = 1.0
     deadline_max_seconds: float = 20.0
--- a/tests/test_weights_stores.py
+++ b/tests/test_weights_stores.py
@@ -38,6 +38,17 @@
                     own = peer.instance_id
                     assert changed.rank_masks(zone, own) == fresh.rank_masks(zone, own)
 
+    def test_owners_that_leave_one_by_one_are_replaced_by_the_next(self) -> None:
+        peers = make_peers(30, zones=1, regions=1)
+        changed = Ownership(chunk_digests=DIGESTS)
+        while len(peers) > 4:
+            changed.update(peers)
+            fresh = Ownership(chunk_digests=DIGESTS)
+            fresh.update(peers)
+            for index in map(ChunkIndex, range(len(DIGESTS))):
+                assert changed.owners(index, ZoneId("z0")) == fresh.owners(index, ZoneId("z0"))
+            peers.pop(len(peers) // 2)
+
     def test_every_chunk_has_one_best_owner_in_each_zone(self) -> None:
         peers = make_peers(30, zones=3, regions=3)
         ownership = Ownership(chunk_digests=DIGESTS)
@@ -158,6 +169,16 @@
         assert not agent.try_spend(1, now_seconds=114.0)
         assert agent.try_spend(1, now_seconds=116.0)
 
+    def test_a_grant_expires_and_is_spent_once(self) -> None:
+        agent = OriginAllowance(
+            zone_bytes_per_minute=0, instance_id=InstanceId("a"), joined_seconds=0.0
+        )
+        agent.receive(100, now_seconds=0.0)
+        assert agent.try_spend(60, now_seconds=1.0)
+        assert not agent.try_spend(60, now_seconds=2.0)
+        agent.receive(100, now_seconds=3.0)
+        assert not agent.try_spend(60, now_seconds=14.0)
+
     def test_a_share_is_never_above_that_of_the_expected_members(self) -> None:
         """An agent that sees only itself must not take the whole zone's share."""
         agent = OriginAllowance(
