Forward claims between routers in the fault driver

Cause: a claim can be placed by the shard's owner and, after a lost answer, by its own router too; the driver did not cover that.

Change: half of the claims go to another router's book, and the own router places the same claim after 0.5 s without an end. Test modules are shorter.

--- a/tests/calls_router.py
+++ b/tests/calls_router.py
@@ -82,27 +82,40 @@
     def _RecordTarget(  # noqa: N802
         self, call: Call, command: calls.RecordTarget, replaces: calls.ClaimEntry | None = None
     ) -> None:
-        self.claim(
-            calls.PlaceClaim(
-                key_digest=call.key or "",
-                workspace=WorkspaceId("w"),
-                fingerprint=Digest("f"),
-                claim_id=call.id,
-                router_id=self.id,
-                attempt=command.attempt,
-                target=command.target,
-                deadline_at_seconds=call.deadline,
-                replaces=replaces,
-            )
+        place = calls.PlaceClaim(
+            key_digest=call.key or "",
+            workspace=WorkspaceId("w"),
+            fingerprint=Digest("f"),
+            claim_id=call.id,
+            router_id=self.id,
+            attempt=command.attempt,
+            target=command.target,
+            deadline_at_seconds=call.deadline,
+            replaces=replaces,
         )
+        world, owner = self.world, self.world.random.choice(self.world.routers)
+        if owner is self:
+            self.claim(place)
+            return
+        # Forwarded to a router that is taken for the owner; without an answer it is placed here.
+        world.at(world.delay(), owner, lambda: owner.claim(place))
+        world.at(0.5, self, lambda: None if call.attempt.ended else self.claim(place))
 
     def claim(self, message: Any) -> None:
         for command in self.book.handle(message, now_seconds=self.world.now):
             if isinstance(command, calls.ClaimDecided):
-                self.decided(self.calls[CallId(command.claim_id)], command)
+                self.answer(command)
             else:
                 self.world.store(self, command)
 
+    def answer(self, decided: calls.ClaimDecided) -> None:
+        call = self.world.by_id[CallId(decided.claim_id)]
+        router = call.router
+        if router is self:
+            self.decided(call, decided)
+        elif router is not None:
+            self.world.at(self.world.delay(), router, lambda: router.decided(call, decided))
+
     def decided(self, call: Call, decided: calls.ClaimDecided) -> None:
         attempt, verdict = decided.attempt, decided.verdict
         call.decided = decided
@@ -131,6 +144,7 @@
             return
         if judged is SettledClaim.REPLAY and reply is not None and decided.entry is not None:
             self.end_claim(call, decided.entry.claim_id, ClaimStatus.FINISHED, reply.content)
+        call.decided = decided
         self.handle(call, calls.TargetDenied(attempt=decided.attempt, held_elsewhere=True))
 
     def end_claim(
--- a/tests/calls_world.py
+++ b/tests/calls_world.py
@@ -15,10 +15,7 @@
 
 END_SECONDS = 40.0
 REGISTRY_LIMITS = calls.RegistryLimits(
-    running_calls=2,
-    kept_answer_seconds=1.0,
-    router_lost_seconds=1.0,
-    lease_seconds=5.0,
+    running_calls=2, kept_answer_seconds=1.0, router_lost_seconds=1.0, lease_seconds=5.0
 )
 
 
@@ -95,6 +92,7 @@
         self.count = 0
         self.executions: list[CallId] = []
         self.calls: list[Call] = []
+        self.by_id: dict[CallId, Call] = {}
         self.object = (0, b"")
         self.store_process = Process("store")
         self.every_agent: dict[InstanceId, Agent] = {}
@@ -135,10 +133,7 @@
             self.at(self.delay(), router, lambda: router.handle(call, message))
 
     def settle(
-        self,
-        router: Router,
-        target: calls.Target,
-        done: Callable[[calls.ReplySettle | None], None],
+        self, router: Router, target: calls.Target, done: Callable[[calls.ReplySettle | None], None]
     ) -> None:
         answered: list[bool] = []
 
@@ -153,9 +148,7 @@
                 self.at(self.delay(), router, lambda: reply(answer))
 
         message = calls.SettleCall(
-            call_id=target.call_id,
-            epoch=target.epoch,
-            expires_at_seconds=target.expires_at_seconds,
+            call_id=target.call_id, epoch=target.epoch, expires_at_seconds=target.expires_at_seconds
         )
         agent = self.agents[target.address]
         if self.random.random() > 0.1:
@@ -212,6 +205,7 @@
             return
         call = Call(CallId(f"c{len(self.calls)}"), key=key, idempotent=idempotent)
         self.calls.append(call)
+        self.by_id[call.id] = call
         router = self.random.choice(self.routers)
         self.at(0.0, router, lambda: router.begin(call))
 
@@ -271,9 +265,8 @@
         """Return each broken promise."""
         runs: dict[str, int] = defaultdict(int)
         key_runs: dict[str, int] = defaultdict(int)
-        by_id = {call.id: call for call in self.calls}
         for call_id in self.executions:
-            call = by_id[CallId(call_id.rpartition(".")[0])]
+            call = self.by_id[CallId(call_id.rpartition(".")[0])]
             runs[call.id] += 1
             if call.key is not None:
                 key_runs[call.key] += 1
@@ -287,13 +280,13 @@
                 found.append(f"{call.id} ran {count} times")
             if call.result == Outcome.NOT_RUN.value and count:
                 found.append(f"{call.id} is not_run but ran")
-            if call.result in {"whole", "replay"} and not self._is_answer(call, by_id):
+            if call.result in {"whole", "replay"} and not self._is_answer(call):
                 found.append(f"{call.id} got {call.content!r}")
         return found
 
-    def _is_answer(self, call: Call, by_id: dict[CallId, Call]) -> bool:
+    def _is_answer(self, call: Call) -> bool:
         source = CallId(call.content.removeprefix(b"answer of ").decode())
         if source not in self.executions or call.content != b"".join(self.pieces(source)):
             return False
-        origin = by_id[CallId(source.rpartition(".")[0])]
+        origin = self.by_id[CallId(source.rpartition(".")[0])]
         return origin is call or (call.key is not None and origin.key == call.key)
--- a/tests/test_calls_attempt.py
+++ b/tests/test_calls_attempt.py
@@ -4,90 +4,61 @@
 
 import pytest
 
-from egretrouter.core.calls import (
-    AnswerBody,
-    AnswerChecksum,
-    AnswerData,
-    AnswerEnd,
-    AnswerFailure,
-    AnswerHead,
-    AttemptCommand,
-    AttemptRules,
-    CallAttempt,
-    CallState,
-    ChooseEndpoint,
-    ClaimEnd,
-    CloseClaim,
-    DeadlineReached,
-    DeferToClaim,
-    EndpointChosen,
-    FailCaller,
-    FinishCaller,
-    ForwardToCaller,
-    FrameArrived,
-    HedgeDue,
-    LinkLost,
-    NoEndpoint,
-    RecordTarget,
-    SendCancel,
-    SendOpen,
-    SendResume,
-    SendSettle,
-    SettleAnswered,
-    SettleFailed,
-    Target,
-    TargetDenied,
-    TargetRecorded,
-)
+from egretrouter.core import calls
 from egretrouter.core.errors import Outcome
 from egretrouter.core.identifiers import CallId, Digest, Epoch, InstanceId
 
-HEAD = AnswerHead(status=200)
-REFUSED = AnswerFailure(outcome=Outcome.NOT_RUN, reason="full")
+HEAD = calls.AnswerHead(status=200)
+REFUSED = calls.AnswerFailure(outcome=Outcome.NOT_RUN, reason="full")
 
 
 class Call:
     """Drive one attempt and keep what its caller got."""
 
     def __init__(self, **rules: Any) -> None:
-        self.attempt = CallAttempt(CallId("c"), rules=AttemptRules(**rules))
+        self.attempt = calls.CallAttempt(CallId("c"), rules=calls.AttemptRules(**rules))
         self.attempt.start()
 
-    def send(self, message: Any) -> list[AttemptCommand]:
+    def send(self, message: Any) -> list[calls.AttemptCommand]:
         return self.attempt.handle(message, now_seconds=0.0)
 
-    def choose(self, number: int = 1, *, version: str = "v1") -> list[AttemptCommand]:
-        target = Target(
+    def choose(self, number: int = 1, *, version: str = "v1") -> list[calls.AttemptCommand]:
+        target = calls.Target(
             agent_id=InstanceId(f"agent-{number}"),
             address="127.0.0.1:1",
             epoch=Epoch(1),
             call_id=self.attempt.target_call_id(number),
             expires_at_seconds=30.0,
         )
-        return self.send(EndpointChosen(target=target, version_digest=Digest(version)))
+        return self.send(calls.EndpointChosen(target=target, version_digest=Digest(version)))
 
-    def frames(self, *bodies: AnswerBody, attempt: int = 1, first: int = 0) -> list[AttemptCommand]:
-        commands: list[AttemptCommand] = []
+    def frames(
+        self, *bodies: calls.AnswerBody, attempt: int = 1, first: int = 0
+    ) -> list[calls.AttemptCommand]:
+        commands: list[calls.AttemptCommand] = []
         for sequence, body in enumerate(bodies, start=first):
-            commands += self.send(FrameArrived(attempt=attempt, sequence=sequence, body=body))
+            commands += self.send(calls.FrameArrived(attempt=attempt, sequence=sequence, body=body))
         return commands
 
 
-def answer(*pieces: bytes, call_id: str = "c.1") -> list[AnswerBody]:
-    checksum = AnswerChecksum(CallId(call_id))
-    bodies: list[AnswerHead | AnswerData] = [HEAD, *(AnswerData(data=p) for p in pieces)]
+def answer(*pieces: bytes, call_id: str = "c.1") -> list[calls.AnswerBody]:
+    checksum = calls.AnswerChecksum(CallId(call_id))
+    bodies: list[calls.AnswerHead | calls.AnswerData] = [
+        HEAD,
+        *(calls.AnswerData(data=p) for p in pieces),
+    ]
     for body in bodies:
         checksum.add(body)
     return [*bodies, checksum.end()]
 
 
-def failed(commands: list[AttemptCommand]) -> Outcome | None:
-    return next((c.outcome for c in commands if isinstance(c, FailCaller)), None)
+def failed(commands: list[calls.AttemptCommand]) -> Outcome | None:
+    return next((c.outcome for c in commands if isinstance(c, calls.FailCaller)), None)
 
 
-def content(commands: list[AttemptCommand]) -> bytes:
-    bodies = [c.body for c in commands if isinstance(c, ForwardToCaller)]
-    return b"".join(body.data for body in bodies if isinstance(body, AnswerData))
+def content(commands: list[calls.AttemptCommand]) -> bytes:
+    bodies = [c.body for c in commands if isinstance(c, calls.ForwardToCaller)]
+    return b"".join(body.data for body in bodies if isinstance(body, calls.AnswerData))
 
 
 class TestWholeAnswer:
@@ -95,28 +66,28 @@
 
     def test_forwards_and_finishes(self) -> None:
         call = Call(idempotent=False)
-        assert isinstance(call.choose()[0], SendOpen)
+        assert isinstance(call.choose()[0], calls.SendOpen)
         commands = call.frames(*answer(b"ab", b"c"))
         assert content(commands) == b"abc"
-        assert commands[-1] == FinishCaller()
+        assert commands[-1] == calls.FinishCaller()
 
     @pytest.mark.parametrize(
         "bodies",
         [
             answer(b"ab", call_id="other.1"),
-            [*answer(b"ab")[:-1], AnswerEnd(total_bytes=1, checksum=0)],
-            [HEAD, AnswerData(data=b"xb"), answer(b"ab")[-1]],
+            [*answer(b"ab")[:-1], calls.AnswerEnd(total_bytes=1, checksum=0)],
+            [HEAD, calls.AnswerData(data=b"xb"), answer(b"ab")[-1]],
             [HEAD, HEAD],
-            [AnswerData(data=b"ab")],
+            [calls.AnswerData(data=b"ab")],
         ],
         ids=["swapped", "count", "corrupted", "two heads", "no head"],
     )
-    def test_anything_else_is_an_explicit_error(self, bodies: list[AnswerBody]) -> None:
+    def test_anything_else_is_an_explicit_error(self, bodies: list[calls.AnswerBody]) -> None:
         call = Call(idempotent=True)
         call.choose()
         commands = call.frames(*bodies)
         assert failed(commands) is Outcome.UNKNOWN
-        assert FinishCaller() not in commands
+        assert calls.FinishCaller() not in commands
 
     def test_ignores_repeated_frames_and_asks_for_missing_ones(self) -> None:
         call = Call(idempotent=False)
@@ -124,8 +95,8 @@
         head, first, second, end = answer(b"ab", b"c")
         call.frames(head, first)
         assert call.frames(first, first=1) == []
-        assert isinstance(call.frames(end, first=3)[0], SendResume)
-        assert call.frames(second, end, first=2)[-1] == FinishCaller()
+        assert isinstance(call.frames(end, first=3)[0], calls.SendResume)
+        assert call.frames(second, end, first=2)[-1] == calls.FinishCaller()
 
 
 class TestRetry:
@@ -135,54 +106,54 @@
         call = Call(idempotent=False)
         call.choose()
         (command,) = call.frames(REFUSED)
-        assert isinstance(command, ChooseEndpoint)
+        assert isinstance(command, calls.ChooseEndpoint)
         assert command.avoid_agents == {InstanceId("agent-1")}
-        assert failed(call.send(NoEndpoint())) is Outcome.NOT_RUN
+        assert failed(call.send(calls.NoEndpoint())) is Outcome.NOT_RUN
 
     @pytest.mark.parametrize(
         ("state", "expected"),
         [
-            (CallState.TOMBSTONED, ChooseEndpoint),
-            (CallState.REFUSED, ChooseEndpoint),
-            (CallState.RUNNING, SendResume),
-            (CallState.FINISHED, SendResume),
-            (CallState.OTHER_EPOCH, FailCaller),
-            (CallState.FORGOTTEN, FailCaller),
-            (CallState.FAILED, FailCaller),
+            (calls.CallState.TOMBSTONED, calls.ChooseEndpoint),
+            (calls.CallState.REFUSED, calls.ChooseEndpoint),
+            (calls.CallState.RUNNING, calls.SendResume),
+            (calls.CallState.FINISHED, calls.SendResume),
+            (calls.CallState.OTHER_EPOCH, calls.FailCaller),
+            (calls.CallState.FORGOTTEN, calls.FailCaller),
+            (calls.CallState.FAILED, calls.FailCaller),
         ],
     )
-    def test_lost_link_is_settled_first(self, state: CallState, expected: type) -> None:
+    def test_lost_link_is_settled_first(self, state: calls.CallState, expected: type) -> None:
         call = Call(idempotent=False)
         call.choose()
-        assert isinstance(call.send(LinkLost(attempt=1))[0], SendSettle)
-        commands = call.send(SettleAnswered(attempt=1, state=state))
+        assert isinstance(call.send(calls.LinkLost(attempt=1))[0], calls.SendSettle)
+        commands = call.send(calls.SettleAnswered(attempt=1, state=state))
         assert isinstance(commands[0], expected)
         assert failed(commands) in {None, Outcome.UNKNOWN}
 
     def test_unreachable_agent_leaves_the_outcome_unknown(self) -> None:
         call = Call(idempotent=False)
         call.choose()
-        commands = call.send(LinkLost(attempt=1))
+        commands = call.send(calls.LinkLost(attempt=1))
         for _ in range(3):
-            commands = call.send(SettleFailed(attempt=1))
+            commands = call.send(calls.SettleFailed(attempt=1))
         assert failed(commands) is Outcome.UNKNOWN
 
     def test_tombstone_after_a_frame_is_not_believed(self) -> None:
         call = Call(idempotent=False)
         call.choose()
         call.frames(HEAD)
-        call.send(LinkLost(attempt=1))
-        commands = call.send(SettleAnswered(attempt=1, state=CallState.TOMBSTONED))
+        call.send(calls.LinkLost(attempt=1))
+        commands = call.send(calls.SettleAnswered(attempt=1, state=calls.CallState.TOMBSTONED))
         assert failed(commands) is Outcome.UNKNOWN
 
     def test_idempotent_call_goes_elsewhere_until_a_byte_was_forwarded(self) -> None:
         call = Call(idempotent=True)
         call.choose()
-        assert isinstance(call.send(LinkLost(attempt=1))[0], ChooseEndpoint)
+        assert isinstance(call.send(calls.LinkLost(attempt=1))[0], calls.ChooseEndpoint)
         call.choose(2)
         call.frames(HEAD, attempt=2)
-        call.send(LinkLost(attempt=2))
-        commands = call.send(SettleAnswered(attempt=2, state=CallState.OTHER_EPOCH))
+        call.send(calls.LinkLost(attempt=2))
+        commands = call.send(calls.SettleAnswered(attempt=2, state=calls.CallState.OTHER_EPOCH))
         assert failed(commands) is Outcome.UNKNOWN
 
     @pytest.mark.parametrize(
@@ -201,13 +172,13 @@
         call = Call(idempotent=True, repeatable_answer=True)
         call.choose()
         commands = call.frames(*answer(b"abc")[:-1])
-        call.send(LinkLost(attempt=1))
-        (choose,) = call.send(SettleAnswered(attempt=1, state=CallState.OTHER_EPOCH))
-        assert isinstance(choose, ChooseEndpoint)
+        call.send(calls.LinkLost(attempt=1))
+        (choose,) = call.send(calls.SettleAnswered(attempt=1, state=calls.CallState.OTHER_EPOCH))
+        assert isinstance(choose, calls.ChooseEndpoint)
         assert choose.version_digest == "v1"
         commands += call.choose(2, version=version)
         commands += call.frames(*answer(*again, call_id="c.2"), attempt=2)
-        assert (FinishCaller() in commands) is whole
+        assert (calls.FinishCaller() in commands) is whole
         assert content(commands) == (b"abcd" if whole else b"abc")
 
 
@@ -218,15 +189,15 @@
     def test_hedges_only_idempotent_calls(self, idempotent: bool) -> None:
         call = Call(idempotent=idempotent, hedged=True)
         call.choose()
-        assert bool(call.send(HedgeDue())) is idempotent
+        assert bool(call.send(calls.HedgeDue())) is idempotent
 
     def test_first_answer_wins_and_the_other_is_cancelled(self) -> None:
         call = Call(idempotent=True, hedged=True)
         call.choose()
-        call.send(HedgeDue())
+        call.send(calls.HedgeDue())
         call.choose(2)
         commands = call.frames(*answer(b"two", call_id="c.2"), attempt=2)
-        assert isinstance(commands[0], SendCancel)
+        assert isinstance(commands[0], calls.SendCancel)
         assert commands[0].attempt == 1
         assert content(commands + call.frames(*answer(b"one"))) == b"two"
 
@@ -236,37 +207,43 @@
 
     def test_every_target_is_recorded_before_it_gets_the_call(self) -> None:
         call = Call(idempotent=False, keyed=True)
-        assert isinstance(call.choose()[0], RecordTarget)
-        assert isinstance(call.send(TargetRecorded(attempt=1))[0], SendOpen)
+        assert isinstance(call.choose()[0], calls.RecordTarget)
+        assert isinstance(call.send(calls.TargetRecorded(attempt=1))[0], calls.SendOpen)
         call.frames(REFUSED)
-        assert isinstance(call.choose(2)[0], RecordTarget)
+        assert isinstance(call.choose(2)[0], calls.RecordTarget)
 
     @pytest.mark.parametrize(
         ("message", "outcome", "end"),
         [
-            (TargetDenied(attempt=1, held_elsewhere=False), Outcome.NOT_RUN, ClaimEnd.RELEASED),
-            (DeadlineReached(), Outcome.NOT_RUN, ClaimEnd.RELEASED),
+            (
+                calls.TargetDenied(attempt=1, held_elsewhere=False),
+                Outcome.NOT_RUN,
+                calls.ClaimEnd.RELEASED,
+            ),
+            (calls.DeadlineReached(), Outcome.NOT_RUN, calls.ClaimEnd.RELEASED),
         ],
     )
     def test_claim_that_was_not_recorded_is_released(
-        self, message: Any, outcome: Outcome, end: ClaimEnd
+        self, message: Any, outcome: Outcome, end: calls.ClaimEnd
     ) -> None:
         call = Call(idempotent=False, keyed=True)
         call.choose()
         commands = call.send(message)
         assert failed(commands) is outcome
-        assert commands[-1] == CloseClaim(end=end)
-        assert call.send(TargetRecorded(attempt=1)) == []
+        assert commands[-1] == calls.CloseClaim(end=end)
+        assert call.send(calls.TargetRecorded(attempt=1)) == []
 
     def test_key_held_elsewhere_is_left_alone(self) -> None:
         call = Call(idempotent=False, keyed=True)
         call.choose()
-        assert call.send(TargetDenied(attempt=1, held_elsewhere=True)) == [DeferToClaim()]
+        assert call.send(calls.TargetDenied(attempt=1, held_elsewhere=True)) == [
+            calls.DeferToClaim()
+        ]
 
     def test_deadline_after_sending_leaves_the_claim_to_be_settled(self) -> None:
         call = Call(idempotent=False, keyed=True)
         call.choose()
-        call.send(TargetRecorded(attempt=1))
-        commands = call.send(DeadlineReached())
+        call.send(calls.TargetRecorded(attempt=1))
+        commands = call.send(calls.DeadlineReached())
         assert failed(commands) is Outcome.UNKNOWN
-        assert commands[-1] == CloseClaim(end=ClaimEnd.UNSETTLED)
+        assert commands[-1] == calls.CloseClaim(end=calls.ClaimEnd.UNSETTLED)
--- a/tests/test_calls_registry.py
+++ b/tests/test_calls_registry.py
@@ -4,34 +4,7 @@
 
 import pytest
 
-from egretrouter.core.calls import (
-    AdmitCall,
-    AnswerData,
-    AnswerEnd,
-    AnswerFailure,
-    AnswerHead,
-    AnswerProduced,
-    CallFailed,
-    CallFinished,
-    CallRegistry,
-    CallStarted,
-    CallState,
-    CancelCall,
-    ConfirmEpoch,
-    Drain,
-    Drained,
-    EpochRead,
-    RegistryCommand,
-    RegistryLimits,
-    ReplySettle,
-    ResumeCall,
-    RouterLost,
-    SendFrame,
-    SettleCall,
-    StartCall,
-    StopCall,
-    Tick,
-)
+from egretrouter.core import calls
 from egretrouter.core.errors import Outcome
 from egretrouter.core.identifiers import CallId, Digest, Epoch, InstanceId
 
@@ -39,15 +12,20 @@
 VERSION = Digest("v1")
 
 
-def registry(**limits: Any) -> CallRegistry:
-    return CallRegistry(
-        epoch=Epoch(1), version_digest=VERSION, limits=RegistryLimits(**limits), now_seconds=0.0
+def registry(**limits: Any) -> calls.CallRegistry:
+    return calls.CallRegistry(
+        epoch=Epoch(1),
+        version_digest=VERSION,
+        limits=calls.RegistryLimits(**limits),
+        now_seconds=0.0,
     )
 
 
-def admit(name: str = "a", *, epoch: int = 1, expires: float = 30.0, **other: Any) -> AdmitCall:
+def admit(
+    name: str = "a", *, epoch: int = 1, expires: float = 30.0, **other: Any
+) -> calls.AdmitCall:
     fields = {"version_digest": VERSION, "idempotent": False, **other}
-    return AdmitCall(
+    return calls.AdmitCall(
         call_id=CallId(name),
         router_id=ROUTER,
         epoch=Epoch(epoch),
@@ -56,30 +34,32 @@
     )
 
 
-def settle(name: str = "a", *, epoch: int = 1, expires: float = 30.0) -> SettleCall:
-    return SettleCall(call_id=CallId(name), epoch=Epoch(epoch), expires_at_seconds=expires)
+def settle(name: str = "a", *, epoch: int = 1, expires: float = 30.0) -> calls.SettleCall:
+    return calls.SettleCall(call_id=CallId(name), epoch=Epoch(epoch), expires_at_seconds=expires)
 
 
-def refusal(commands: list[RegistryCommand]) -> str:
+def refusal(commands: list[calls.RegistryCommand]) -> str:
     (command,) = commands
-    assert isinstance(command, SendFrame)
-    assert isinstance(command.body, AnswerFailure)
+    assert isinstance(command, calls.SendFrame)
+    assert isinstance(command.body, calls.AnswerFailure)
     assert command.body.outcome is Outcome.NOT_RUN
     return command.body.reason
 
 
-def settled(agent: CallRegistry, message: SettleCall, now: float) -> ReplySettle:
+def settled(agent: calls.CallRegistry, message: calls.SettleCall, now: float) -> calls.ReplySettle:
     (reply,) = agent.handle(message, now_seconds=now)
-    assert isinstance(reply, ReplySettle)
+    assert isinstance(reply, calls.ReplySettle)
     return reply
 
 
-def finish(agent: CallRegistry, name: str = "a", *, now: float = 1.0, data: bytes = b"x") -> None:
+def finish(
+    agent: calls.CallRegistry, name: str = "a", *, now: float = 1.0, data: bytes = b"x"
+) -> None:
     call_id = CallId(name)
-    agent.handle(CallStarted(call_id=call_id), now_seconds=now)
-    for body in (AnswerHead(status=201), AnswerData(data=data)):
-        agent.handle(AnswerProduced(call_id=call_id, body=body), now_seconds=now)
-    agent.handle(CallFinished(call_id=call_id), now_seconds=now)
+    agent.handle(calls.CallStarted(call_id=call_id), now_seconds=now)
+    for body in (calls.AnswerHead(status=201), calls.AnswerData(data=data)):
+        agent.handle(calls.AnswerProduced(call_id=call_id, body=body), now_seconds=now)
+    agent.handle(calls.CallFinished(call_id=call_id), now_seconds=now)
 
 
 class TestAdmission:
@@ -87,7 +67,7 @@
 
     def test_starts_a_call_once_and_ignores_copies(self) -> None:
         agent = registry()
-        assert agent.handle(admit(), now_seconds=0.0) == [StartCall(call_id=CallId("a"))]
+        assert agent.handle(admit(), now_seconds=0.0) == [calls.StartCall(call_id=CallId("a"))]
         assert agent.handle(admit(), now_seconds=0.1) == []
         finish(agent)
         assert agent.handle(admit(), now_seconds=9.0) == []
@@ -100,7 +80,7 @@
             (admit(expires=0.0), "expired"),
         ],
     )
-    def test_refuses_with_a_type(self, message: AdmitCall, reason: str) -> None:
+    def test_refuses_with_a_type(self, message: calls.AdmitCall, reason: str) -> None:
         assert refusal(registry().handle(message, now_seconds=0.0)) == reason
 
     def test_refused_call_stays_refused_once_there_is_room(self) -> None:
@@ -109,14 +89,14 @@
         assert refusal(agent.handle(admit("b"), now_seconds=0.0)) == "full"
         finish(agent, "a")
         assert refusal(agent.handle(admit("b"), now_seconds=2.0)) == "full"
-        assert agent.handle(admit("c"), now_seconds=2.0) == [StartCall(call_id=CallId("c"))]
+        assert agent.handle(admit("c"), now_seconds=2.0) == [calls.StartCall(call_id=CallId("c"))]
 
     def test_refused_call_stays_refused_when_ids_did_not_fit(self) -> None:
         agent = registry(remembered_calls=1, settle_seconds=0.0, kept_answer_seconds=1.0)
         agent.handle(admit("a", expires=2.0), now_seconds=0.0)
         finish(agent, "a")
-        assert settled(agent, settle("b", expires=9.0), 1.0).state is CallState.TOMBSTONED
-        agent.handle(Tick(), now_seconds=5.0)
+        assert settled(agent, settle("b", expires=9.0), 1.0).state is calls.CallState.TOMBSTONED
+        agent.handle(calls.Tick(), now_seconds=5.0)
         assert refusal(agent.handle(admit("b", expires=9.0), now_seconds=5.0)) == "full"
         assert agent.handle(admit("c", expires=9.5), now_seconds=5.0)
 
@@ -125,30 +105,32 @@
         agent.handle(admit(), now_seconds=0.0)
         finish(agent)
         for second in range(2, 200):
-            agent.handle(Tick(), now_seconds=float(second))
+            agent.handle(calls.Tick(), now_seconds=float(second))
         assert agent.snapshot()["remembered"] == 0
         (frame,) = agent.handle(admit(), now_seconds=200.0)
-        assert isinstance(frame, SendFrame)
-        assert isinstance(frame.body, AnswerFailure)
+        assert isinstance(frame, calls.SendFrame)
+        assert isinstance(frame.body, calls.AnswerFailure)
         assert (frame.body.reason, frame.body.outcome) == ("expired", Outcome.UNKNOWN)
-        assert settled(agent, settle(), 200.0).state is CallState.FORGOTTEN
+        assert settled(agent, settle(), 200.0).state is calls.CallState.FORGOTTEN
 
     def test_drains_after_the_last_call(self) -> None:
         agent = registry()
         agent.handle(admit(), now_seconds=0.0)
-        assert agent.handle(Drain(), now_seconds=0.0) == []
+        assert agent.handle(calls.Drain(), now_seconds=0.0) == []
         assert refusal(agent.handle(admit("b"), now_seconds=0.0)) == "draining"
-        agent.handle(CallStarted(call_id=CallId("a")), now_seconds=0.0)
-        assert Drained() in agent.handle(CallFinished(call_id=CallId("a")), now_seconds=1.0)
+        agent.handle(calls.CallStarted(call_id=CallId("a")), now_seconds=0.0)
+        assert calls.Drained() in agent.handle(
+            calls.CallFinished(call_id=CallId("a")), now_seconds=1.0
+        )
 
     def test_long_pause_stops_admission_until_the_epoch_is_read_again(self) -> None:
         agent = registry()
         commands = agent.handle(admit("a", expires=99.0), now_seconds=60.0)
-        assert commands[0] == ConfirmEpoch()
+        assert commands[0] == calls.ConfirmEpoch()
         assert refusal(commands[1:]) == "epoch_unconfirmed"
-        agent.handle(EpochRead(epoch=Epoch(2)), now_seconds=61.0)
+        agent.handle(calls.EpochRead(epoch=Epoch(2)), now_seconds=61.0)
         assert refusal(agent.handle(admit("b", expires=99.0), now_seconds=61.0))
-        agent.handle(EpochRead(epoch=Epoch(1)), now_seconds=61.0)
+        agent.handle(calls.EpochRead(epoch=Epoch(1)), now_seconds=61.0)
         assert agent.handle(admit("c", expires=99.0), now_seconds=61.0)
 
 
@@ -157,23 +139,23 @@
 
     def test_unknown_call_can_never_run(self) -> None:
         agent = registry()
-        assert settled(agent, settle(), 0.0).state is CallState.TOMBSTONED
+        assert settled(agent, settle(), 0.0).state is calls.CallState.TOMBSTONED
         assert refusal(agent.handle(admit(), now_seconds=1.0)) == "tombstoned"
 
     def test_other_epoch_knows_nothing(self) -> None:
-        assert settled(registry(), settle(epoch=2), 0.0).state is CallState.OTHER_EPOCH
+        assert settled(registry(), settle(epoch=2), 0.0).state is calls.CallState.OTHER_EPOCH
 
     def test_gives_the_kept_answer_then_only_the_state(self) -> None:
         agent = registry()
         agent.handle(admit(), now_seconds=0.0)
-        assert settled(agent, settle(), 0.0).state is CallState.ADMITTED
+        assert settled(agent, settle(), 0.0).state is calls.CallState.ADMITTED
         finish(agent, now=5.0, data=b"contract")
         reply = settled(agent, settle(), 6.0)
-        assert (reply.state, reply.content) == (CallState.FINISHED, b"contract")
+        assert (reply.state, reply.content) == (calls.CallState.FINISHED, b"contract")
         for second in range(6, 40):
-            agent.handle(Tick(), now_seconds=float(second))
+            agent.handle(calls.Tick(), now_seconds=float(second))
         reply = settled(agent, settle(), 40.0)
-        assert (reply.state, reply.content) == (CallState.FINISHED, None)
+        assert (reply.state, reply.content) == (calls.CallState.FINISHED, None)
 
     def test_byte_bound_drops_idempotent_answers_first_and_no_id(self) -> None:
         agent = registry(kept_answer_bytes=1500)
@@ -185,16 +167,16 @@
         assert agent.handle(admit("b"), now_seconds=2.0) == []
 
     @pytest.mark.parametrize(
-        ("started", "state"), [(False, CallState.REFUSED), (True, CallState.FAILED)]
+        ("started", "state"), [(False, calls.CallState.REFUSED), (True, calls.CallState.FAILED)]
     )
     def test_failure_is_not_run_only_before_the_start(
-        self, started: bool, state: CallState
+        self, started: bool, state: calls.CallState
     ) -> None:
         agent = registry()
         agent.handle(admit(), now_seconds=0.0)
         if started:
-            agent.handle(CallStarted(call_id=CallId("a")), now_seconds=0.0)
-        agent.handle(CallFailed(call_id=CallId("a")), now_seconds=1.0)
+            agent.handle(calls.CallStarted(call_id=CallId("a")), now_seconds=0.0)
+        agent.handle(calls.CallFailed(call_id=CallId("a")), now_seconds=1.0)
         assert settled(agent, settle(), 2.0).state is state
 
 
@@ -205,32 +187,34 @@
         agent = registry()
         agent.handle(admit(), now_seconds=0.0)
         finish(agent)
-        resume = ResumeCall(call_id=CallId("a"), router_id=ROUTER, next_sequence=1)
-        frames = [c for c in agent.handle(resume, now_seconds=2.0) if isinstance(c, SendFrame)]
+        resume = calls.ResumeCall(call_id=CallId("a"), router_id=ROUTER, next_sequence=1)
+        frames = [
+            c for c in agent.handle(resume, now_seconds=2.0) if isinstance(c, calls.SendFrame)
+        ]
         assert [frame.sequence for frame in frames] == [1, 2]
-        assert isinstance(frames[-1].body, AnswerEnd)
+        assert isinstance(frames[-1].body, calls.AnswerEnd)
 
     def test_resume_from_a_dropped_frame_fails(self) -> None:
         agent = registry(call_buffer_bytes=200)
         agent.handle(admit(), now_seconds=0.0)
         finish(agent, data=b"x" * 300)
-        resume = ResumeCall(call_id=CallId("a"), router_id=ROUTER, next_sequence=0)
+        resume = calls.ResumeCall(call_id=CallId("a"), router_id=ROUTER, next_sequence=0)
         (frame,) = agent.handle(resume, now_seconds=2.0)
-        assert isinstance(frame, SendFrame)
-        assert isinstance(frame.body, AnswerFailure)
+        assert isinstance(frame, calls.SendFrame)
+        assert isinstance(frame.body, calls.AnswerFailure)
         assert frame.body.outcome is Outcome.UNKNOWN
 
     @pytest.mark.parametrize("idempotent", [True, False])
     def test_lost_router_stops_only_idempotent_calls(self, idempotent: bool) -> None:
         agent = registry()
         agent.handle(admit(idempotent=idempotent), now_seconds=0.0)
-        agent.handle(CallStarted(call_id=CallId("a")), now_seconds=0.0)
-        agent.handle(RouterLost(router_id=ROUTER), now_seconds=1.0)
-        assert agent.handle(Tick(), now_seconds=5.9) == []
-        stopped = StopCall(call_id=CallId("a")) in agent.handle(Tick(), now_seconds=6.0)
+        agent.handle(calls.CallStarted(call_id=CallId("a")), now_seconds=0.0)
+        agent.handle(calls.RouterLost(router_id=ROUTER), now_seconds=1.0)
+        assert agent.handle(calls.Tick(), now_seconds=5.9) == []
+        stopped = calls.StopCall(call_id=CallId("a")) in agent.handle(calls.Tick(), now_seconds=6.0)
         assert stopped is idempotent
 
     def test_cancel_before_the_call_arrives_forbids_it(self) -> None:
         agent = registry()
-        agent.handle(CancelCall(call_id=CallId("a"), expires_at_seconds=9.0), now_seconds=0.0)
+        agent.handle(calls.CancelCall(call_id=CallId("a"), expires_at_seconds=9.0), now_seconds=0.0)
         assert refusal(agent.handle(admit(expires=9.0), now_seconds=1.0)) == "tombstoned"
