Bound waits by own open calls, and treat near-equal endpoints as equal

Cause: an endpoint that hung without reports looked idle, and estimates that differed by microseconds sent every call to one of several equal endpoints. Change: the oldest own call without a first token bounds the estimate from below; costs within a millisecond are ties in random order. Calls too late for the endpoint are refused in the queue.

--- a/benchmarks/baselines/__init__.py
+++ b/benchmarks/baselines/__init__.py
@@ -1,6 +1,7 @@
 """Hold the simple policies that benchmarks compare with."""
 
 from benchmarks.baselines.routing import (
+    BoundedPrefixHash,
     LeastOutstanding,
     LeastReported,
     Policy,
@@ -10,6 +11,7 @@
 )
 
 __all__ = [
+    "BoundedPrefixHash",
     "LeastOutstanding",
     "LeastReported",
     "Policy",
--- a/benchmarks/baselines/routing.py
+++ b/benchmarks/baselines/routing.py
@@ -1,5 +1,6 @@
 """Choose endpoints by simple rules, for comparison."""
 
+import math
 import random
 from typing import Protocol
 
@@ -108,3 +109,18 @@
         key = request.prompt_blocks[: self.blocks][-1]
         left = [e for e in self.endpoints if e not in request.excluded]
         return max(left, key=lambda e: xxhash.xxh3_64_intdigest(f"{key}/{e}".encode()))
+
+
+class BoundedPrefixHash(LeastOutstanding):
+    """Choose by prefix hash among endpoints within a bound of the mean of own calls."""
+
+    blocks = 4
+    bound = 1.25
+
+    def pick(self, request: RouteRequest, *, now_seconds: float) -> EndpointId | None:
+        """Return the first endpoint by hash that is within the bound."""
+        key = request.prompt_blocks[: self.blocks][-1]
+        left = [e for e in self.endpoints if e not in request.excluded]
+        limit = math.ceil(self.bound * (sum(self.counts[e] for e in left) + 1) / len(left))
+        within = [e for e in left if self.counts[e] + 1 <= limit]
+        return max(within, key=lambda e: xxhash.xxh3_64_intdigest(f"{key}/{e}".encode()))
--- a/benchmarks/routing.py
+++ b/benchmarks/routing.py
@@ -92,12 +92,14 @@
     result: dict[str, object] = {}
     p95 = {}
     for name, loads in (("alone", small), ("beside_large", {**small, "large": 4.5})):
-        scenario = Scenario(
-            policy="selector", seed=seed, limits=True, workspace_loads=loads, duration_seconds=150.0
-        )
-        run = RoutingModel(scenario).run()
-        waits = [wait for workspace in SMALL for wait in run.waits(workspace)]
-        refused = sum(c.refused for c in run.measured() if c.workspace in SMALL)
+        runs = [
+            RoutingModel(
+                Scenario(policy="selector", seed=seed + n, limits=True, workspace_loads=loads)
+            ).run()
+            for n in range(2)
+        ]
+        waits = [wait for run in runs for workspace in SMALL for wait in run.waits(workspace)]
+        refused = sum(c.refused for run in runs for c in run.measured() if c.workspace in SMALL)
         p95[name] = quantile(waits, 0.95)
         result[name] = {
             "calls": len(waits),
@@ -117,14 +119,17 @@
             seed=seed,
             engines=9,
             load=0.6,
-            outage_from_seconds=30.0,
+            warm_up_seconds=60.0,
+            outage_from_seconds=60.0,
+            duration_seconds=120.0,
             retry_budget=budget,
         )
-        run = RoutingModel(scenario).run()
+        calls = RoutingModel(scenario).run().measured()
+        attempts = sum(c.attempts for c in calls)
         result[name] = {
-            "calls": len(run.calls),
-            "added_attempts_share": round(run.attempts / len(run.calls) - 1, 4),
-            "failed_share": round(sum(c.refused for c in run.calls) / len(run.calls), 4),
+            "calls": len(calls),
+            "added_attempts_share": round(attempts / len(calls) - 1, 4),
+            "failed_share": round(sum(c.refused for c in calls) / len(calls), 4),
         }
     return result
 
--- a/benchmarks/routing_model.py
+++ b/benchmarks/routing_model.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from benchmarks.baselines import (
+    BoundedPrefixHash,
     LeastOutstanding,
     LeastReported,
     Policy,
@@ -77,7 +78,7 @@
     output_tokens: float = 60.0
     deadline_seconds: float = 2.0
     limits: bool = False
-    target_wait_seconds: float = 0.25
+    target_wait_seconds: float = 0.13
     workspace_loads: dict[str, float] | None = None
     outage_from_seconds: float | None = None
     outage_share: float = 1 / 3
@@ -126,6 +127,7 @@
     "least_outstanding": LeastOutstanding,
     "least_reported": LeastReported,
     "prefix_hash": PrefixHash,
+    "prefix_hash_bounded": BoundedPrefixHash,
 }
 
 
@@ -203,7 +205,7 @@
         if self.run.scenario.limits:
             spent = clock.now_seconds - call.arrived_seconds
             left = self.run.scenario.deadline_seconds - spent
-            request = msgspec.structs.replace(request, deadline_seconds=left)
+            request = msgspec.structs.replace(request, deadline_seconds=left, urgent=call.urgent)
         endpoint_id = self.policy.pick(request, now_seconds=clock.now_seconds)
         if endpoint_id is None:
             call.refused = True
--- a/egretrouter/core/limits/_admission.py
+++ b/egretrouter/core/limits/_admission.py
@@ -68,12 +68,16 @@
         if refusal is not None:
             return [_refuse(message.call_id, *refusal)]
         self._calls[message.call_id] = _Admitted(message.workspace_id, message.tokens)
+        # A call that leaves the queue just before its deadline would miss it at the endpoint and
+        # waste the endpoint's work. Half the deadline bounds what one slow time can refuse.
         result = self._queue.offer(
             message.call_id,
             message.workspace_id,
             weight=self._limiter.weight(message.workspace_id),
             priority=message.priority,
-            deadline_at_seconds=now_seconds + message.deadline_seconds,
+            deadline_at_seconds=now_seconds
+            + message.deadline_seconds
+            - min(self._concurrency.likely_wait_seconds, message.deadline_seconds / 2),
             now_seconds=now_seconds,
         )
         commands: list[LimitsCommand] = []
--- a/egretrouter/core/limits/_budgets.py
+++ b/egretrouter/core/limits/_budgets.py
@@ -3,7 +3,8 @@
 import random
 from enum import Enum
 
-BUDGET_LIMIT = 20.0
+# Many small routers save up at once; 5 each keeps their sum small beside a minute's calls.
+BUDGET_LIMIT = 5.0
 WAIT_STEP_SHARE = 0.05
 
 
--- a/egretrouter/core/limits/_concurrency.py
+++ b/egretrouter/core/limits/_concurrency.py
@@ -2,6 +2,8 @@
 
 INCREASE_CALLS = 1.0
 DECREASE_FACTOR = 0.9
+WAIT_SHARE = 0.05
+MINIMUM_SAMPLES = 5
 
 
 class AdaptiveConcurrency:
@@ -14,7 +16,7 @@
     def __init__(
         self,
         *,
-        target_wait_seconds: float = 0.25,
+        target_wait_seconds: float = 0.13,
         initial_calls: float = 8.0,
         minimum_calls: float = 1.0,
         maximum_calls: float = 1024.0,
@@ -29,9 +31,16 @@
         self._waits: list[float] = []
         self._overloaded = False
         self._was_full = False
+        self._mean_wait_seconds = 0.0
+        self._deviation_seconds = 0.0
         self.limit_calls = initial_calls
         self.in_flight = 0
 
+    @property
+    def likely_wait_seconds(self) -> float:
+        """Return a wait at the endpoints that most calls stay below."""
+        return self._mean_wait_seconds + 2.0 * self._deviation_seconds
+
     def has_room(self) -> bool:
         """Tell whether another call may start."""
         room = self.in_flight + 1 <= self.limit_calls
@@ -45,6 +54,9 @@
     def first_token_seen(self, *, wait_seconds: float, now_seconds: float) -> None:
         """Take in the wait of one call."""
         self._waits.append(wait_seconds)
+        error = wait_seconds - self._mean_wait_seconds
+        self._mean_wait_seconds += WAIT_SHARE * error
+        self._deviation_seconds += WAIT_SHARE * (abs(error) - self._deviation_seconds)
         self._adapt(now_seconds)
 
     def ended(self, *, overloaded: bool, now_seconds: float) -> None:
@@ -58,7 +70,9 @@
         return {"limit_calls": self.limit_calls, "in_flight": self.in_flight}
 
     def _adapt(self, now_seconds: float) -> None:
-        if now_seconds < self._window_end_seconds or not (self._waits or self._overloaded):
+        # Single waits vary with the prompt's length; a few of them say nothing about load.
+        enough = len(self._waits) >= MINIMUM_SAMPLES or self._overloaded
+        if now_seconds < self._window_end_seconds or not enough:
             return
         self._window_end_seconds = now_seconds + self._window_seconds
         mean = sum(self._waits) / len(self._waits) if self._waits else 0.0
--- a/egretrouter/core/routing/_load.py
+++ b/egretrouter/core/routing/_load.py
@@ -3,6 +3,7 @@
 import math
 from collections import deque
 
+from egretrouter.core.identifiers import CallId
 from egretrouter.core.routing._messages import SelectorSettings
 
 RECENT_CALLS_LIMIT = 64
@@ -27,6 +28,7 @@
         self.level_at_seconds = -math.inf
         self.report_at_seconds: float | None = None
         self._finished: tuple[float, int, int] | None = None
+        self._waiting: dict[CallId, float] = {}
         self._recent: deque[tuple[float, float]] = deque(maxlen=RECENT_CALLS_LIMIT)
 
     def report(
@@ -40,10 +42,15 @@
             self._learn_service(queued_calls, finished_calls_total, measured_at_seconds)
         self._observe(queued_calls * self.service_seconds, measured_at_seconds, weight=1.0)
 
-    def call_sent(self, *, work_seconds: float, now_seconds: float) -> None:
+    def call_sent(self, call_id: CallId, *, work_seconds: float, now_seconds: float) -> None:
         """Count an own call with the prefill work that it brings."""
+        self._waiting[call_id] = now_seconds + work_seconds
         self._recent.append((now_seconds, work_seconds))
 
+    def stopped_waiting(self, call_id: CallId) -> None:
+        """Note that an own call has its first token or is over."""
+        self._waiting.pop(call_id, None)
+
     def first_token(
         self, *, wait_seconds: float, uncached_tokens: int, sent_at_seconds: float
     ) -> None:
@@ -67,7 +74,11 @@
             age = now_seconds - sent_at
             if sent_at > self.level_at_seconds:
                 pressure += work * math.exp(-age / settings.own_memory_seconds)
-        return level + pressure * (1.0 + settings.others_weight * (routers - 1))
+        estimate = level + pressure * (1.0 + settings.others_weight * (routers - 1))
+        # A new call is not served before own calls that still wait. Without this an endpoint
+        # that hangs and reports nothing would look idle.
+        oldest_due = next(iter(self._waiting.values()), now_seconds)
+        return max(estimate, now_seconds - oldest_due)
 
     def _aged_level(self, now_seconds: float) -> float:
         if self.level_at_seconds == -math.inf:
--- a/egretrouter/core/routing/_messages.py
+++ b/egretrouter/core/routing/_messages.py
@@ -132,6 +132,8 @@
     request_bytes: int = 0
     deadline_seconds: float | None = None
     """Time left until the first token is due."""
+    urgent: bool = False
+    """The endpoint serves the call ahead of its queue."""
     excluded: frozenset[EndpointId] = frozenset()
     """Endpoints that earlier attempts of this call have used."""
 
--- a/egretrouter/core/routing/_selector.py
+++ b/egretrouter/core/routing/_selector.py
@@ -36,6 +36,7 @@
 NO_ENDPOINT_RETRY_SECONDS = 1.0
 SECOND_LOOK_CANDIDATES = 32
 PLACE_LEARNING_SHARE = 0.02
+TIE_SECONDS = 0.001
 
 
 class _OpenCall:
@@ -165,7 +166,7 @@
         uncached = message.prompt_tokens - cached
         load = self._loads[message.endpoint_id]
         work = uncached * load.token_seconds if message.prompt_tokens else load.service_seconds
-        load.call_sent(work_seconds=work, now_seconds=now_seconds)
+        load.call_sent(message.call_id, work_seconds=work, now_seconds=now_seconds)
         self._index.store(message.endpoint_id, message.prompt_blocks)
         self._calls[message.call_id] = _OpenCall(
             message, uncached_tokens=uncached, now_seconds=now_seconds
@@ -184,6 +185,7 @@
         load = self._loads.get(call.endpoint_id)
         if load is None:
             return []
+        load.stopped_waiting(message.call_id)
         uncached = call.uncached_tokens
         if message.cached_tokens is not None:
             uncached = max(0, call.prompt_tokens - message.cached_tokens)
@@ -199,14 +201,14 @@
 
     @handle.register
     def _(self, message: CallEnded, *, now_seconds: float) -> list[EndpointEjected]:
-        call = self._calls.pop(message.call_id, None)
+        call = self._close(message.call_id)
         if call is not None:
             self._outliers.succeeded(call.endpoint_id, now_seconds=now_seconds)
         return []
 
     @handle.register
     def _(self, message: CallFailed, *, now_seconds: float) -> list[EndpointEjected]:
-        call = self._calls.pop(message.call_id, None)
+        call = self._close(message.call_id)
         endpoint = self._pools.endpoints.get(call.endpoint_id) if call is not None else None
         if endpoint is None:
             return []
@@ -284,6 +286,13 @@
             },
         }
 
+    def _close(self, call_id: CallId) -> _OpenCall | None:
+        call = self._calls.pop(call_id, None)
+        load = self._loads.get(call.endpoint_id) if call is not None else None
+        if load is not None:
+            load.stopped_waiting(call_id)
+        return call
+
     def _candidates(
         self, pool: Pool, request: RouteRequest, now_seconds: float
     ) -> list[EndpointId]:
@@ -340,7 +349,9 @@
     ) -> _Scored | None:
         place = next(iter(self._places(pool, request.prompt_blocks)), None)
         scored = [self._score(e, request, now_seconds, placed=e == place) for e in candidates]
-        return min(scored, key=lambda s: s.cost_seconds, default=None)
+        # Candidates are in random order behind those for the prefix. Estimates are not exact to
+        # a millisecond, and an exact order would send every call to the same one of equals.
+        return min(scored, key=lambda s: int(s.cost_seconds / TIE_SECONDS), default=None)
 
     def _score(
         self, endpoint_id: EndpointId, request: RouteRequest, now_seconds: float, *, placed: bool
@@ -354,6 +365,9 @@
             likely = max(cached, int(self._place_trust * request.prompt_tokens))
         prefill = (request.prompt_tokens - likely) * load.token_seconds
         backlog = load.backlog_seconds(routers=self._routers, now_seconds=now_seconds)
+        if request.urgent:
+            # Only the call in prefill is ahead of an urgent one.
+            backlog = min(backlog, load.service_seconds)
         distance = self._distance_seconds(endpoint, request, now_seconds)
         wait = backlog + prefill + distance
         margin = self._settings.spill_margin_seconds if endpoint.zone != self._zone else 0.0
--- a/tests/test_limits_admission.py
+++ b/tests/test_limits_admission.py
@@ -208,21 +208,46 @@
 
     def test_the_limit_falls_with_long_waits_and_grows_when_full(self) -> None:
         concurrency = AdaptiveConcurrency(initial_calls=8)
-        for number in range(20):
-            concurrency.first_token_seen(wait_seconds=2.0, now_seconds=float(number))
+        for number in range(100):
+            concurrency.first_token_seen(wait_seconds=2.0, now_seconds=number * 0.2)
         lowered = concurrency.limit_calls
         assert 1.0 <= lowered < 4.0
-        for number in range(20, 40):
+        for number in range(100, 200):
             concurrency.in_flight = 100
             concurrency.has_room()
-            concurrency.first_token_seen(wait_seconds=0.01, now_seconds=float(number))
+            concurrency.first_token_seen(wait_seconds=0.01, now_seconds=number * 0.2)
         assert concurrency.limit_calls == pytest.approx(lowered + 20)
 
+    def test_few_long_waits_do_not_lower_the_limit(self) -> None:
+        concurrency = AdaptiveConcurrency(initial_calls=8)
+        for number in range(4):
+            concurrency.first_token_seen(wait_seconds=2.0, now_seconds=float(number))
+        assert concurrency.limit_calls == 8
+
+    def test_a_small_workspace_starts_above_the_full_limit_and_urgently(self) -> None:
+        target = admission(calls=4, concurrent_calls=100)
+        for number in range(10):
+            arrive(target, str(number))
+        started = [arrive(target, f"small{number}", SMALL) for number in range(4)]
+        urgent = [command for commands in started for command in commands]
+        assert urgent == [StartCall(call_id=CallId(f"small{n}"), urgent=True) for n in range(2)]
+
+    def test_a_call_too_late_for_the_endpoint_is_refused_in_the_queue(self) -> None:
+        target = admission(calls=1, concurrent_calls=100)
+        arrive(target, "a")
+        for number in range(200):
+            answer = CallStartedAnswer(call_id=CallId("a"), wait_seconds=1.0)
+            target.handle(answer, now_seconds=number * 0.1)
+        arrive(target, "b", now=20.0, deadline_seconds=4.0)
+        (refusal,) = target.handle(LimitsTick(), now_seconds=23.5)
+        assert isinstance(refusal, RefuseCall)
+        assert refusal.reason is LimitReason.DEADLINE
+
     def test_waits_reported_to_admission_lower_the_limit(self) -> None:
         target = admission(calls=4, concurrent_calls=100)
         target.handle(LiveRoutersCounted(routers=2), now_seconds=0.0)
         arrive(target, "a")
-        for number in range(30):
+        for number in range(150):
             answer = CallStartedAnswer(call_id=CallId("a"), wait_seconds=3.0)
-            target.handle(answer, now_seconds=float(number))
+            target.handle(answer, now_seconds=number * 0.2)
         assert arrive(target, "b", now=31.0) == []
--- a/tests/test_routing_selector.py
+++ b/tests/test_routing_selector.py
@@ -14,6 +14,7 @@
     ServiceName,
     ZoneId,
 )
+from egretrouter.core.limits import RetryBudget
 from egretrouter.core.routing import (
     CacheEvent,
     CallEnded,
@@ -253,6 +254,56 @@
         large = RouteRequest(service=SERVICE, prompt_tokens=32, request_bytes=8_000)
         assert {chosen(router, large) for _ in range(50)} <= {"e0", "e3"}
 
+    def test_an_endpoint_that_hangs_does_not_look_idle(self) -> None:
+        router = selector(endpoints=[EndpointId("e0"), EndpointId("e3")])
+        send(router, "stuck", "e0", 1.0)
+        assert {chosen(router, PLAIN, now=4.0) for _ in range(30)} == {"e3"}
+        router.handle(CallEnded(call_id=CallId("stuck")), now_seconds=4.0)
+        assert {chosen(router, PLAIN, now=30.0) for _ in range(30)} == {"e0", "e3"}
+
+    def test_messages_about_unknown_endpoints_and_calls_are_ignored(self) -> None:
+        router = selector(endpoints=[EndpointId("e0")])
+        gone = EndpointId("e1")
+        send(router, "open", "e0", 0.5)
+        router.handle(EndpointGone(endpoint_id=EndpointId("e0")), now_seconds=1.0)
+        call = CallId("open")
+        for message in (
+            report(gone, 3),
+            CacheEvent(endpoint_id=gone, sequence=1, stored=(1, 2)),
+            EndpointGone(endpoint_id=gone),
+            CallSent(call_id=CallId("x"), endpoint_id=gone),
+            FirstTokenSeen(call_id=call),
+            CallFailed(call_id=call),
+            CallEnded(call_id=call),
+        ):
+            assert router.handle(message, now_seconds=1.0) == []
+        dump = router.snapshot(now_seconds=1.0)
+        assert (dump["open_calls"], dump["index_entries"], dump["endpoints"]) == (0, 0, {})
+
+    def test_the_loss_of_a_zone_causes_no_retry_storm(self) -> None:
+        router, budget = selector(), RetryBudget()
+        retries, lost_late = 0, 0
+        for number in range(600):
+            now = 1.0 + number * 0.01
+            budget.call_made()
+            excluded: set[EndpointId] = set()
+            for attempt in range(3):
+                request = RouteRequest(service=SERVICE, excluded=frozenset(excluded))
+                endpoint = EndpointId(chosen(router, request, now=now))
+                call = CallId(f"{number}/{attempt}")
+                router.handle(CallSent(call_id=call, endpoint_id=endpoint), now_seconds=now)
+                if endpoint not in {"e0", "e3"}:
+                    router.handle(CallEnded(call_id=call), now_seconds=now)
+                    break
+                router.handle(CallFailed(call_id=call), now_seconds=now)
+                excluded.add(endpoint)
+                lost_late += number >= 100
+                if not budget.try_spend():
+                    break
+                retries += 1
+        assert retries <= 60
+        assert lost_late == 0
+
 
 class TestPrefix:
     """Guard against wrong beliefs about caches and unbounded memory."""
