--- a/tests/test_calls_claims.py
+++ b/tests/test_calls_claims.py
@@ -214,7 +214,7 @@
         super().__init__()
         limits = calls.RegistryLimits(running_calls=1, remembered_calls=2, settle_seconds=2.0)
         self.registry = calls.CallRegistry(
-            epoch=Epoch(1), version_digest=Digest("v"), limits=limits
+            epoch=Epoch(1), version_digests=frozenset({Digest("v")}), limits=limits
         )
         self.now = 0.0
         self.started: list[str] = []
