Announce a drain before refusing calls, and give small workspaces a burst

An agent that switched versions refused calls at once, while routers heard of it by gossip a second later. A small workspace's share of one of 15 routers was less than a call in five seconds, so chance alone refused calls far below the limit. Change: a drained version is announced first and refused after 1.5 s; a workspace's burst is 5 s of its share and at least 3 calls.

--- a/egretrouter/core/limits/_workspaces.py
+++ b/egretrouter/core/limits/_workspaces.py
@@ -5,7 +5,11 @@
 from egretrouter.core.identifiers import WorkspaceId
 from egretrouter.core.limits._messages import LimitReason, WorkspaceLimits
 
-BURST_SECONDS = 1.0
+BURST_SECONDS = 5.0
+# A small workspace's share of one router is less than a call; chance alone sends it two or three
+# calls at once, which must not be refused while the workspace is far below its limit.
+MINIMUM_BURST_CALLS = 3.0
+MINIMUM_CONCURRENT_CALLS = 3
 
 
 class TokenBucket:
@@ -57,13 +61,15 @@
         tokens = limits.tokens_per_second / routers
         self.requests.change(
             rate_per_second=requests,
-            burst=max(1.0, requests * BURST_SECONDS),
+            burst=max(MINIMUM_BURST_CALLS, requests * BURST_SECONDS),
             now_seconds=now_seconds,
         )
         self.tokens.change(
             rate_per_second=tokens, burst=tokens * BURST_SECONDS, now_seconds=now_seconds
         )
-        self.concurrency_share = math.ceil(limits.concurrent_calls / routers)
+        share = math.ceil(limits.concurrent_calls / routers)
+        floor = min(MINIMUM_CONCURRENT_CALLS, limits.concurrent_calls)
+        self.concurrency_share = max(share, floor)
 
 
 class WorkspaceLimiter:
@@ -71,11 +77,11 @@
 
     Error bound, with R routers running, each of which counts at least m routers, a limit L and
     a burst of BURST_SECONDS: in any period of T seconds all routers together admit at most
-    (R / m) x L x (T + BURST_SECONDS) calls, plus R calls because a burst is at least one call.
+    (R / m) x L x (T + BURST_SECONDS) calls, plus 3 R calls because a burst is at least three.
     Tokens have the same bound, plus one call's tokens per router, because a call larger than
     the burst is admitted from a full bucket. Concurrency is at most (R / m) x L + R, because
-    shares round up. During a partition counts stay as they were, so R / m is 1 unless routers
-    join unseen. A workspace whose calls reach the routers unevenly gets less than its limit: no
+    shares round up, or 3 R for a workspace with a smaller limit. During a partition counts stay
+    as they were, so R / m is 1 unless routers join unseen. A workspace whose calls reach the routers unevenly gets less than its limit: no
     router admits more than L / n, whatever part of the calls it receives.
     """
 
--- a/egretrouter/daemons/_agent.py
+++ b/egretrouter/daemons/_agent.py
@@ -84,6 +84,9 @@
 
 TICK_SECONDS = 0.5
 REPORT_SECONDS = 1.0
+# Calls of a version that is drained are still admitted for this time, until the routers of the
+# zone have heard of it; otherwise calls on their way would be refused.
+SPREAD_SECONDS = 1.5
 JOIN_SECONDS = 8.0
 JOIN_POLL_SECONDS = 0.1
 BITS_PER_BYTE = 8
@@ -114,6 +117,7 @@
         self._facts = ReplicaFacts(instance_id=self.instance_id, zone=self.zone)
         self._admitted: set[Digest] = set()
         self._versions: dict[Digest, VersionReference] = {}
+        self._leaving: dict[Digest, float] = {}
         self._draining = False
         self._orders = asyncio.Lock()
         self._expected_in_zone = 1
@@ -344,11 +348,18 @@
 
     @_obey.register
     def _drain_version(self, command: DrainVersion) -> None:
-        self._admitted.discard(command.manifest_digest)
-        self._versions_changed()
+        digest = command.manifest_digest
+        if digest not in self._versions:
+            # The engine lost the version, so a call that is admitted now can only fail.
+            self._admitted.discard(digest)
+            self._versions_changed()
+        elif digest in self._admitted:
+            self._leaving[digest] = time.monotonic() + SPREAD_SECONDS
+            self._publish_facts()
 
     @_obey.register
     def _admit_version(self, command: AdmitVersion) -> None:
+        self._leaving.pop(command.manifest_digest, None)
         self._admitted.add(command.manifest_digest)
         self._versions_changed()
         if self.copies is not None:
@@ -388,7 +399,7 @@
         serving = facts.serving_digest or NO_DIGEST
         adapters = tuple(
             (version.model, digest)
-            for digest in sorted(self._admitted - {serving})
+            for digest in sorted(self._admitted - self._leaving.keys() - {serving})
             if (version := self._versions.get(digest)) is not None
         )
         self.control.set_facts(
@@ -397,7 +408,7 @@
                 version_digest=serving,
                 adapters=adapters,
                 drained=facts.drained or self._draining,
-                ready=serving in self._admitted,
+                ready=serving in self._admitted and serving not in self._leaving,
                 phase=facts.phase.value,
                 failed_digest=facts.failed_digest or NO_DIGEST,
             )
@@ -490,12 +501,24 @@
             await self.sleep(TICK_SECONDS)
             self.calls.tick()
             if self.copies is not None:
-                self._tell(CallsInProgress(counts=dict(self.calls.calls_per_version)))
+                self._end_leaving()
+                # The rollout takes a count of 0 as the end of the last call.
+                if not self._leaving:
+                    self._tell(CallsInProgress(counts=dict(self.calls.calls_per_version)))
                 self._tell(Tick())
             elif self._admitted:
                 running = self.calls.registry.in_progress
                 self.control.set_load(LoadReport(running_calls=running))
 
+    def _end_leaving(self) -> None:
+        now = time.monotonic()
+        ended = [digest for digest, until in self._leaving.items() if now >= until]
+        for digest in ended:
+            del self._leaving[digest]
+            self._admitted.discard(digest)
+        if ended:
+            self._versions_changed()
+
     @Service.task
     async def _poll_engine(self) -> None:
         while not self.should_stop:
