Send streamed answers as they arrive and measure the stream path

StreamResponse.chunked is only true after enable_chunked_encoding, so no response ever got its transport: every streamed answer was held in memory and sent whole at its end. The response now enables chunks for HTTP/1.1 and writes plain bytes for HTTP/1.0.

--- /dev/null
+++ b/benchmarks/stream_processes.py
@@ -0,0 +1,337 @@
+"""Run the processes of the stream benchmark: upstream, router, pass-through and callers."""
+
+import asyncio
+import json
+import multiprocessing
+import random
+import resource
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from multiprocessing.connection import Connection
+from typing import Any
+
+import msgspec
+
+Command = Callable[[Any], Awaitable[Any]]
+CONTEXT = multiprocessing.get_context("spawn")
+ANSWER_SECONDS = 30.0
+MODEL = "stream"
+ZONE = "z1"
+
+
+class StreamSizes(msgspec.Struct, frozen=True, kw_only=True):
+    """Set the sizes of one run."""
+
+    seed: int = 1
+    streams: int = 200
+    engines: int = 4
+    token_interval_seconds: float = 0.15
+    tokens: int = 60
+    window_seconds: float = 6.0
+
+
+class Child:
+    """Own one process and ask it over a pipe."""
+
+    def __init__(self, main: Callable[..., None], *arguments: Any) -> None:
+        """Start the process."""
+        self._pipe, other = CONTEXT.Pipe()
+        self._process = CONTEXT.Process(target=main, args=(other, *arguments), daemon=True)
+        self._process.start()
+        other.close()
+
+    def ask(self, command: str, argument: Any = None) -> Any:
+        """Return the answer to a command; raises TimeoutError."""
+        self._pipe.send((command, argument))
+        if not self._pipe.poll(ANSWER_SECONDS):
+            raise TimeoutError(f"no answer to {command!r} within {ANSWER_SECONDS} s")
+        return self._pipe.recv()
+
+    def stop(self) -> None:
+        """End the process."""
+        self._process.terminate()
+        self._process.join(5)
+
+
+async def _usage(_: Any) -> dict[str, float]:
+    used = resource.getrusage(resource.RUSAGE_SELF)
+    with open("/proc/self/statm", encoding="ascii") as statm:  # noqa: ASYNC230
+        pages = int(statm.read().split()[1])
+    return {
+        "processor_seconds": used.ru_utime + used.ru_stime,
+        "resident_mebibytes": round(pages * resource.getpagesize() / 1024**2, 1),
+        "time_seconds": time.monotonic(),
+    }
+
+
+async def _serve(pipe: Connection, commands: dict[str, Command]) -> None:
+    """Answer commands until the parent closes the pipe or ends this process."""
+    loop = asyncio.get_running_loop()
+    requests: asyncio.Queue[tuple[str, Any]] = asyncio.Queue()
+
+    def readable() -> None:
+        try:
+            requests.put_nowait(pipe.recv())
+        except EOFError:
+            requests.put_nowait(("stop", None))
+
+    loop.add_reader(pipe.fileno(), readable)
+    while True:
+        name, argument = await requests.get()
+        if name == "stop":
+            return
+        pipe.send(await {"usage": _usage, **commands}[name](argument))
+
+
+class Holds:
+    """Note how long events waited; take returns and clears the figures."""
+
+    def __init__(self) -> None:
+        """Start empty."""
+        self.seconds: list[float] = []
+
+    async def take(self, _: Any) -> dict[str, float]:
+        """Return the figures in milliseconds."""
+        values, self.seconds = sorted(self.seconds), []
+        if not values:
+            return {}
+        return {
+            "p50_milliseconds": round(values[len(values) // 2] * 1000, 3),
+            "p99_milliseconds": round(values[len(values) * 99 // 100] * 1000, 3),
+            "longest_milliseconds": round(values[-1] * 1000, 3),
+        }
+
+
+def upstream_main(pipe: Connection, sizes: StreamSizes) -> None:
+    """Run the platform's stand-ins, the engines and their agents."""
+    asyncio.run(_upstream(pipe, sizes))
+
+
+async def _upstream(pipe: Connection, sizes: StreamSizes) -> None:
+    from egretrouter.core.configuration import FILE_ADAPTER, part_name
+    from egretrouter.daemons import _agent_calls
+    from egretrouter.demo import Fleet, FleetOptions
+
+    deployment = {
+        "kind": "deployment",
+        "name": "stream-benchmark",
+        "zones": [{"name": ZONE, "region": "r1"}],
+        "workspaces": [
+            {
+                "name": "w1",
+                "requests_per_second": 100_000,
+                "tokens_per_second": 100_000_000,
+                "concurrent_calls": 2 * sizes.streams,
+            }
+        ],
+    }
+    service = {
+        "kind": "model",
+        "name": "engines",
+        "model": MODEL,
+        "version": "v1",
+        "deadline_seconds": 60,
+        "placement": [{"zone": ZONE, "replicas": sizes.engines}],
+    }
+    parts = [FILE_ADAPTER.validate_python(part) for part in (deployment, service)]
+    options = FleetOptions(
+        routers=0, token_interval_seconds=sizes.token_interval_seconds, seed=sizes.seed
+    )
+    fleet = Fleet({part_name(part): part for part in parts}, options=options)
+    await fleet.start()
+    for engine in fleet.engines().values():
+        engine.batch.capacity = sizes.streams
+    content = random.Random(sizes.seed).randbytes(100_000)
+    manifest = fleet.origin.add_version(MODEL, "v1", content, chunk_bytes=65536)
+    await fleet.publish()
+    await fleet.wait_for_replicas(manifest.digest, sizes.engines, timeout_seconds=ANSWER_SECONDS)
+    holds = Holds()
+    _note_agent_holds(_agent_calls.RouterLink, holds)
+
+    async def started(_: Any) -> dict[str, Any]:
+        seeds = [agent.peer_address for agent in fleet.agents.values()]
+        return {
+            "digest": manifest.digest,
+            "engines": [engine.url for engine in fleet.engines().values()],
+            "object_store_url": fleet.object_api.url,
+            "instance_list_url": fleet.instance_list.url,
+            "seeds": seeds,
+        }
+
+    async def coalesce(enabled: bool) -> None:
+        for agent in fleet.agents.values():
+            agent.calls.coalesce_events = enabled
+
+    commands: dict[str, Command] = {
+        "started": started,
+        "coalesce": coalesce,
+        "holds": holds.take,
+    }
+    await _serve(pipe, commands)
+
+
+def _note_agent_holds(link_class: Any, holds: Holds) -> None:
+    """Note the time from the arrival of a batch's first frame to its departure."""
+    queue, batch = link_class.queue, link_class.batch
+
+    def noted_queue(self: Any, frame: Any, *, urgent: bool) -> None:
+        if not getattr(self, "queued_seconds", None):
+            self.queued_seconds = time.monotonic()
+        queue(self, frame, urgent=urgent)
+
+    async def noted_batch(self: Any, **options: Any) -> Any:
+        frames = await batch(self, **options)
+        if frames:
+            holds.seconds.append(time.monotonic() - self.queued_seconds)
+            self.queued_seconds = None
+        return frames
+
+    link_class.queue, link_class.batch = noted_queue, noted_batch
+
+
+def router_main(pipe: Connection, sizes: StreamSizes, platform: dict[str, Any]) -> None:
+    """Run a router."""
+    asyncio.run(_router(pipe, sizes, platform))
+
+
+async def _router(pipe: Connection, sizes: StreamSizes, platform: dict[str, Any]) -> None:
+    from egretrouter.core.settings import RouterSettings
+    from egretrouter.daemons import RouterService
+    from egretrouter.daemons._link import AgentLink
+
+    settings = RouterSettings.model_validate(
+        {
+            "kind": "router",
+            "instance_id": "router",
+            "zone": ZONE,
+            "region": "r1",
+            "callers": {"port": 0},
+            "limits": {"max_streams": 2 * sizes.streams},
+            "seeds": platform["seeds"],
+            "platform": {
+                "object_store_url": platform["object_store_url"],
+                "instance_list_url": platform["instance_list_url"],
+            },
+        }
+    )
+    router = RouterService(settings, rng=random.Random(sizes.seed))
+    await router.start()
+    async with asyncio.timeout(ANSWER_SECONDS):
+        while len(router.view._known) < sizes.engines or not router.ready:  # noqa: ASYNC110
+            await asyncio.sleep(0.05)
+    for admission in router.handler._admissions.values():
+        # The adaptive limit starts at 8 calls and grows by one per 0.5 s, longer than this run.
+        admission._concurrency.limit_calls = 2.0 * sizes.streams
+    holds = Holds()
+    distribute = AgentLink._distribute
+
+    def noted(self: Any, message: Any) -> None:
+        # Every write to a caller happens before this returns.
+        started_seconds = time.monotonic()
+        distribute(self, message)
+        holds.seconds.append(time.monotonic() - started_seconds)
+
+    AgentLink._distribute = noted  # type: ignore[method-assign]
+
+    async def port(_: Any) -> int:
+        return router.callers_port
+
+    await _serve(pipe, {"port": port, "holds": holds.take})
+
+
+def pass_through_main(pipe: Connection, upstreams: list[str]) -> None:
+    """Run the bare pass-through."""
+    asyncio.run(_pass_through(pipe, upstreams))
+
+
+async def _pass_through(pipe: Connection, upstreams: list[str]) -> None:
+    from benchmarks.baselines.passthrough import PassThrough
+
+    server = PassThrough(upstreams)
+    await server.start()
+
+    async def port(_: Any) -> int:
+        return server.port
+
+    await _serve(pipe, {"port": port})
+
+
+def callers_main(pipe: Connection, sizes: StreamSizes, digest: str) -> None:
+    """Run the callers."""
+    asyncio.run(_callers(pipe, sizes, digest))
+
+
+async def _callers(pipe: Connection, sizes: StreamSizes, digest: str) -> None:
+    callers = _Callers(sizes, digest)
+    commands: dict[str, Command] = {
+        "open": callers.open,
+        "count": callers.count,
+        "finish": callers.finish,
+    }
+    await _serve(pipe, commands)
+
+
+class _Callers:
+    """Hold the streams of one phase and check their answers."""
+
+    def __init__(self, sizes: StreamSizes, digest: str) -> None:
+        self._sizes = sizes
+        self._digest = digest
+        self._tasks: list[asyncio.Task[bool]] = []
+        self.refusals: Counter[str] = Counter()
+        self._begun = 0
+        self._events = 0
+
+    async def open(self, port: int) -> None:
+        """Open every stream and wait for its first event."""
+        import aiohttp
+
+        self._begun = self._events = 0
+        connector = aiohttp.TCPConnector(limit=0)
+        self._session = aiohttp.ClientSession(connector=connector)
+        url = f"http://127.0.0.1:{port}/v1/completions"
+        self._tasks = [
+            asyncio.create_task(self._stream(url, f"prompt {number}"))
+            for number in range(self._sizes.streams)
+        ]
+        async with asyncio.timeout(ANSWER_SECONDS):
+            while self._begun < self._sizes.streams:  # noqa: ASYNC110
+                await asyncio.sleep(0.05)
+        if self.refusals:
+            raise RuntimeError(f"streams were refused: {self.refusals}")
+
+    async def _stream(self, url: str, prompt: str) -> bool:
+        from egretrouter.standins import expected_answer
+
+        body = {
+            "model": MODEL,
+            "prompt": prompt,
+            "max_tokens": self._sizes.tokens,
+            "stream": True,
+        }
+        pieces: list[bytes] = []
+        async with self._session.post(url, json=body) as response:
+            if response.status != 200:
+                self._begun += 1
+                self.refusals[f"{response.status}: {await response.text()}"[:200]] += 1
+                return False
+            async for data in response.content.iter_any():
+                self._begun += not pieces
+                pieces.append(data)
+                self._events += data.count(b"data: ")
+        text = ""
+        for line in b"".join(pieces).split(b"\n\n"):
+            if line.startswith(b"data: {"):
+                text += json.loads(line[6:])["choices"][0]["text"]
+        return text == expected_answer(self._digest, prompt, count=self._sizes.tokens)
+
+    async def count(self, _: Any) -> int:
+        """Return the events that arrived so far."""
+        return self._events
+
+    async def finish(self, _: Any) -> int:
+        """Wait for the streams to end and return how many were whole and right."""
+        right = await asyncio.gather(*self._tasks, return_exceptions=True)
+        await self._session.close()
+        return sum(answer is True for answer in right)
--- a/egretrouter/daemons/_agent_calls.py
+++ b/egretrouter/daemons/_agent_calls.py
@@ -47,28 +47,31 @@
 MINIMUM_CALL_SECONDS = 0.001
 
 
-class _RouterLink:
+class RouterLink:
     """Hold the frames that wait for one router."""
 
     def __init__(self) -> None:
+        """Start without frames."""
         self._frames: list[pb.AnswerFrame] = []
         self._wakeup = asyncio.Event()
         self._urgent = False
         self.closed = False
 
     def queue(self, frame: pb.AnswerFrame, *, urgent: bool) -> None:
+        """Add a frame; an urgent one does not wait for others."""
         self._frames.append(frame)
         self._urgent = self._urgent or urgent
         self._wakeup.set()
 
     def close(self) -> None:
+        """Let the batch that is waited for end."""
         self.closed = True
         self._wakeup.set()
 
-    async def batch(self) -> list[pb.AnswerFrame]:
+    async def batch(self, *, coalesce: bool) -> list[pb.AnswerFrame]:
         """Wait for frames and take all that are there."""
         await self._wakeup.wait()
-        if not self._urgent and not self.closed:
+        if coalesce and not self._urgent and not self.closed:
             await asyncio.sleep(COALESCE_SECONDS)
         self._wakeup.clear()
         frames, self._frames = self._frames, []
@@ -107,15 +110,18 @@
         endpoint: EndpointClient,
         confirm_epoch: Callable[[], None],
         clock: Callable[[], float] = time.monotonic,
+        coalesce_events: bool = True,
     ) -> None:
+        """Take the registry; coalesce_events lets frames that wait share a message."""
         self.registry = registry
         self.drained = asyncio.Event()
         self.calls_per_version: dict[Digest, int] = {}
         self.finished_calls_total = 0
+        self.coalesce_events = coalesce_events
         self._endpoint = endpoint
         self._confirm_epoch = confirm_epoch
         self._clock = clock
-        self._links: dict[InstanceId, _RouterLink] = {}
+        self._links: dict[InstanceId, RouterLink] = {}
         self._running: dict[CallId, _RunningCall] = {}
 
     def apply(self, message: RegistryMessage) -> None:
@@ -147,7 +153,7 @@
         if first is None:
             return
         router_id = InstanceId(first.router_id)
-        link = _RouterLink()
+        link = RouterLink()
         previous = self._links.get(router_id)
         if previous is not None:
             previous.close()
@@ -158,9 +164,10 @@
         try:
             yield pb.AgentMessage(epoch=epoch, clock_seconds=self._clock())
             while not link.closed:
-                frames = await link.batch()
-                for start in range(0, len(frames), MAXIMUM_FRAMES):
-                    part = frames[start : start + MAXIMUM_FRAMES]
+                frames = await link.batch(coalesce=self.coalesce_events)
+                size = MAXIMUM_FRAMES if self.coalesce_events else 1
+                for start in range(0, len(frames), size):
+                    part = frames[start : start + size]
                     yield pb.AgentMessage(epoch=epoch, frames=part)
         finally:
             reader.cancel()
@@ -186,7 +193,7 @@
         return reply
 
     async def _read(
-        self, router_id: InstanceId, link: _RouterLink, messages: AsyncIterator[pb.RouterMessage]
+        self, router_id: InstanceId, link: RouterLink, messages: AsyncIterator[pb.RouterMessage]
     ) -> None:
         try:
             async for message in messages:
--- a/egretrouter/daemons/_caller_stream.py
+++ b/egretrouter/daemons/_caller_stream.py
@@ -3,7 +3,7 @@
 import asyncio
 from enum import Enum
 
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 from multidict import CIMultiDict
 
 from egretrouter.core.calls import AnswerData, AnswerHead, FailCaller
@@ -48,6 +48,7 @@
         # Set once the response's headers are sent; pieces then go straight to the transport,
         # which saves a task switch and a flow-control check for every event.
         self._transport: asyncio.Transport | None = None
+        self._chunked = request.version >= HttpVersion11
 
     @property
     def is_event_stream(self) -> bool:
@@ -84,7 +85,8 @@
             return
         transport = self._transport
         if transport is not None:
-            transport.write(b"%x\r\n%b\r\n" % (len(body.data), body.data))
+            data = body.data
+            transport.write(b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data)
             return
         self._held.append(body.data)
         self._held_bytes += len(body.data)
@@ -106,6 +108,9 @@
         """Send the head and what is held, and pass later pieces straight on."""
         response = web.StreamResponse(status=self._status(), headers=self._headers())
         self._response = response
+        # An HTTP/1.0 caller knows no chunks: its answer ends with the connection.
+        if self._chunked:
+            response.enable_chunked_encoding()
         await response.prepare(self._request)
         while self._held:
             held, self._held = b"".join(self._held), []
@@ -113,8 +118,7 @@
             await response.write(held)
         if self.state is CallerState.WAITING:
             self.state = CallerState.STREAMING
-        if response.chunked and self._request.transport is not None:
-            self._transport = self._request.transport
+        self._transport = self._request.transport
 
     async def close(self) -> web.StreamResponse:
         """End the response cleanly if the answer is whole, and visibly broken if not."""
