--- a/egretrouter/core/limits/_workspaces.py
+++ b/egretrouter/core/limits/_workspaces.py
@@ -81,8 +81,9 @@
     Tokens have the same bound, plus one call's tokens per router, because a call larger than
     the burst is admitted from a full bucket. Concurrency is at most (R / m) x L + R, because
     shares round up, or 3 R for a workspace with a smaller limit. During a partition counts stay
-    as they were, so R / m is 1 unless routers join unseen. A workspace whose calls reach the routers unevenly gets less than its limit: no
-    router admits more than L / n, whatever part of the calls it receives.
+    as they were, so R / m is 1 unless routers join unseen. A workspace whose calls reach the
+    routers unevenly gets less than its limit: no router admits more than L / n, whatever part of
+    the calls it receives.
     """
 
     def __init__(self) -> None:
--- a/egretrouter/daemons/_copies.py
+++ b/egretrouter/daemons/_copies.py
@@ -300,7 +300,6 @@
         if running is not None:
             for task in list(running.fetches.values()):
                 task.cancel()
-            self.memory.release(digest)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(work)
