Forward data frames without messages and stop polling every call

A profile at 200 streams showed half of the router's time outside the socket write: two dispatches, three structs and a 0.25 s timer for every call. Data of the answer in progress now takes CallAttempt.accepts_data, and only a caller that is slower than its answer is polled. The pieces of one call in a message share one write. Answers that must be held whole are credited up to the held limit: before, an answer above 256 KiB that was no event stream stopped at its window, because credit was withheld above 64 KiB.

--- a/benchmarks/stream.py
+++ b/benchmarks/stream.py
@@ -10,8 +10,8 @@
 from typing import Any
 
 import aiohttp
-import grpc
 import google.protobuf
+import grpc
 import msgspec
 
 import egretrouter
--- a/benchmarks/stream_processes.py
+++ b/benchmarks/stream_processes.py
@@ -26,8 +26,8 @@
     seed: int = 1
     streams: int = 200
     engines: int = 4
-    token_interval_seconds: float = 0.15
-    tokens: int = 60
+    token_interval_seconds: float = 0.08
+    tokens: int = 110
     window_seconds: float = 6.0
 
 
--- a/egretrouter/core/calls/_answers.py
+++ b/egretrouter/core/calls/_answers.py
@@ -101,8 +101,12 @@
         if isinstance(body, AnswerHead):
             self._hasher.update(b"status %d\n" % body.status)
             return
-        self.total_bytes += len(body.data)
-        self._hasher.update(body.data)
+        self.add_data(body.data)
+
+    def add_data(self, data: bytes) -> None:
+        """Add the content of the next frame of data."""
+        self.total_bytes += len(data)
+        self._hasher.update(data)
 
     def end(self) -> AnswerEnd:
         """Return the frame that ends the answer."""
--- a/egretrouter/core/calls/_attempt.py
+++ b/egretrouter/core/calls/_attempt.py
@@ -1,10 +1,8 @@
 """Decide how a router gets one call answered."""
 
-from enum import Enum
 from functools import singledispatchmethod
 from typing import Any
 
-import msgspec
 import xxhash
 
 from egretrouter.core.calls._answers import (
@@ -16,7 +14,6 @@
     AnswerFailure,
     AnswerHead,
     CallState,
-    Target,
 )
 from egretrouter.core.calls._attempt_messages import (
     AttemptCommand,
@@ -46,32 +43,11 @@
     TargetDenied,
     TargetRecorded,
 )
+from egretrouter.core.calls._lane import Lane, LaneState
 from egretrouter.core.errors import Outcome
 from egretrouter.core.identifiers import CallId, Digest
 
 
-class _LaneState(Enum):
-    RECORDING = "recording"
-    OPEN = "open"
-    SETTLING = "settling"
-    CLOSED = "closed"
-
-
-class _Lane(msgspec.Struct, kw_only=True):
-    """Hold one attempt at one endpoint."""
-
-    attempt: int
-    target: Target
-    version_digest: Digest
-    checksum: AnswerChecksum
-    state: _LaneState = _LaneState.RECORDING
-    may_have_run: bool = False
-    next_sequence: int = 0
-    settles: int = 0
-    resumes: int = 0
-    prefix: xxhash.xxh3_64 = msgspec.field(default_factory=xxhash.xxh3_64)
-
-
 class CallAttempt:
     """Get one call answered whole, or end it with an explicit outcome.
 
@@ -84,10 +60,10 @@
         self.call_id = call_id
         self.ended = False
         self._rules = rules
-        self._lanes: dict[int, _Lane] = {}
+        self._lanes: dict[int, Lane] = {}
         self._choosing = False
         self._claimed = False
-        self._source: _Lane | None = None
+        self._source: Lane | None = None
         self._pinned_version: Digest | None = None
         self._forwarded_status: int | None = None
         self._forwarded_bytes = 0
@@ -106,6 +82,30 @@
         """Apply one message; a call that ended ignores all."""
         return [] if self.ended else self._apply(message)
 
+    def accepts_data(self, attempt: int, sequence: int, data: bytes) -> bool:
+        """Take the next data of the answer that is being forwarded; pass it on if accepted.
+
+        Does what handle does with FrameArrived in the commonest case, without its messages and
+        commands. Data that is not accepted changes nothing and must be given to handle.
+        """
+        lane = self._source
+        if (
+            lane is None
+            or self.ended
+            or lane.attempt != attempt
+            or lane.state is not LaneState.OPEN
+            or lane.next_sequence != sequence
+            or not sequence
+            or not data
+            or lane.checksum.total_bytes != self._forwarded_bytes
+            or self._rules.repeatable_answer
+        ):
+            return False
+        lane.next_sequence = sequence + 1
+        lane.checksum.add_data(data)
+        self._forwarded_bytes += len(data)
+        return True
+
     @singledispatchmethod
     def _apply(self, message: object) -> list[AttemptCommand]:
         raise TypeError(f"call attempt got unexpected message {message!r}")
@@ -129,7 +129,7 @@
         pinned = self._pinned_version
         if pinned is not None and message.version_digest != pinned:
             return self._fail_if_idle("version_not_served")
-        lane = _Lane(
+        lane = Lane(
             attempt=len(self._lanes) + 1,
             target=message.target,
             version_digest=message.version_digest,
@@ -141,8 +141,8 @@
         self._claimed = True
         return [RecordTarget(attempt=lane.attempt, target=lane.target)]
 
-    def _open(self, lane: _Lane) -> list[AttemptCommand]:
-        lane.state = _LaneState.OPEN
+    def _open(self, lane: Lane) -> list[AttemptCommand]:
+        lane.state = LaneState.OPEN
         lane.may_have_run = True
         return [
             SendOpen(attempt=lane.attempt, target=lane.target, version_digest=lane.version_digest)
@@ -158,28 +158,28 @@
 
     @_apply.register
     def _recorded(self, message: TargetRecorded) -> list[AttemptCommand]:
-        lane = self._lane(message.attempt, _LaneState.RECORDING)
+        lane = self._lane(message.attempt, LaneState.RECORDING)
         return [] if lane is None else self._open(lane)
 
     @_apply.register
     def _denied(self, message: TargetDenied) -> list[AttemptCommand]:
-        lane = self._lane(message.attempt, _LaneState.RECORDING)
+        lane = self._lane(message.attempt, LaneState.RECORDING)
         if lane is None:
             return []
-        lane.state = _LaneState.CLOSED
+        lane.state = LaneState.CLOSED
         if message.held_elsewhere:
             # The claim belongs to another call now, so this one must not write to it.
             self.ended = True
             return [DeferToClaim()]
         return self._fail("claim_not_recorded")
 
-    def _lane(self, attempt: int, *states: _LaneState) -> _Lane | None:
+    def _lane(self, attempt: int, *states: LaneState) -> Lane | None:
         lane = self._lanes.get(attempt)
         return lane if lane is not None and lane.state in states else None
 
     @_apply.register
     def _frame(self, message: FrameArrived) -> list[AttemptCommand]:
-        lane = self._lane(message.attempt, _LaneState.OPEN)
+        lane = self._lane(message.attempt, LaneState.OPEN)
         if lane is None or message.sequence < lane.next_sequence:
             return []
         body = message.body
@@ -200,7 +200,7 @@
             return commands + self._forward_head(body)
         return commands + self._forward_data(lane, body, offset)
 
-    def _take_source(self, lane: _Lane) -> list[AttemptCommand]:
+    def _take_source(self, lane: Lane) -> list[AttemptCommand]:
         """Make the first lane that answers the only one."""
         if self._source is lane:
             return []
@@ -209,14 +209,14 @@
         self._choosing = False
         return self._cancel_lanes(keep=lane)
 
-    def _cancel_lanes(self, *, keep: _Lane | None = None) -> list[AttemptCommand]:
+    def _cancel_lanes(self, *, keep: Lane | None = None) -> list[AttemptCommand]:
         commands: list[AttemptCommand] = []
         for lane in self._lanes.values():
-            if lane is keep or lane.state is _LaneState.CLOSED:
+            if lane is keep or lane.state is LaneState.CLOSED:
                 continue
             if lane.may_have_run:
                 commands.append(SendCancel(attempt=lane.attempt, target=lane.target))
-            lane.state = _LaneState.CLOSED
+            lane.state = LaneState.CLOSED
         return commands
 
     def _forward_head(self, body: AnswerHead) -> list[AttemptCommand]:
@@ -225,7 +225,7 @@
             return [ForwardToCaller(body=body)]
         return [] if body.status == self._forwarded_status else self._fail("answers_differ")
 
-    def _forward_data(self, lane: _Lane, body: AnswerData, offset: int) -> list[AttemptCommand]:
+    def _forward_data(self, lane: Lane, body: AnswerData, offset: int) -> list[AttemptCommand]:
         seen = self._forwarded_bytes - offset
         data = body.data
         if seen > 0:
@@ -242,7 +242,7 @@
             self._forwarded_prefix.update(data)
         return [ForwardToCaller(body=body if data is body.data else AnswerData(data=data))]
 
-    def _end(self, lane: _Lane, body: AnswerEnd) -> list[AttemptCommand]:
+    def _end(self, lane: Lane, body: AnswerEnd) -> list[AttemptCommand]:
         if body != lane.checksum.end() or lane.next_sequence < 2:
             return self._fail("checksum_differs")
         if lane.checksum.total_bytes < self._forwarded_bytes:
@@ -250,8 +250,8 @@
         self.ended = True
         return [FinishCaller(), *self._close_claim(ClaimEnd.FINISHED)]
 
-    def _failure(self, lane: _Lane, body: AnswerFailure, sequence: int) -> list[AttemptCommand]:
-        lane.state = _LaneState.CLOSED
+    def _failure(self, lane: Lane, body: AnswerFailure, sequence: int) -> list[AttemptCommand]:
+        lane.state = LaneState.CLOSED
         self._retry_after_seconds = max(self._retry_after_seconds, body.retry_after_seconds)
         # An agent that sent a frame ran the call, whatever it says later.
         if body.outcome is Outcome.NOT_RUN and sequence == 0:
@@ -260,46 +260,46 @@
 
     @_apply.register
     def _link_lost(self, message: LinkLost) -> list[AttemptCommand]:
-        lane = self._lane(message.attempt, _LaneState.OPEN)
+        lane = self._lane(message.attempt, LaneState.OPEN)
         if lane is None:
             return []
         if self._rules.idempotent and self._source is None:
-            lane.state = _LaneState.CLOSED
+            lane.state = LaneState.CLOSED
             return self._try_elsewhere("link_lost")
         return self._settle(lane)
 
-    def _settle(self, lane: _Lane) -> list[AttemptCommand]:
+    def _settle(self, lane: Lane) -> list[AttemptCommand]:
         lane.settles += 1
         if lane.settles > self._rules.max_settles:
-            lane.state = _LaneState.CLOSED
+            lane.state = LaneState.CLOSED
             return self._try_elsewhere("agent_unreachable")
-        lane.state = _LaneState.SETTLING
+        lane.state = LaneState.SETTLING
         return [SendSettle(attempt=lane.attempt, target=lane.target, tries=lane.settles)]
 
     @_apply.register
     def _settle_failed(self, message: SettleFailed) -> list[AttemptCommand]:
-        lane = self._lane(message.attempt, _LaneState.SETTLING)
+        lane = self._lane(message.attempt, LaneState.SETTLING)
         return [] if lane is None else self._settle(lane)
 
     @_apply.register
     def _settled(self, message: SettleAnswered) -> list[AttemptCommand]:
-        lane = self._lane(message.attempt, _LaneState.SETTLING)
+        lane = self._lane(message.attempt, LaneState.SETTLING)
         if lane is None:
             return []
         lane.settles = 0
         if message.state in IN_PROGRESS_STATES or message.state is CallState.FINISHED:
             return self._resume(lane)
-        lane.state = _LaneState.CLOSED
+        lane.state = LaneState.CLOSED
         if message.state in NEVER_RUN_STATES and lane.next_sequence == 0:
             lane.may_have_run = False
         return self._try_elsewhere(message.state.value)
 
-    def _resume(self, lane: _Lane) -> list[AttemptCommand]:
+    def _resume(self, lane: Lane) -> list[AttemptCommand]:
         lane.resumes += 1
         if lane.resumes > self._rules.max_resumes:
-            lane.state = _LaneState.CLOSED
+            lane.state = LaneState.CLOSED
             return self._try_elsewhere("frames_lost")
-        lane.state = _LaneState.OPEN
+        lane.state = LaneState.OPEN
         return [
             SendResume(attempt=lane.attempt, target=lane.target, next_sequence=lane.next_sequence)
         ]
@@ -316,7 +316,7 @@
 
     def _busy(self) -> bool:
         return self._choosing or any(
-            lane.state is not _LaneState.CLOSED for lane in self._lanes.values()
+            lane.state is not LaneState.CLOSED for lane in self._lanes.values()
         )
 
     def _try_elsewhere(self, reason: str) -> list[AttemptCommand]:
@@ -330,7 +330,7 @@
     @_apply.register
     def _hedge(self, message: HedgeDue) -> list[AttemptCommand]:
         allowed = self._rules.hedged and self._rules.idempotent and self._source is None
-        opened = any(lane.state is _LaneState.OPEN for lane in self._lanes.values())
+        opened = any(lane.state is LaneState.OPEN for lane in self._lanes.values())
         if not allowed or not opened or self._choosing or not self._may_retry():
             return []
         return self._choose()
--- a/egretrouter/daemons/_call_driver.py
+++ b/egretrouter/daemons/_call_driver.py
@@ -1,9 +1,9 @@
 """Carry out the decisions about one call on the router."""
 
 import asyncio
-import random
+import contextlib
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from functools import singledispatchmethod
 from typing import Any
 
@@ -13,7 +13,6 @@
     AnswerData,
     AttemptCommand,
     AttemptMessage,
-    AttemptRules,
     CallAttempt,
     CallerGone,
     CallState,
@@ -38,56 +37,27 @@
     SettleFailed,
     Target,
 )
-from egretrouter.core.identifiers import CallId, Digest, EndpointId, Epoch, InstanceId, WorkspaceId
-from egretrouter.core.limits import Backoff, HedgingBudget, RetryBudget
+from egretrouter.core.identifiers import EndpointId, Epoch, InstanceId
 from egretrouter.core.routing import (
     CallEnded,
     CallFailed,
     CallSent,
     Choice,
-    EndpointSelector,
     FirstTokenSeen,
-    RouteRequest,
 )
 from egretrouter.daemons._caller_stream import CallerState, CallerStream
 from egretrouter.daemons._link import AgentLink
+from egretrouter.daemons._routed_call import CallServices, RoutedCall
 from egretrouter.protocol import decode_body
 from egretrouter.protocol import egretrouter_pb2 as pb
 
 WINDOW_BYTES = 256 * 1024
+CREDIT_BYTES = WINDOW_BYTES // 2
 LINK_WAIT_SECONDS = 2.0
 SETTLE_RETRY_SECONDS = 0.2
 POLL_SECONDS = 0.25
 
 
-class RoutedCall(msgspec.Struct, frozen=True, kw_only=True):
-    """Describe a caller's request after it was parsed and assigned to a service."""
-
-    call_id: CallId
-    request_id: str
-    workspace: WorkspaceId
-    method: str
-    path: str
-    headers: tuple[tuple[str, str], ...]
-    content: bytes
-    route: RouteRequest
-    rules: AttemptRules
-    deadline_at_seconds: float
-    priority: int = 0
-
-
-class CallServices(msgspec.Struct, frozen=True, kw_only=True):
-    """Hold what all calls of a router share."""
-
-    selector: EndpointSelector
-    links: Callable[[str], AgentLink]
-    serving_digest: Callable[[EndpointId, RouteRequest], Digest | None]
-    retry_budget: RetryBudget
-    hedging_budget: HedgingBudget
-    backoff: Backoff
-    rng: random.Random
-
-
 class _LaneSink:
     """Pass what a link brings for one attempt to its call."""
 
@@ -98,6 +68,9 @@
     def frame_arrived(self, frame: pb.AnswerFrame) -> None:
         self._driver.frame_arrived(self._attempt, frame)
 
+    def flush(self) -> None:
+        self._driver.flush()
+
     def link_lost(self) -> None:
         self._driver.apply(LinkLost(attempt=self._attempt))
 
@@ -173,29 +146,48 @@
                 await stream.start()
                 continue
             stream.changed.clear()
-            try:
+            if not self._credit_is_due():
+                await stream.changed.wait()
+                continue
+            # Only a caller that is slower than its answer is polled: a timer for every call was
+            # a seventh of the router's time with 200 streams.
+            with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(POLL_SECONDS):
                     await stream.changed.wait()
-            except TimeoutError:
-                for lane in self._lanes.values():
-                    self._give_credit(lane)
+            for lane in self._lanes.values():
+                self._give_credit(lane)
+
+    def _credit_is_due(self) -> bool:
+        return any(
+            lane.uncredited_bytes > CREDIT_BYTES and not lane.closed
+            for lane in self._lanes.values()
+        )
 
     def apply(self, message: AttemptMessage) -> None:
         """Pass a message to the call's decisions and carry out what they command."""
         self._carry_out_all(self._attempt.handle(message, now_seconds=time.monotonic()))
 
     def frame_arrived(self, attempt: int, frame: pb.AnswerFrame) -> None:
-        """Take a frame of the answer from a link."""
-        body = decode_body(frame)
-        self.apply(FrameArrived(attempt=attempt, sequence=frame.sequence, body=body))
-        if isinstance(body, AnswerData):
+        """Take a frame of the answer from a link; flush passes it on."""
+        data = frame.data
+        if data and self._attempt.accepts_data(attempt, frame.sequence, data):
+            self.answer_bytes += len(data)
+            self._stream.forward_data(data)
+        else:
+            body = decode_body(frame)
+            self.apply(FrameArrived(attempt=attempt, sequence=frame.sequence, body=body))
+        if data:
             lane = self._lanes[attempt]
-            lane.uncredited_bytes += len(body.data)
+            lane.uncredited_bytes += len(data)
             if not lane.first_token:
                 self._first_token(lane)
-            if lane.uncredited_bytes > WINDOW_BYTES // 2:
+            if lane.uncredited_bytes > CREDIT_BYTES:
                 self._give_credit(lane)
 
+    def flush(self) -> None:
+        """Write to the caller what the frames so far brought."""
+        self._stream.flush()
+
     def _first_token(self, lane: _Lane) -> None:
         lane.first_token = True
         now = time.monotonic()
@@ -206,7 +198,11 @@
         self._services.selector.handle(message, now_seconds=now)
 
     def _give_credit(self, lane: _Lane) -> None:
-        if lane.closed or not lane.uncredited_bytes or self._stream.backlogged:
+        if lane.closed or not lane.uncredited_bytes:
+            return
+        if self._stream.backlogged:
+            # The pump gives the credit once the caller has taken more.
+            self._stream.changed.set()
             return
         credit = pb.CallCredit(bytes=lane.uncredited_bytes)
         lane.uncredited_bytes = 0
--- a/egretrouter/daemons/_caller_stream.py
+++ b/egretrouter/daemons/_caller_stream.py
@@ -67,7 +67,8 @@
     def backlogged(self) -> bool:
         """Tell whether the caller takes the answer too slowly to be sent more."""
         if self._transport is None:
-            return self._held_bytes > BACKLOG_LIMIT_BYTES
+            # A lower limit would withhold the credit for an answer that must be held whole.
+            return self._held_bytes > HELD_ANSWER_BYTES
         return self._transport.get_write_buffer_size() > BACKLOG_LIMIT_BYTES
 
     @property
@@ -82,16 +83,25 @@
         if isinstance(body, AnswerHead):
             self._head = body
             self.changed.set()
+        else:
+            self.forward_data(body.data)
+
+    def forward_data(self, data: bytes) -> None:
+        """Take the next bytes of the answer; flush writes them."""
+        self._held.append(data)
+        if self._transport is None:
+            self._held_bytes += len(data)
+            if self._response is None and self._held_bytes > HELD_ANSWER_BYTES:
+                self.changed.set()
+
+    def flush(self) -> None:
+        """Write what was taken, once the head is sent."""
+        transport, held = self._transport, self._held
+        if transport is None or not held:
             return
-        transport = self._transport
-        if transport is not None:
-            data = body.data
-            transport.write(b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data)
-            return
-        self._held.append(body.data)
-        self._held_bytes += len(body.data)
-        if self._response is None and self._held_bytes > HELD_ANSWER_BYTES:
-            self.changed.set()
+        data = held[0] if len(held) == 1 else b"".join(held)
+        held.clear()
+        transport.write(b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data)
 
     def finish(self) -> None:
         """Learn that the answer is whole."""
@@ -119,6 +129,7 @@
         if self.state is CallerState.WAITING:
             self.state = CallerState.STREAMING
         self._transport = self._request.transport
+        self._held_bytes = 0
 
     async def close(self) -> web.StreamResponse:
         """End the response cleanly if the answer is whole, and visibly broken if not."""
--- a/egretrouter/daemons/_callers.py
+++ b/egretrouter/daemons/_callers.py
@@ -34,7 +34,7 @@
 )
 from egretrouter.core.routing import RouteRequest, ServiceCatalog
 from egretrouter.core.settings import CallerLimits
-from egretrouter.daemons._call_driver import CallDriver, CallServices, RoutedCall
+from egretrouter.daemons._call_driver import CallDriver
 from egretrouter.daemons._caller_stream import CallerState, CallerStream
 from egretrouter.daemons._endpoint import forwarded_headers
 from egretrouter.daemons._metrics import RouterMetrics
@@ -54,6 +54,7 @@
     read_body,
     request_id_of,
 )
+from egretrouter.daemons._routed_call import CallServices, RoutedCall
 
 LOADING_RETRY_SECONDS = 1.0
 # Headers of the caller that end at the router.
--- a/egretrouter/daemons/_link.py
+++ b/egretrouter/daemons/_link.py
@@ -34,6 +34,9 @@
     def frame_arrived(self, frame: pb.AnswerFrame) -> None:
         """Take one frame of the answer."""
 
+    def flush(self) -> None:
+        """Write to the caller what the frames so far brought."""
+
     def link_lost(self) -> None:
         """Learn that the link broke; frames may be missing."""
 
@@ -45,9 +48,16 @@
     """Keep a stream to one agent open and distribute its frames to calls."""
 
     def __init__(
-        self, *, address: str, router_id: InstanceId, channels: ChannelPool, **kwargs: Any
+        self,
+        *,
+        address: str,
+        router_id: InstanceId,
+        channels: ChannelPool,
+        coalesce_events: bool = True,
+        **kwargs: Any,
     ) -> None:
         super().__init__(**kwargs)
+        self.coalesce_events = coalesce_events
         self.address = address
         self.link_state = LinkState.CONNECTING
         self.epoch: Epoch | None = None
@@ -151,11 +161,20 @@
                 await stream.write(pb.RouterMessage(frames=frames))
 
     def _distribute(self, message: pb.AgentMessage) -> None:
-        sinks = self._sinks
+        sinks, coalesce = self._sinks, self.coalesce_events
+        touched: dict[str, CallSink] = {}
         for frame in message.frames:
-            sink = sinks.get(frame.call_id)
-            if sink is not None:
-                sink.frame_arrived(frame)
+            call_id = frame.call_id
+            sink = sinks.get(call_id)
+            if sink is None:
+                continue
+            sink.frame_arrived(frame)
+            if coalesce:
+                touched[call_id] = sink
+            else:
+                sink.flush()
+        for sink in touched.values():
+            sink.flush()
 
     def _rise(self, epoch: Epoch) -> None:
         self.link_state = LinkState.UP
--- a/egretrouter/daemons/_router.py
+++ b/egretrouter/daemons/_router.py
@@ -13,13 +13,13 @@
 from egretrouter.core.membership import MemberRole
 from egretrouter.core.routing import EndpointSelector
 from egretrouter.core.settings import RouterSettings
-from egretrouter.daemons._call_driver import CallServices
 from egretrouter.daemons._callers import CallerHandler
 from egretrouter.daemons._endpoint_view import EndpointView
 from egretrouter.daemons._link import AgentLink
 from egretrouter.daemons._metrics import RouterMetrics
 from egretrouter.daemons._peers import PeersServicer
 from egretrouter.daemons._process import ProcessService
+from egretrouter.daemons._routed_call import CallServices
 
 REFRESH_SECONDS = 0.5
 LINK_IDLE_TICKS = 120
--- a/tests/test_calls_attempt.py
+++ b/tests/test_calls_attempt.py
@@ -3,6 +3,8 @@
 from typing import Any
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from egretrouter.core.calls import (
     AnswerBody,
@@ -270,3 +272,33 @@
         commands = call.send(DeadlineReached())
         assert failed(commands) is Outcome.UNKNOWN
         assert commands[-1] == CloseClaim(end=ClaimEnd.UNSETTLED)
+
+
+class TestAcceptsData:
+    """Guard against the short path for data deciding otherwise than the messages do."""
+
+    @pytest.mark.parametrize("repeatable", [False, True])
+    @given(
+        sequences=st.lists(st.integers(0, 5), max_size=10),
+        lost_after=st.integers(0, 12),
+    )
+    def test_forwards_the_same_bytes(
+        self, sequences: list[int], lost_after: int, *, repeatable: bool
+    ) -> None:
+        bodies = answer(b"a", b"", b"bc", b"d")
+        results = []
+        for short in (False, True):
+            call = Call(idempotent=True, repeatable_answer=repeatable)
+            call.choose()
+            seen: list[object] = []
+            for step, sequence in enumerate([0, *sequences]):
+                if step == lost_after:
+                    seen += call.send(LinkLost(attempt=1))
+                body = bodies[sequence]
+                data = body.data if short and isinstance(body, AnswerData) else b""
+                if call.attempt.accepts_data(1, sequence, data):
+                    seen.append(ForwardToCaller(body=body))
+                else:
+                    seen += call.frames(body, first=sequence)
+            results.append((seen, call.attempt.snapshot()))
+        assert results[0] == results[1]
--- a/tests/test_calls_world.py
+++ b/tests/test_calls_world.py
@@ -10,8 +10,8 @@
 
 from egretrouter.core import calls
 from egretrouter.core.calls import CallAttempt, CallRegistry, CallState, ClaimBook, SettledClaim
-from egretrouter.core.calls._attempt import _LaneState
 from egretrouter.core.calls._claim_batch import ClaimBatch
+from egretrouter.core.calls._lane import LaneState
 
 SEEDS = 10_000
 MUTANTS: list[Any] = []
@@ -127,7 +127,7 @@
 @mutant(CallAttempt, "handle")
 def sequence_is_not_checked(original: Any, self: Any, message: Any, **time: Any) -> Any:
     if isinstance(message, calls.FrameArrived) and isinstance(message.body, calls.AnswerEnd):
-        lane = self._lane(message.attempt, _LaneState.OPEN)
+        lane = self._lane(message.attempt, LaneState.OPEN)
         if lane is not None:
             lane.next_sequence = message.sequence
             message = replace(message, body=lane.checksum.end())
