--- a/egretrouter/daemons/_callers.py
+++ b/egretrouter/daemons/_callers.py
@@ -30,11 +30,12 @@
     LimitsTick,
     LiveRoutersCounted,
     RefuseCall,
+    StartCall,
     WorkspaceLimits,
 )
 from egretrouter.core.routing import RouteRequest, ServiceCatalog
 from egretrouter.core.settings import CallerLimits
-from egretrouter.daemons._call_driver import CallDriver, CallServices, RoutedCall
+from egretrouter.daemons._call_driver import CallDriver
 from egretrouter.daemons._caller_stream import CallerState, CallerStream
 from egretrouter.daemons._endpoint import forwarded_headers
 from egretrouter.daemons._metrics import RouterMetrics
@@ -54,6 +55,7 @@
     read_body,
     request_id_of,
 )
+from egretrouter.daemons._routed_call import CallServices, RoutedCall
 
 LOADING_RETRY_SECONDS = 1.0
 # Headers of the caller that end at the router.
@@ -84,7 +86,7 @@
         self._workspaces = Workspaces(None)
         self._configuration: Configuration | None = None
         self._admissions: dict[ServiceName, Admission] = {}
-        self._waiting: dict[CallId, asyncio.Future[None]] = {}
+        self._waiting: dict[CallId, asyncio.Future[StartCall]] = {}
         self._routers = 1
         self._draining = False
         self.open_calls = 0
@@ -288,16 +290,16 @@
                 service=call.route.service,
                 workspace=call.workspace,
             ) as action:
-                await self._admit(admission, call, tokens)
-                await driver.run()
+                admitted = await self._admit(admission, call, tokens)
+                await driver.run(urgent=admitted.urgent)
                 action.add_success_fields(state=stream.state.value, bytes=driver.answer_bytes)
             return await stream.close()
         finally:
             self._release(admission, call, driver, stream, arrived_seconds)
 
-    async def _admit(self, admission: Admission, call: RoutedCall, tokens: int) -> None:
+    async def _admit(self, admission: Admission, call: RoutedCall, tokens: int) -> StartCall:
         """Wait for the call's turn; raises _Refused."""
-        future: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        future: asyncio.Future[StartCall] = asyncio.get_running_loop().create_future()
         self._waiting[call.call_id] = future
         try:
             self._tell(
@@ -310,7 +312,7 @@
                     deadline_seconds=call.deadline_at_seconds - time.monotonic(),
                 ),
             )
-            await future
+            return await future
         finally:
             del self._waiting[call.call_id]
 
@@ -348,7 +350,7 @@
         if isinstance(command, RefuseCall):
             future.set_exception(_Refused(command))
         else:
-            future.set_result(None)
+            future.set_result(command)
 
     def snapshot(self) -> dict[str, Any]:
         """Return the state for the state dump."""
