Retry refusals of a stale view for free and expire queued calls every 100 ms

Cause: an agent that refuses a call for another version costs nothing, but the retry was charged to the retry budget, which starts empty; calls then ended without an endpoint. Priorities did not reach the engine.

--- a/egretrouter/daemons/_call_driver.py
+++ b/egretrouter/daemons/_call_driver.py
@@ -11,6 +11,7 @@
 
 from egretrouter.core.calls import (
     AnswerData,
+    AnswerFailure,
     AttemptCommand,
     AttemptMessage,
     CallAttempt,
@@ -29,6 +30,7 @@
     LinkLost,
     NoEndpoint,
     RecordTarget,
+    RefusalReason,
     SendCancel,
     SendOpen,
     SendResume,
@@ -51,6 +53,12 @@
 from egretrouter.protocol import decode_body
 from egretrouter.protocol import egretrouter_pb2 as pb
 
+# Refusals by which an agent corrects what this router had heard of it. Such a call took none of
+# the endpoint's time, so its retry is not charged to the retry budget.
+STALE_VIEW_REASONS = frozenset(
+    reason.value
+    for reason in (RefusalReason.OTHER_EPOCH, RefusalReason.OTHER_VERSION, RefusalReason.DRAINING)
+)
 WINDOW_BYTES = 256 * 1024
 CREDIT_BYTES = WINDOW_BYTES // 2
 LINK_WAIT_SECONDS = 2.0
@@ -102,6 +110,7 @@
         self._chosen: dict[int, AgentLink] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._urgent = False
+        self._stale_view = False
         self._placed: dict[int, bool] = {}
         self._started_seconds = time.monotonic()
         self.answer_bytes = 0
@@ -180,6 +189,8 @@
             self._stream.forward_data(data)
         else:
             body = decode_body(frame)
+            if isinstance(body, AnswerFailure):
+                self._stale_view = body.reason in STALE_VIEW_REASONS
             self.apply(FrameArrived(attempt=attempt, sequence=frame.sequence, body=body))
         if data:
             lane = self._lanes[attempt]
@@ -237,7 +248,8 @@
 
     @_carry_out.register
     def _choose(self, command: ChooseEndpoint) -> None:
-        if command.attempt == 1:
+        stale_view, self._stale_view = self._stale_view, False
+        if command.attempt == 1 or stale_view:
             self._spawn(self._choose_now(command))
         elif self._services.retry_budget.try_spend():
             self._spawn(self._choose_later(command))
--- a/egretrouter/daemons/_endpoint.py
+++ b/egretrouter/daemons/_endpoint.py
@@ -15,6 +15,7 @@
 CONNECT_TIMEOUT_SECONDS = 2.0
 READ_BUFFER_BYTES = 256 * 1024
 DIGEST_HEADER = "X-Manifest-Digest"
+PRIORITY_HEADER = "X-Request-Priority"
 
 _EVENT_STREAM = "text/event-stream"
 _STREAM_END = b"data: [DONE]"
@@ -121,6 +122,8 @@
     def _headers(call: pb.CallOpen, call_id: CallId) -> list[tuple[str, str]]:
         headers = [(h.name, h.value) for h in call.headers]
         headers.append(("X-Call-Id", call_id))
+        if call.priority:
+            headers.append((PRIORITY_HEADER, str(call.priority)))
         if call.version_digest:
             headers.append((DIGEST_HEADER, call.version_digest))
         return headers
--- a/egretrouter/daemons/_router.py
+++ b/egretrouter/daemons/_router.py
@@ -22,7 +22,7 @@
 from egretrouter.daemons._routed_call import CallServices
 
 REFRESH_SECONDS = 0.5
-LINK_IDLE_TICKS = 120
+LIMITS_TICK_SECONDS = 0.1
 
 
 class RouterService(ProcessService):
@@ -119,6 +119,11 @@
             await self.sleep(REFRESH_SECONDS)
             self.view.refresh()
             self.handler.count_routers(self.view.routers()[1])
+
+    @Service.task
+    async def _expire_queued(self) -> None:
+        while not self.should_stop:
+            await self.sleep(LIMITS_TICK_SECONDS)
             self.handler.tick()
 
     async def on_stop(self) -> None:
--- a/egretrouter/standins/_engine.py
+++ b/egretrouter/standins/_engine.py
@@ -197,7 +197,7 @@
         digest = self._chosen_digest(request, model)
         if digest is None:
             return _refusal(404, "model_not_found", f"model {model!r} is not loaded as asked")
-        sequence = self._sequence(body, digest)
+        sequence = self._sequence(request, body, digest)
         self.executions[request.headers.get("X-Request-Id", "")] += 1
         self.batch.add(sequence)
         self._note_load()
@@ -215,7 +215,7 @@
             self.batch.remove(sequence)
             self._note_load()
 
-    def _sequence(self, body: dict[str, Any], digest: str) -> Sequence:
+    def _sequence(self, request: web.Request, body: dict[str, Any], digest: str) -> Sequence:
         prompt = prompt_text(body)
         start = int(body.get("resume_position", 0))
         count = max(0, int(body.get("max_tokens", DEFAULT_MAX_TOKENS)) - start)
@@ -230,7 +230,7 @@
         uncached_characters = self.prefix_cache.use(digest, prompt)
         return Sequence(
             tokens,
-            priority=int(body.get("priority", 0)),
+            priority=int(request.headers.get("X-Request-Priority", body.get("priority", 0))),
             prefill_seconds=uncached_characters * self.prefill_seconds_per_character,
         )
 
