Serve callers over TLS and test secrets and certificates

Cause: the settings named certificates for callers that no process used, and neither the shared secret nor mutual TLS between processes was tested. Change: the callers' port uses its certificate and loads replaced files without a restart; tests for both kinds of authentication, with certificates made by trustme.

--- a/egretrouter/daemons/_process.py
+++ b/egretrouter/daemons/_process.py
@@ -1,6 +1,7 @@
 """Assemble what routers and agents have in common."""
 
 import random
+import ssl
 import time
 from collections.abc import Callable
 from pathlib import Path
@@ -142,12 +143,17 @@
         )
 
     async def listen_http(
-        self, application: web.Application, listen: ListenSettings, **options: Any
+        self,
+        application: web.Application,
+        listen: ListenSettings,
+        *,
+        ssl_context: ssl.SSLContext | None = None,
+        **options: Any,
     ) -> int:
         """Serve an application and return its port."""
         runner = web.AppRunner(application, access_log=None, **options)
         await runner.setup()
-        site = web.TCPSite(runner, listen.address, listen.port)
+        site = web.TCPSite(runner, listen.address, listen.port, ssl_context=ssl_context)
         await site.start()
         self._runners.append(runner)
         port: int = runner.addresses[0][1]
--- a/egretrouter/daemons/_router.py
+++ b/egretrouter/daemons/_router.py
@@ -20,6 +20,7 @@
 from egretrouter.daemons._peers import PeersServicer
 from egretrouter.daemons._process import ProcessService
 from egretrouter.daemons._routed_call import CallServices
+from egretrouter.daemons._tls import CallerTls
 
 REFRESH_SECONDS = 0.5
 LIMITS_TICK_SECONDS = 0.1
@@ -64,9 +65,14 @@
         limits = self.router_settings.limits
         application = web.Application(client_max_size=limits.max_body_bytes)
         application.add_routes(self.handler.routes())
+        tls = None
+        if self.router_settings.callers_tls is not None:
+            tls = CallerTls(self.router_settings.callers_tls)
+            self.add_future(tls.keep_current())
         self.callers_port = await self.listen_http(
             application,
             self.router_settings.callers,
+            ssl_context=tls.context if tls is not None else None,
             handler_cancellation=True,
             max_field_size=limits.max_header_bytes,
             max_line_size=limits.max_header_bytes,
--- /dev/null
+++ b/tests/test_daemon_security.py
@@ -0,0 +1,99 @@
+"""Test how processes and callers authenticate each other."""
+
+import ssl
+from pathlib import Path
+from typing import Any
+
+import grpc
+import pytest
+import trustme
+
+from egretrouter.core.settings import TlsSettings
+from egretrouter.daemons._peers import PeersServicer
+from egretrouter.daemons._rpc import ChannelPool, PeerSecurity, TlsFiles, bind_server, build_server
+from egretrouter.daemons._tls import CallerTls
+from egretrouter.protocol import egretrouter_pb2 as pb
+from egretrouter.protocol import egretrouter_pb2_grpc as pb_grpc
+
+
+def write_identity(authority: trustme.CA, folder: Path) -> TlsFiles:
+    folder.mkdir(exist_ok=True)
+    files = TlsFiles(
+        certificate=folder / "cert.pem", key=folder / "key.pem", authority=folder / "ca.pem"
+    )
+    identity = authority.issue_cert("egretrouter")
+    identity.private_key_pem.write_to_path(files.key)
+    identity.cert_chain_pems[0].write_to_path(files.certificate)
+    authority.cert_pem.write_to_path(files.authority)
+    return files
+
+
+async def dump(server: PeerSecurity, client: PeerSecurity, *, replace: Any = None) -> bytes:
+    """Ask a server with one security for its state from a client with another."""
+    process = build_server(server)
+    pb_grpc.add_PeersServicer_to_server(PeersServicer(dump=lambda: {"ok": True}), process)
+    port = bind_server(process, "127.0.0.1:0", server)
+    await process.start()
+    if replace is not None:
+        replace()
+    channels = ChannelPool(client)
+    try:
+        stub = pb_grpc.PeersStub(channels.channel(f"127.0.0.1:{port}"))
+        reply = await stub.DumpState(pb.DumpRequest(), metadata=channels.metadata, timeout=5)
+        return bytes(reply.state)
+    finally:
+        await channels.close()
+        await process.stop(0)
+
+
+class TestPeerSecurity:
+    """Guard against processes of another deployment taking part in this one."""
+
+    @pytest.mark.parametrize("offered", [None, "", "other"])
+    async def test_refuses_another_secret(self, offered: str | None) -> None:
+        with pytest.raises(grpc.aio.AioRpcError) as caught:
+            await dump(PeerSecurity(secret="right"), PeerSecurity(secret=offered))
+        assert caught.value.code() is grpc.StatusCode.UNAUTHENTICATED
+
+    async def test_accepts_the_secret(self) -> None:
+        security = PeerSecurity(secret="right")
+        assert await dump(security, security) == b'{"ok": true}'
+
+    async def test_accepts_certificates_of_one_authority(self, tmp_path: Path) -> None:
+        authority = trustme.CA()
+        server = PeerSecurity(tls=write_identity(authority, tmp_path / "server"))
+        client = PeerSecurity(tls=write_identity(authority, tmp_path / "client"))
+        assert await dump(server, client) == b'{"ok": true}'
+
+    async def test_refuses_a_certificate_of_another_authority(self, tmp_path: Path) -> None:
+        server = PeerSecurity(tls=write_identity(trustme.CA(), tmp_path / "server"))
+        client = PeerSecurity(tls=write_identity(trustme.CA(), tmp_path / "client"))
+        with pytest.raises(grpc.aio.AioRpcError):
+            await dump(server, client)
+
+    async def test_takes_replaced_files_without_a_restart(self, tmp_path: Path) -> None:
+        server = PeerSecurity(tls=write_identity(trustme.CA(), tmp_path / "server"))
+        replacement = trustme.CA()
+        client = PeerSecurity(tls=write_identity(replacement, tmp_path / "client"))
+        state = await dump(
+            server, client, replace=lambda: write_identity(replacement, tmp_path / "server")
+        )
+        assert state == b'{"ok": true}'
+
+
+class TestCallerTls:
+    """Guard against a port that keeps an expired certificate or loses it by half a change."""
+
+    def test_loads_replaced_files_and_survives_broken_ones(self, tmp_path: Path) -> None:
+        files = write_identity(trustme.CA(), tmp_path / "router")
+        tls = CallerTls(
+            TlsSettings(certificate_file=str(files.certificate), private_key_file=str(files.key))
+        )
+        files.key.write_text("half a key")
+        tls.reload()
+        assert tls.context.verify_mode is ssl.CERT_NONE
+        write_identity(trustme.CA(), tmp_path / "router")
+        tls.reload()
+        before = tls._seen
+        tls.reload()
+        assert tls._seen == before
