--- a/benchmarks/stream_processes.py
+++ b/benchmarks/stream_processes.py
@@ -26,9 +26,10 @@
     seed: int = 1
     streams: int = 200
     engines: int = 4
-    token_interval_seconds: float = 0.08
+    token_interval_seconds: float = 0.059
     tokens: int = 110
-    window_seconds: float = 6.0
+    window_seconds: float = 4.0
+    burst_tokens: int = 4
 
 
 class Child:
@@ -111,6 +112,7 @@
 async def _upstream(pipe: Connection, sizes: StreamSizes) -> None:
     from egretrouter.core.configuration import FILE_ADAPTER, part_name
     from egretrouter.daemons import _agent_calls
+    from egretrouter.daemons._running import freeze_objects
     from egretrouter.demo import Fleet, FleetOptions
 
     deployment = {
@@ -146,6 +148,7 @@
     manifest = fleet.origin.add_version(MODEL, "v1", content, chunk_bytes=65536)
     await fleet.publish()
     await fleet.wait_for_replicas(manifest.digest, sizes.engines, timeout_seconds=ANSWER_SECONDS)
+    freeze_objects()
     holds = Holds()
     _note_agent_holds(_agent_calls.RouterLink, holds)
 
@@ -163,8 +166,14 @@
         for agent in fleet.agents.values():
             agent.calls.coalesce_events = enabled
 
+    async def burst(tokens: int) -> None:
+        for engine in fleet.engines().values():
+            engine.batch.tokens_per_step = tokens
+            engine.batch.token_interval_seconds = tokens * sizes.token_interval_seconds
+
     commands: dict[str, Command] = {
         "started": started,
+        "burst": burst,
         "coalesce": coalesce,
         "holds": holds.take,
     }
@@ -175,13 +184,13 @@
     """Note the time from the arrival of a batch's first frame to its departure."""
     queue, batch = link_class.queue, link_class.batch
 
-    def noted_queue(self: Any, frame: Any, *, urgent: bool) -> None:
+    def noted_queue(self: Any, frame: Any) -> None:
         if not getattr(self, "queued_seconds", None):
             self.queued_seconds = time.monotonic()
-        queue(self, frame, urgent=urgent)
+        queue(self, frame)
 
-    async def noted_batch(self: Any, **options: Any) -> Any:
-        frames = await batch(self, **options)
+    async def noted_batch(self: Any) -> Any:
+        frames = await batch(self)
         if frames:
             holds.seconds.append(time.monotonic() - self.queued_seconds)
             self.queued_seconds = None
@@ -199,6 +208,7 @@
     from egretrouter.core.settings import RouterSettings
     from egretrouter.daemons import RouterService
     from egretrouter.daemons._link import AgentLink
+    from egretrouter.daemons._running import freeze_objects
 
     settings = RouterSettings.model_validate(
         {
@@ -223,6 +233,7 @@
     for admission in router.handler._admissions.values():
         # The adaptive limit starts at 8 calls and grows by one per 0.5 s, longer than this run.
         admission._concurrency.limit_calls = 2.0 * sizes.streams
+    freeze_objects()
     holds = Holds()
     distribute = AgentLink._distribute
 
@@ -237,7 +248,11 @@
     async def port(_: Any) -> int:
         return router.callers_port
 
-    await _serve(pipe, {"port": port, "holds": holds.take})
+    async def coalesce(enabled: bool) -> None:
+        for link in router._links.values():
+            link.coalesce_events = enabled
+
+    await _serve(pipe, {"port": port, "coalesce": coalesce, "holds": holds.take})
 
 
 def pass_through_main(pipe: Connection, upstreams: list[str]) -> None:
@@ -254,7 +269,10 @@
     async def port(_: Any) -> int:
         return server.port
 
-    await _serve(pipe, {"port": port})
+    async def none(_: Any) -> dict[str, float]:
+        return {}
+
+    await _serve(pipe, {"port": port, "holds": none})
 
 
 def callers_main(pipe: Connection, sizes: StreamSizes, digest: str) -> None:
--- a/egretrouter/daemons/_agent.py
+++ b/egretrouter/daemons/_agent.py
@@ -137,6 +137,7 @@
             ),
             endpoint=EndpointClient(base_url=endpoint.url, session=self._endpoint_session),
             confirm_epoch=self._confirm_epoch_soon,
+            coalesce_events=self.agent_settings.coalesce_events,
         )
         peers = PeersServicer(dump=self.dump)
         await self.start_process(
