--- a/benchmarks/stream_processes.py
+++ b/benchmarks/stream_processes.py
@@ -65,7 +65,7 @@
     }
 
 
-async def _serve(pipe: Connection, commands: dict[str, Command]) -> None:
+async def serve_commands(pipe: Connection, commands: dict[str, Command]) -> None:
     """Answer commands until the parent closes the pipe or ends this process."""
     loop = asyncio.get_running_loop()
     requests: asyncio.Queue[tuple[str, Any]] = asyncio.Queue()
@@ -168,7 +168,7 @@
         "coalesce": coalesce,
         "holds": holds.take,
     }
-    await _serve(pipe, commands)
+    await serve_commands(pipe, commands)
 
 
 def _note_agent_holds(link_class: Any, holds: Holds) -> None:
@@ -237,7 +237,7 @@
     async def port(_: Any) -> int:
         return router.callers_port
 
-    await _serve(pipe, {"port": port, "holds": holds.take})
+    await serve_commands(pipe, {"port": port, "holds": holds.take})
 
 
 def pass_through_main(pipe: Connection, upstreams: list[str]) -> None:
@@ -254,7 +254,7 @@
     async def port(_: Any) -> int:
         return server.port
 
-    await _serve(pipe, {"port": port})
+    await serve_commands(pipe, {"port": port})
 
 
 def callers_main(pipe: Connection, sizes: StreamSizes, digest: str) -> None:
@@ -269,7 +269,7 @@
         "count": callers.count,
         "finish": callers.finish,
     }
-    await _serve(pipe, commands)
+    await serve_commands(pipe, commands)
 
 
 class _Callers:
--- a/egretrouter/backends/_http.py
+++ b/egretrouter/backends/_http.py
@@ -1,7 +1,7 @@
 """Send requests to the platform's systems and map failures to the exception tree."""
 
 import asyncio
-from collections.abc import AsyncIterable, Mapping
+from collections.abc import AsyncIterable, Callable, Mapping
 from email.utils import parsedate_to_datetime
 from time import time
 
@@ -89,13 +89,16 @@
         headers: Mapping[str, str] | None = None,
         timeout: aiohttp.ClientTimeout | None = None,
         max_bytes: int,
+        on_bytes: Callable[[], None] | None = None,
     ) -> Answer:
-        """Send a GET request.
+        """Send a GET request and call on_bytes each time a part of its content arrived.
 
         Raises RateLimitedError, MalformedAnswerError or BackendUnavailableError.
         """
         try:
-            answer = await self._send("GET", url, headers=headers, timeout=timeout, max=max_bytes)
+            answer = await self._send(
+                "GET", url, headers=headers, timeout=timeout, max=max_bytes, on_bytes=on_bytes
+            )
         except (aiohttp.ClientError, TimeoutError) as error:
             raise BackendUnavailableError(self._message("GET", url, error)) from error
         self._raise_for_rate(answer, url)
@@ -156,6 +159,7 @@
         max: int,
         data: bytes | AsyncIterable[bytes] | None = None,
         middlewares: tuple[aiohttp.ClientMiddlewareType, ...] = (),
+        on_bytes: Callable[[], None] | None = None,
     ) -> Answer:
         async with self._session.request(
             method,
@@ -169,6 +173,8 @@
             content = bytearray()
             async for piece in response.content.iter_any():
                 content += piece
+                if on_bytes is not None:
+                    on_bytes()
                 if len(content) > max:
                     raise MalformedAnswerError(
                         f"{self._name}: {method} {url.path} answered more than {max} bytes"
--- a/egretrouter/backends/_ports.py
+++ b/egretrouter/backends/_ports.py
@@ -1,6 +1,6 @@
 """Define the ports to the platform's systems."""
 
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Callable
 from enum import Enum
 from typing import Protocol
 
@@ -70,11 +70,18 @@
         """
 
     async def chunk(
-        self, model: ModelName, version: VersionName, index: ChunkIndex, *, offset: int, length: int
+        self,
+        model: ModelName,
+        version: VersionName,
+        index: ChunkIndex,
+        *,
+        offset: int,
+        length: int,
+        on_bytes: Callable[[], None] | None = None,
     ) -> bytes:
         """Read one chunk by its byte range; the content is not verified.
 
-        Raises what manifest raises.
+        Calls on_bytes each time a part of the chunk arrived. Raises what manifest raises.
         """
 
 
--- a/egretrouter/backends/_weight_source.py
+++ b/egretrouter/backends/_weight_source.py
@@ -1,5 +1,7 @@
 """Call the origin of weights or the weight store over HTTP."""
 
+from collections.abc import Callable
+
 import aiohttp
 
 from egretrouter.backends._http import Answer, HttpCaller
@@ -40,7 +42,14 @@
         return answer.content
 
     async def chunk(
-        self, model: ModelName, version: VersionName, index: ChunkIndex, *, offset: int, length: int
+        self,
+        model: ModelName,
+        version: VersionName,
+        index: ChunkIndex,
+        *,
+        offset: int,
+        length: int,
+        on_bytes: Callable[[], None] | None = None,
     ) -> bytes:
         """Read one chunk by its byte range; the content is not verified."""
         url = self._caller.url("weights", model, version, "content")
@@ -49,6 +58,7 @@
             headers={"Range": f"bytes={offset}-{offset + length - 1}"},
             timeout=self._timeout,
             max_bytes=length,
+            on_bytes=on_bytes,
         )
         _raise_if_missing(answer, f"{model}/{version}")
         if answer.status == 416:
--- a/egretrouter/core/weights/__init__.py
+++ b/egretrouter/core/weights/__init__.py
@@ -2,7 +2,7 @@
 
 from egretrouter.core.weights._budget import OriginAllowance, TokenBucket
 from egretrouter.core.weights._chunk_memory import ChunkMemory
-from egretrouter.core.weights._copy import CopyState, WeightCopy
+from egretrouter.core.weights._copy import FETCHING_STATES, STOPPED_STATES, CopyState, WeightCopy
 from egretrouter.core.weights._manifest import (
     DEFAULT_CHUNK_BYTES,
     ChunkSpec,
@@ -54,6 +54,8 @@
 from egretrouter.core.weights._serving import LinkShares
 
 __all__ = [
+    "FETCHING_STATES",
+    "STOPPED_STATES",
     "DEFAULT_CHUNK_BYTES",
     "ORIGIN",
     "AllowanceAsked",
--- a/egretrouter/core/weights/_budget.py
+++ b/egretrouter/core/weights/_budget.py
@@ -147,6 +147,8 @@
         self._level_bytes -= size_bytes
         return delay
 
-    def set_rate(self, bytes_per_second: float) -> None:
+    def set_rate(self, bytes_per_second: float, *, burst_bytes: int) -> None:
         """Put another rate in force."""
         self._bytes_per_second = bytes_per_second
+        self._burst_bytes = burst_bytes
+        self._level_bytes = min(self._level_bytes, float(burst_bytes))
--- a/egretrouter/daemons/_agent.py
+++ b/egretrouter/daemons/_agent.py
@@ -14,25 +14,20 @@
 from egretrouter.backends import (
     EngineReport,
     HttpEngine,
-    HttpWeightSource,
-    InstanceState,
     StorePurpose,
-    WeightSource,
 )
 from egretrouter.core.calls import CallRegistry, EpochRead, VersionsLoaded
-from egretrouter.core.configuration import Configuration, DistributionFile, EndpointFile
+from egretrouter.core.configuration import Configuration, EndpointFile
 from egretrouter.core.errors import (
     BackendError,
     EgretrouterError,
     OrderError,
-    StaleFencingNumberError,
 )
 from egretrouter.core.identifiers import (
     Digest,
     EndpointId,
     Epoch,
     InstanceId,
-    RegionId,
     ServiceName,
     ZoneId,
 )
@@ -65,21 +60,15 @@
     place,
 )
 from egretrouter.core.settings import AgentSettings
-from egretrouter.core.weights import (
-    ChunkMemory,
-    CopySettings,
-    LinkShares,
-    OriginAllowance,
-    Peer,
-    TokenBucket,
-)
 from egretrouter.daemons._agent_calls import CallsServicer
-from egretrouter.daemons._copies import CopyPeer, CopyService
+from egretrouter.daemons._copies import CopyService
 from egretrouter.daemons._endpoint import EndpointClient, endpoint_session
 from egretrouter.daemons._lease import OrderLeaseService
 from egretrouter.daemons._metrics import AgentMetrics
+from egretrouter.daemons._orders import EngineOrders
 from egretrouter.daemons._peers import PeersServicer
 from egretrouter.daemons._process import ProcessService
+from egretrouter.daemons._zone_copies import build_copy_service, copy_limits, copy_peers
 from egretrouter.protocol import egretrouter_pb2_grpc as pb_grpc
 
 TICK_SECONDS = 0.5
@@ -89,10 +78,6 @@
 SPREAD_SECONDS = 1.5
 JOIN_SECONDS = 8.0
 JOIN_POLL_SECONDS = 0.1
-BITS_PER_BYTE = 8
-# A share of a link may be used in bursts of this length.
-LINK_BURST_SECONDS = 0.25
-MINIMUM_BURST_BYTES = 512 * 1024
 NO_DIGEST = Digest("")
 
 
@@ -113,13 +98,13 @@
         self.copies: CopyService | None = None
         self.engine: HttpEngine | None = None
         self.lease: OrderLeaseService | None = None
+        self.orders: EngineOrders | None = None
         self._endpoint_session: aiohttp.ClientSession
         self._facts = ReplicaFacts(instance_id=self.instance_id, zone=self.zone)
         self._admitted: set[Digest] = set()
         self._versions: dict[Digest, VersionReference] = {}
         self._leaving: dict[Digest, float] = {}
         self._draining = False
-        self._orders = asyncio.Lock()
         self._expected_in_zone = 1
         self._started_seconds = time.monotonic()
 
@@ -145,6 +130,7 @@
         )
         self.control.on_configuration.append(self._configure)
         self.control.on_members.append(self._members_changed)
+        self.control.on_pause.append(self._paused)
         in_force = self.control.configuration.configuration
         if in_force is not None:
             self._configure(in_force)
@@ -186,6 +172,9 @@
         )
         if self.copies is None:
             self._start_engine(configuration, service.endpoint)
+        else:
+            self.copies.configure(copy_limits(configuration, zone=self.zone))
+            self._members_changed()
         self._assign(configuration)
 
     def _start_engine(self, configuration: Configuration, checks: EndpointFile) -> None:
@@ -209,29 +198,21 @@
             beacon=self.beacon,
         )
         self._spawn(self.add_runtime_dependency(self.lease))
-        distribution = configuration.deployment.distribution
-        self.copies = CopyService(
-            own=Peer(
-                instance_id=self.instance_id, zone=self.zone, region=RegionId(settings.region)
-            ),
-            memory=ChunkMemory(weight_memory_bytes=settings.weight_memory_bytes),
-            allowance=self._allowance(configuration),
-            links=_link_shares(distribution, agents=self._expected_agents(configuration)),
-            settings=CopySettings(
-                objective=distribution.objective,
-                serve_after_load_seconds=distribution.serve_after_load_seconds,
-            ),
-            origin=self._weight_source(settings.platform.origin_url, "origin"),
-            weight_store=(
-                self._weight_source(settings.platform.weight_store_url, "weight store")
-                if settings.platform.weight_store_url
-                else None
-            ),
+        self.copies = build_copy_service(
+            configuration,
+            settings,
+            session=self.session,
             channels=self.channels,
             metrics=self.metrics,
             rng=random.Random(self.rng.random()),
             beacon=self.beacon,
         )
+        self.orders = EngineOrders(
+            engine=self.engine,
+            lease=self.lease,
+            copies=self.copies,
+            rng=random.Random(self.rng.random()),
+        )
         self.copies.on_ready = lambda digest: self._tell(WeightsReady(manifest_digest=digest))
         self.copies.on_failed = lambda digest, reason: self._tell(
             WeightsFailed(manifest_digest=digest, reason=reason)
@@ -240,37 +221,9 @@
         self._spawn(self.add_runtime_dependency(self.copies))
         self._members_changed()
 
-    def _weight_source(self, url: str | None, name: str) -> WeightSource:
-        platform = self.settings.platform
-        return HttpWeightSource(
-            self.session,
-            base_url=url or platform.object_store_url,
-            name=name,
-            timeout_seconds=platform.chunk_timeout_seconds,
-            stall_seconds=platform.chunk_stall_seconds,
-        )
-
-    def _allowance(self, configuration: Configuration) -> OriginAllowance:
-        zones = configuration.deployment.zones
-        budget = configuration.deployment.distribution.origin_bytes_per_minute
-        hold_seconds = self.agent_settings.origin_hold_seconds
-        return OriginAllowance(
-            zone_bytes_per_minute=budget // len(zones),
-            instance_id=self.instance_id,
-            joined_seconds=time.monotonic(),
-            hold_seconds=hold_seconds,
-            expected_members=self._expected_agents(configuration),
-        )
-
-    def _expected_agents(self, configuration: Configuration) -> int:
-        """Return the agents that copy weights in this zone by configuration."""
-        replicas = sum(
-            placement.replicas
-            for service in configuration.model_services()
-            for placement in service.placement
-            if placement.zone == self.zone
-        )
-        return max(1, replicas)
+    def _paused(self) -> None:
+        if self.copies is not None:
+            self.copies.paused()
 
     def _assign(self, configuration: Configuration) -> None:
         members = [
@@ -295,40 +248,17 @@
             for member in self.control.membership.members()
             if member.role is MemberRole.AGENT
         ]
-        regions = {ZoneId(z.name): RegionId(z.region) for z in configuration.deployment.zones}
-        near = [
-            CopyPeer(
-                peer=Peer(
-                    instance_id=member.instance_id,
-                    zone=member.zone,
-                    region=regions.get(member.zone, RegionId(member.zone)),
-                ),
-                address=member.address,
-            )
-            for member in agents
-            if member.facts.service == self.service
-        ]
-        self.copies.set_peers([*near, *self._far_peers(regions)])
+        peers = copy_peers(
+            configuration,
+            service=self.service,
+            zone=self.zone,
+            agents=agents,
+            listed=self.control.listed,
+        )
+        self.copies.set_peers(peers, zone_agents=[member.instance_id for member in agents])
         self._tell(ReplicasSeen(replicas=tuple(_replica(member) for member in agents)))
         self._assign(configuration)
 
-    def _far_peers(self, regions: dict[ZoneId, RegionId]) -> list[CopyPeer]:
-        """Return the agents of other zones as the platform's list knows them."""
-        return [
-            CopyPeer(
-                peer=Peer(
-                    instance_id=listed.instance_id,
-                    zone=listed.zone,
-                    region=regions.get(listed.zone, RegionId(listed.zone)),
-                ),
-                address=listed.address,
-            )
-            for listed in self.control.listed
-            if listed.zone != self.zone
-            and listed.role == f"agent:{self.service}"
-            and listed.state is InstanceState.LIVE
-        ]
-
     def _tell(self, message: RolloutMessage) -> None:
         for command in self.rollout.handle(message, now_seconds=time.monotonic()):
             self._obey(command)
@@ -371,7 +301,8 @@
 
     @_obey.register
     def _unload(self, command: UnloadVersion) -> None:
-        self._spawn(self._unload_version(command))
+        if self.orders is not None:
+            self._spawn(self.orders.unload(command))
 
     @_obey.register
     def _read_engine(self, command: ReadEngine) -> None:
@@ -431,56 +362,16 @@
         version = command.version
         digest = version.manifest_digest
         try:
-            async with self._orders:
-                await self._order_load(command)
+            if self.orders is None:
+                raise OrderError("no engine stands behind this agent")
+            await self.orders.load(command)
         except EgretrouterError as error:
-            self._note_refusal(error)
             log_message("agent:load_failed", digest=digest, error=str(error))
             self._tell(LoadEnded(manifest_digest=digest, reason=str(error)))
             return
         log_message("agent:version_loaded", digest=digest)
         self._tell(LoadEnded(manifest_digest=digest))
 
-    async def _order_load(self, command: LoadVersion) -> None:
-        if self.engine is None or self.copies is None:
-            raise OrderError("no engine stands behind this agent")
-        version = command.version
-        manifest = self.copies.manifest(version.manifest_digest)
-        if manifest is None:
-            raise OrderError(f"weights {version.manifest_digest} are not in memory")
-        await self.engine.load(
-            model=version.model,
-            version=version.version,
-            manifest_digest=version.manifest_digest,
-            weights_digest=manifest.weights_digest,
-            content=self.copies.content(version.manifest_digest),
-            fencing_number=await self._lease(),
-            base_model=command.base_model,
-        )
-
-    async def _unload_version(self, command: UnloadVersion) -> None:
-        version = command.version
-        try:
-            async with self._orders:
-                if self.engine is not None:
-                    await self.engine.unload(
-                        model=version.model,
-                        version=version.version,
-                        fencing_number=await self._lease(),
-                    )
-        except EgretrouterError as error:
-            self._note_refusal(error)
-            log_message("agent:unload_failed", error=str(error))
-
-    def _note_refusal(self, error: EgretrouterError) -> None:
-        if isinstance(error, StaleFencingNumberError) and self.lease is not None:
-            self.lease.found_stale()
-
-    async def _lease(self) -> int:
-        if self.lease is None:
-            raise OrderError("no engine stands behind this agent")
-        return await self.lease.permission()
-
     def _confirm_epoch_soon(self) -> None:
         # The registry asks while it handles a message, so the answer waits for its end.
         asyncio.get_running_loop().call_soon(self._confirm_epoch)
@@ -580,18 +471,3 @@
         phase=Phase(facts.phase or Phase.IDLE.value),
         failed_digest=facts.failed_digest or None,
     )
-
-
-def _link_shares(distribution: DistributionFile, *, agents: int) -> LinkShares:
-    """Build the buckets for an agent's share of its links."""
-    instance = distribution.instance_link_bytes_per_second * distribution.link_share
-    regional_bytes = distribution.inter_region_bits_per_second / BITS_PER_BYTE
-    regional = regional_bytes * distribution.inter_region_share / agents
-    return LinkShares(
-        instance=TokenBucket(bytes_per_second=instance, burst_bytes=_burst(instance)),
-        between_regions=TokenBucket(bytes_per_second=regional, burst_bytes=_burst(regional)),
-    )
-
-
-def _burst(bytes_per_second: float) -> int:
-    return max(MINIMUM_BURST_BYTES, int(bytes_per_second * LINK_BURST_SECONDS))
--- a/egretrouter/daemons/_copies.py
+++ b/egretrouter/daemons/_copies.py
@@ -1,109 +1,64 @@
 """Carry out the copies of weights of one agent."""
 
 import asyncio
-import hashlib
 import random
 import time
 from collections.abc import AsyncIterator, Callable, Coroutine, Iterable
-from functools import singledispatchmethod
 from typing import Any
 
-import grpc
 import msgspec
 from eliot import log_message
 from mode import Service
 
-from egretrouter.backends import WeightSource
 from egretrouter.core.errors import (
-    BackendError,
-    ManifestMismatchError,
-    ObjectMissingError,
-    RateLimitedError,
+    WeightMemoryError,
     WeightsError,
 )
-from egretrouter.core.identifiers import ChunkIndex, Digest, InstanceId
-from egretrouter.core.membership import rendezvous_weight
+from egretrouter.core.identifiers import Digest, InstanceId
 from egretrouter.core.rollout import VersionReference
 from egretrouter.core.weights import (
-    ORIGIN,
-    AllowanceAsked,
-    AllowanceReceived,
+    FETCHING_STATES,
     Announce,
     AnswerOwner,
-    AskAllowance,
-    AskOwner,
-    Busy,
-    CancelFetch,
-    ChunkArrived,
-    ChunkFailed,
     ChunkMemory,
-    ChunkRequested,
-    CopyCommand,
-    CopyCompleted,
-    CopyHalted,
     CopyMessage,
     CopySettings,
-    FailureReason,
-    FetchChunk,
-    FetchManifest,
-    GiveAllowance,
+    CopyState,
     LinkShares,
     Loaded,
     Manifest,
-    ManifestArrived,
-    Missing,
     OriginAllowance,
-    OwnerAnswered,
     OwnerAsked,
     Peer,
     PeerAnnounced,
     PeersChanged,
-    QuarantineSource,
-    RefuseChunk,
-    SendChunk,
     Superseded,
     Tick,
-    Unavailable,
-    UploadEnded,
-    VerifyWhole,
+    TokenBucket,
     WeightCopy,
-    WholeVerified,
 )
 from egretrouter.daemons._metrics import AgentMetrics
-from egretrouter.daemons._rpc import ChannelPool
+from egretrouter.daemons._running_copy import RunningCopy
+from egretrouter.daemons._weight_transfers import CopyPeer, WeightTransfers
+from egretrouter.protocol import decode_notice, encode_notice
 from egretrouter.protocol import egretrouter_pb2 as pb
-from egretrouter.protocol import egretrouter_pb2_grpc as pb_grpc
 
-TICK_SECONDS = 0.1
-NOTICE_TIMEOUT_SECONDS = 2.0
-CHUNK_TIMEOUT_SECONDS = 60.0
-MANIFEST_TIMEOUT_SECONDS = 5.0
-MANIFEST_RETRY_SECONDS = 0.3
-MANIFEST_PEERS = 3
-# The best-ranked agent reads the manifest from the origin at once, each later rank after this.
-MANIFEST_FALLBACK_SECONDS = 2.0
+TICK_SECONDS = 0.25
+# Reasons of copies that ended are kept for the state dump, the oldest are dropped.
+KEPT_FAILURES = 16
+# A share of a link may be used in bursts of this length.
+LINK_BURST_SECONDS = 0.25
+MINIMUM_BURST_BYTES = 512 * 1024
 
 
-class CopyPeer(msgspec.Struct, frozen=True, kw_only=True):
-    """Name an agent that takes part in copies, and its address."""
+class CopyLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold what the configuration sets for the copies of one agent."""
 
-    peer: Peer
-    address: str
-
-
-class _RunningCopy:
-    """Hold one copy with the tasks of its fetches."""
-
-    def __init__(self, version: VersionReference, manifest: Manifest, copy: WeightCopy) -> None:
-        self.version = version
-        self.manifest = manifest
-        self.copy = copy
-        self.fetches: dict[tuple[InstanceId, ChunkIndex], asyncio.Task[None]] = {}
-        self.uploads: dict[tuple[InstanceId, ChunkIndex], asyncio.Future[CopyCommand]] = {}
-        offsets = [0]
-        for chunk in manifest.chunks:
-            offsets.append(offsets[-1] + chunk.length_bytes)
-        self.offsets = offsets
+    zone_bytes_per_minute: int
+    expected_members: int
+    instance_bytes_per_second: float
+    regional_bytes_per_second: float
+    settings: CopySettings
 
 
 class CopyService(Service):
@@ -114,44 +69,86 @@
         *,
         own: Peer,
         memory: ChunkMemory,
-        allowance: OriginAllowance,
-        links: LinkShares | None,
-        settings: CopySettings,
-        origin: WeightSource,
-        weight_store: WeightSource | None,
-        channels: ChannelPool,
+        limits: CopyLimits,
+        hold_seconds: float,
+        transfers: WeightTransfers,
         metrics: AgentMetrics,
         rng: random.Random,
+        joined_seconds: float | None = None,
         **kwargs: Any,
     ) -> None:
+        """Take nothing from the origin for hold_seconds; peers are newcomers as long.
+
+        The agent joined its zone now, unless joined_seconds tells the time.
+        """
         super().__init__(**kwargs)
+        now = time.monotonic() if joined_seconds is None else joined_seconds
         self.own = own
         self.memory = memory
-        self.allowance = allowance
-        self.settings = settings
+        self.limits = limits
+        self.allowance = OriginAllowance(
+            zone_bytes_per_minute=limits.zone_bytes_per_minute,
+            instance_id=own.instance_id,
+            joined_seconds=now,
+            hold_seconds=hold_seconds,
+            expected_members=limits.expected_members,
+        )
         self.on_ready: Callable[[Digest], None] = lambda _: None
         self.on_failed: Callable[[Digest, str], None] = lambda _, __: None
-        self._links = links
-        self._origin = origin
-        self._weight_store = weight_store
-        self._channels = channels
+        self._links = LinkShares(
+            instance=link_bucket(limits.instance_bytes_per_second),
+            between_regions=link_bucket(limits.regional_bytes_per_second),
+        )
+        self._transfers = transfers
         self._metrics = metrics
         self._rng = rng
+        self._hold_seconds = hold_seconds
         self._peers: dict[InstanceId, CopyPeer] = {}
-        self._copies: dict[Digest, _RunningCopy] = {}
+        self._view: tuple[Peer, ...] = ()
+        self._seen: dict[tuple[InstanceId, str], float] = {}
+        """When each agent came into view; a restarted one has another address."""
+        self._joined_seconds = now
+        self._copies: dict[Digest, RunningCopy] = {}
         self._manifests: dict[Digest, bytes] = {}
         self._preparing: dict[Digest, asyncio.Task[None]] = {}
+        self._failures: dict[Digest, str] = {}
+        self._awaited: dict[Digest, list[asyncio.Future[Manifest]]] = {}
         self._jobs: set[asyncio.Task[Any]] = set()
 
-    def set_peers(self, peers: Iterable[CopyPeer]) -> None:
-        """Learn which agents take part in copies."""
+    def configure(self, limits: CopyLimits) -> None:
+        """Put other limits in force; the settings apply to copies that start later."""
+        self.limits = limits
+        self.allowance.set_zone_share(
+            limits.zone_bytes_per_minute, expected_members=limits.expected_members
+        )
+        for bucket, rate in (
+            (self._links.instance, limits.instance_bytes_per_second),
+            (self._links.between_regions, limits.regional_bytes_per_second),
+        ):
+            bucket.set_rate(rate, burst_bytes=link_burst_bytes(rate))
+
+    def set_peers(
+        self, peers: Iterable[CopyPeer], *, zone_agents: Iterable[InstanceId] = ()
+    ) -> None:
+        """Learn which agents take part in copies, and all agents of the zone.
+
+        Agents of every service share the zone's origin budget.
+        """
+        now = time.monotonic()
         self._peers = {
             p.peer.instance_id: p for p in peers if p.peer.instance_id != self.own.instance_id
         }
+        self._seen = {
+            (instance_id, p.address): (
+                self._seen.get((instance_id, p.address), now)
+                if p.seen_seconds is None
+                else p.seen_seconds
+            )
+            for instance_id, p in self._peers.items()
+        }
         zone = [p.peer.instance_id for p in self._peers.values() if p.peer.zone == self.own.zone]
-        self.allowance.set_members(zone, now_seconds=time.monotonic())
-        for digest in list(self._copies):
-            self._tell(digest, self._peers_message())
+        self.allowance.set_members({*zone, *zone_agents}, now_seconds=now)
+        self._show_peers()
 
     def zone_peers(self) -> int:
         """Return how many other agents of the zone take part in copies."""
@@ -160,9 +157,22 @@
     def start_copy(self, version: VersionReference) -> None:
         """Copy a version; on_ready or on_failed tells how it ended."""
         digest = version.manifest_digest
-        if digest in self._copies or digest in self._preparing:
-            return
-        self._preparing[digest] = asyncio.create_task(self._prepare(version))
+        running = self._copies.get(digest)
+        if running is not None and running.state is CopyState.COMPLETED:
+            self._ready(running)
+        elif running is None and digest not in self._preparing:
+            self._failures.pop(digest, None)
+            self._preparing[digest] = asyncio.create_task(self._prepare(version))
+
+    async def obtain(self, version: VersionReference) -> Manifest:
+        """Return the manifest of a version once memory holds the whole of it.
+
+        Raises WeightsError.
+        """
+        future: asyncio.Future[Manifest] = asyncio.get_running_loop().create_future()
+        self._awaited.setdefault(version.manifest_digest, []).append(future)
+        self.start_copy(version)
+        return await future
 
     def abandon(self, digest: Digest) -> None:
         """Stop copying a version that is no longer wanted."""
@@ -170,16 +180,19 @@
         if preparing is not None:
             preparing.cancel()
         self._tell(digest, Superseded())
-        self._end(digest)
+        self._fail(digest, "the version was superseded", report=False)
 
     def loaded(self, digest: Digest) -> None:
         """Learn that the engine runs a version."""
+        running = self._copies.get(digest)
+        if running is not None:
+            running.loaded = True
         self._tell(digest, Loaded())
 
-    def manifest(self, digest: Digest) -> Manifest | None:
-        """Return the manifest of a copy."""
-        running = self._copies.get(digest)
-        return running.manifest if running else None
+    def paused(self) -> None:
+        """Hold back from the origin after a pause; a copy that fetches does so by itself."""
+        if not any(r.state in FETCHING_STATES for r in self._copies.values()):
+            self.allowance.resume(now_seconds=time.monotonic())
 
     def manifest_content(self, digest: Digest) -> bytes:
         """Return a manifest for a peer, empty if it is not known."""
@@ -192,114 +205,121 @@
 
     async def on_stop(self) -> None:
         """Cancel every fetch."""
-        for digest in list(self._copies):
-            self._end(digest)
+        for running in self._copies.values():
+            running.close()
         for task in [*self._preparing.values(), *self._jobs]:
             task.cancel()
+        for futures in self._awaited.values():
+            for future in futures:
+                future.cancel()
 
     @Service.task
     async def _tick(self) -> None:
         while not self.should_stop:
+            if self._newcomers() != self._view:
+                self._show_peers()
             for digest in list(self._copies):
                 self._tell(digest, Tick())
+            for digest in [d for d in self._manifests if d not in self._copies]:
+                if not self.memory.held(digest):
+                    del self._manifests[digest]
             await self.sleep(TICK_SECONDS)
 
     async def _prepare(self, version: VersionReference) -> None:
         digest = version.manifest_digest
         try:
-            content = await self._find_manifest(version)
-            manifest = Manifest.from_json(content, pinned_digest=digest)
-            copy = WeightCopy(
-                manifest=manifest,
-                pinned_digest=digest,
-                own=self.own,
-                memory=self.memory,
-                allowance=self.allowance,
-                settings=self.settings,
-                random=random.Random(self._rng.random()),
-                links=self._links,
+            # Chunks of an ended copy may still be in memory while the origin is out.
+            content = self._manifests.get(digest) or await self._transfers.find_manifest(
+                version, lambda: self._peers.values()
             )
+            manifest = Manifest.from_json(content, pinned_digest=digest)
+            copy = self._new_copy(manifest, digest)
         except WeightsError as error:
             log_message("agent:copy_refused", digest=digest, error=str(error))
-            self.on_failed(digest, str(error))
+            self._fail(digest, str(error))
             return
         finally:
-            self._preparing.pop(digest, None)
+            if self._preparing.get(digest) is asyncio.current_task():
+                del self._preparing[digest]
         self._manifests[digest] = content
-        self._copies[digest] = _RunningCopy(version, manifest, copy)
+        running = self._copies[digest] = RunningCopy(
+            version,
+            manifest,
+            copy,
+            memory=self.memory,
+            transfers=self._transfers,
+            metrics=self._metrics,
+            address_of=self._address_of,
+            on_ready=lambda: self._ready(running),
+            on_failed=lambda reason: self._fail(digest, reason),
+            on_stopped=lambda: self._forget(running),
+        )
         log_message("agent:copy_started", digest=digest, weight_bytes=manifest.weight_bytes)
-        self._tell(digest, self._peers_message())
+        self._tell(digest, PeersChanged(peers=self._newcomers()))
 
-    async def _find_manifest(self, version: VersionReference) -> bytes:
-        """Read the manifest from a peer, or from the origin when this agent's turn comes."""
-        digest = version.manifest_digest
-        ranked = self._ranked_peers(digest)
-        rank = sum(1 for weight, _ in ranked if weight > self._weight(digest))
-        turn_seconds = time.monotonic() + rank * MANIFEST_FALLBACK_SECONDS
-        while True:
-            for _, peer in ranked[:MANIFEST_PEERS]:
-                content = await self._manifest_from_peer(peer, digest)
-                if content:
-                    return content
-            if time.monotonic() >= turn_seconds:
-                offered = await self._manifest_from_origin(version)
-                if offered is not None:
-                    return offered
-            await asyncio.sleep(MANIFEST_RETRY_SECONDS * (0.5 + self._rng.random()))
-            ranked = self._ranked_peers(digest)
-
-    def _weight(self, digest: Digest) -> int:
-        return rendezvous_weight(f"manifest/{digest}", self.own.instance_id)
-
-    def _ranked_peers(self, digest: Digest) -> list[tuple[int, CopyPeer]]:
-        near = [p for p in self._peers.values() if p.peer.zone == self.own.zone]
-        weighed = [(rendezvous_weight(f"manifest/{digest}", p.peer.instance_id), p) for p in near]
-        return sorted(weighed, key=lambda entry: -entry[0])
-
-    async def _manifest_from_peer(self, peer: CopyPeer, digest: Digest) -> bytes:
-        stub = pb_grpc.PeersStub(self._channels.channel(peer.address))
-        try:
-            reply = await stub.FetchManifest(
-                pb.ManifestRequest(manifest_digest=digest),
-                metadata=self._channels.metadata,
-                timeout=MANIFEST_TIMEOUT_SECONDS,
+    def _new_copy(self, manifest: Manifest, digest: Digest) -> WeightCopy:
+        def build() -> WeightCopy:
+            return WeightCopy(
+                manifest=manifest,
+                pinned_digest=digest,
+                own=self.own,
+                memory=self.memory,
+                allowance=self.allowance,
+                settings=self.limits.settings,
+                random=random.Random(self._rng.random()),
+                links=self._links,
             )
-        except grpc.aio.AioRpcError:
-            return b""
-        content: bytes = reply.manifest
-        try:
-            Manifest.from_json(content, pinned_digest=digest)
-        except ManifestMismatchError:
-            return b""
-        return content
 
-    async def _manifest_from_origin(self, version: VersionReference) -> bytes | None:
         try:
-            content = await self._origin.manifest(version.model, version.version)
-        except ObjectMissingError as error:
-            raise ManifestMismatchError(str(error)) from error
-        except BackendError as error:
-            log_message("agent:manifest_failed", error=type(error).__name__)
-            return None
-        self._metrics.origin_bytes.add({"kind": "manifest"}, len(content))
-        return content
-
-    def _peers_message(self) -> PeersChanged:
-        return PeersChanged(peers=tuple(p.peer for p in self._peers.values()))
+            return build()
+        except WeightMemoryError:
+            # Versions that an engine runs are kept only for peers, so they make room.
+            for other in [d for d, running in self._copies.items() if running.loaded]:
+                self._tell(other, Superseded())
+            return build()
+
+    def _newcomers(self) -> tuple[Peer, ...]:
+        """Return all agents of the view, each marked as a newcomer for its first time in it."""
+        horizon = time.monotonic() - self._hold_seconds
+        own = msgspec.structs.replace(self.own, is_newcomer=self._joined_seconds > horizon)
+        peers = [
+            msgspec.structs.replace(p.peer, is_newcomer=self._seen[instance, p.address] > horizon)
+            for instance, p in self._peers.items()
+        ]
+        return (own, *peers)
+
+    def _show_peers(self) -> None:
+        self._view = self._newcomers()
+        for digest in list(self._copies):
+            self._tell(digest, PeersChanged(peers=self._view))
 
     def _tell(self, digest: Digest, message: CopyMessage) -> None:
         running = self._copies.get(digest)
-        if running is None:
-            return
-        for command in running.copy.handle(message, now_seconds=time.monotonic()):
-            self._obey(command, running)
-
-    def _end(self, digest: Digest) -> None:
-        running = self._copies.pop(digest, None)
-        self._manifests.pop(digest, None)
         if running is not None:
-            for task in list(running.fetches.values()):
-                task.cancel()
+            running.tell(message)
+
+    def _forget(self, running: RunningCopy) -> None:
+        """Free the bookkeeping of a copy; chunks stay in memory until others need the room."""
+        log_message("agent:copy_ended", digest=running.digest, state=running.state.value)
+        if self._copies.get(running.digest) is running:
+            del self._copies[running.digest]
+
+    def _ready(self, running: RunningCopy) -> None:
+        digest = running.digest
+        for future in self._awaited.pop(digest, ()):
+            if not future.done():
+                future.set_result(running.manifest)
+        self.on_ready(digest)
+
+    def _fail(self, digest: Digest, reason: str, *, report: bool = True) -> None:
+        for future in self._awaited.pop(digest, ()):
+            if not future.done():
+                future.set_exception(WeightsError(reason))
+        if report:
+            self._failures[digest] = reason
+            while len(self._failures) > KEPT_FAILURES:
+                del self._failures[next(iter(self._failures))]
+            self.on_failed(digest, reason)
 
     def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         task = asyncio.create_task(work)
@@ -310,266 +330,52 @@
     def notice_received(self, notice: pb.CopyNotice) -> None:
         """Take a message from another agent's copy."""
         digest = Digest(notice.manifest_digest)
-        message = _decode_notice(notice)
+        message = decode_notice(notice)
         if digest in self._copies and message is not None:
             self._tell(digest, message)
+        # An agent without the copy says so at once, so that the sender need not time out.
         elif isinstance(message, OwnerAsked):
-            # An agent without the copy says so at once, so that the asker need not time out.
             answer = AnswerOwner(peer=message.peer, asked=message.indexes)
-            self._notify(digest, answer.peer, _encode_notice(answer))
+            self._reply(digest, message.peer, answer)
+        elif isinstance(message, PeerAnnounced) and message.held:
+            # An empty bitmap is never answered, so two agents without the copy fall silent.
+            nothing = Announce(peers=(message.peer,), held=b"")
+            self._reply(digest, message.peer, nothing)
+
+    def _reply(self, digest: Digest, peer: InstanceId, command: Announce | AnswerOwner) -> None:
+        address = self._address_of(peer)
+        if address is not None:
+            self._spawn(self._transfers.send_notice(address, digest, encode_notice(command)))
+
+    def _address_of(self, peer: InstanceId) -> str | None:
+        known = self._peers.get(peer)
+        return known.address if known else None
 
     async def chunk_requested(self, request: pb.ChunkRequest, context: Any) -> pb.ChunkReply:
         """Send a chunk to a peer, after a delay that keeps to the link's share."""
-        digest = Digest(request.manifest_digest)
-        peer, index = InstanceId(request.sender), ChunkIndex(request.index)
-        running = self._copies.get(digest)
-        if running is None or index >= len(running.manifest.chunks):
-            return pb.ChunkReply(status=pb.ChunkReply.MISSING)
-        decision: asyncio.Future[CopyCommand] = asyncio.get_running_loop().create_future()
-        running.uploads[peer, index] = decision
-        self._tell(digest, ChunkRequested(peer=peer, index=index))
-        running.uploads.pop((peer, index), None)
-        command = decision.result() if decision.done() else None
-        if not isinstance(command, SendChunk):
-            reason = command.reason if isinstance(command, RefuseChunk) else Missing()
-            return _refusal(reason)
-        ended = UploadEnded(peer=peer, index=index)
-        context.add_done_callback(lambda _: self._tell(digest, ended))
-        await asyncio.sleep(command.delay_seconds)
-        content = self.memory.get(digest, index)
-        if content is None:
+        running = self._copies.get(Digest(request.manifest_digest))
+        if running is None:
             return pb.ChunkReply(status=pb.ChunkReply.MISSING)
-        return pb.ChunkReply(status=pb.ChunkReply.CONTENT, content=content)
-
-    @singledispatchmethod
-    def _obey(self, command: CopyCommand, running: _RunningCopy) -> None:
-        raise TypeError(f"agent got unexpected command {command!r}")
-
-    @_obey.register
-    def _fetch(self, command: FetchChunk, running: _RunningCopy) -> None:
-        key = (command.source, command.index)
-        work = self._fetch_chunk(running, command)
-        task = running.fetches[key] = self._spawn(work)
-
-        def forget(done: asyncio.Task[None]) -> None:
-            if running.fetches.get(key) is done:
-                del running.fetches[key]
-
-        task.add_done_callback(forget)
-
-    @_obey.register
-    def _cancel(self, command: CancelFetch, running: _RunningCopy) -> None:
-        task = running.fetches.pop((command.source, command.index), None)
-        if task is not None:
-            task.cancel()
-
-    @_obey.register
-    def _send(self, command: SendChunk, running: _RunningCopy) -> None:
-        decision = running.uploads.get((command.peer, command.index))
-        if decision is not None:
-            decision.set_result(command)
-
-    @_obey.register
-    def _refuse(self, command: RefuseChunk, running: _RunningCopy) -> None:
-        decision = running.uploads.get((command.peer, command.index))
-        if decision is not None:
-            decision.set_result(command)
-
-    @_obey.register
-    def _fetch_manifest(self, command: FetchManifest, running: _RunningCopy) -> None:
-        self._spawn(self._read_manifest_again(running))
-
-    async def _read_manifest_again(self, running: _RunningCopy) -> None:
-        content = await self._manifest_from_origin(running.version)
-        if content is not None:
-            self._tell(running.version.manifest_digest, ManifestArrived(content=content))
-
-    @_obey.register
-    def _announce(self, command: Announce, running: _RunningCopy) -> None:
-        notice = _encode_notice(command)
-        for peer in command.peers:
-            self._notify(running.version.manifest_digest, peer, notice)
-
-    @_obey.register(AskOwner)
-    @_obey.register(AnswerOwner)
-    @_obey.register(AskAllowance)
-    @_obey.register(GiveAllowance)
-    def _notify_peer(
-        self, command: AskOwner | AnswerOwner | AskAllowance | GiveAllowance, running: _RunningCopy
-    ) -> None:
-        self._notify(running.version.manifest_digest, command.peer, _encode_notice(command))
-
-    def _notify(self, digest: Digest, peer: InstanceId, notice: pb.CopyNotice) -> None:
-        known = self._peers.get(peer)
-        if known is not None:
-            notice.sender, notice.manifest_digest = self.own.instance_id, digest
-            self._spawn(self._send_notice(known.address, notice))
-
-    async def _send_notice(self, address: str, notice: pb.CopyNotice) -> None:
-        stub = pb_grpc.PeersStub(self._channels.channel(address))
-        try:
-            await stub.NotifyCopy(
-                notice, metadata=self._channels.metadata, timeout=NOTICE_TIMEOUT_SECONDS
-            )
-        except grpc.aio.AioRpcError as error:
-            log_message("agent:notice_lost", address=address, code=error.code().name)
-
-    @_obey.register
-    def _verify(self, command: VerifyWhole, running: _RunningCopy) -> None:
-        self._spawn(self._verify_whole(running))
-
-    async def _verify_whole(self, running: _RunningCopy) -> None:
-        digest = running.version.manifest_digest
-        contents = list(self.memory.contents(digest))
-        matches = await asyncio.to_thread(_matches_whole, running.manifest, contents)
-        self._tell(digest, WholeVerified(matches=matches))
-
-    @_obey.register
-    def _completed(self, command: CopyCompleted, running: _RunningCopy) -> None:
-        log_message("agent:copy_completed", digest=running.version.manifest_digest)
-        self._metrics.copies.inc({"result": "completed"})
-        self.on_ready(running.version.manifest_digest)
-
-    @_obey.register
-    def _halted(self, command: CopyHalted, running: _RunningCopy) -> None:
-        digest = running.version.manifest_digest
-        log_message("agent:copy_halted", digest=digest, error=str(command.error))
-        self._metrics.copies.inc({"result": "halted"})
-        self.on_failed(digest, str(command.error))
-
-    @_obey.register
-    def _quarantined(self, command: QuarantineSource, running: _RunningCopy) -> None:
-        log_message(
-            "agent:source_quarantined", source=command.source, quarantine_seconds=command.seconds
-        )
-        self._metrics.corrupted_chunks.inc({"source": "quarantined"})
-
-    async def _fetch_chunk(self, running: _RunningCopy, command: FetchChunk) -> None:
-        source, index = command.source, command.index
-        fetch = self._from_origin if source == ORIGIN else self._from_peer
-        message = await fetch(running, source, index)
-        self._tell(running.version.manifest_digest, message)
-
-    async def _from_origin(
-        self, running: _RunningCopy, source: InstanceId, index: ChunkIndex
-    ) -> CopyMessage:
-        version = running.version
-        offset, length = running.offsets[index], running.manifest.chunks[index].length_bytes
-        for backend in (self._weight_store, self._origin):
-            if backend is None:
-                continue
-            try:
-                content = await backend.chunk(
-                    version.model, version.version, index, offset=offset, length=length
-                )
-            except RateLimitedError as error:
-                reason: FailureReason = Busy(retry_after_seconds=error.retry_after_seconds)
-            except BackendError:
-                reason = Unavailable()
-            else:
-                kind = "weight_store" if backend is self._weight_store else "origin"
-                self._metrics.origin_bytes.add({"kind": kind}, len(content))
-                return ChunkArrived(source=source, index=index, content=content)
-        return ChunkFailed(source=source, index=index, reason=reason)
-
-    async def _from_peer(
-        self, running: _RunningCopy, source: InstanceId, index: ChunkIndex
-    ) -> CopyMessage:
-        known = self._peers.get(source)
-        if known is None:
-            return ChunkFailed(source=source, index=index, reason=Unavailable())
-        stub = pb_grpc.PeersStub(self._channels.channel(known.address))
-        request = pb.ChunkRequest(
-            sender=self.own.instance_id,
-            manifest_digest=running.version.manifest_digest,
-            index=index,
-        )
-        try:
-            reply = await stub.FetchChunk(
-                request, metadata=self._channels.metadata, timeout=CHUNK_TIMEOUT_SECONDS
-            )
-        except grpc.aio.AioRpcError:
-            return ChunkFailed(source=source, index=index, reason=Unavailable())
-        if reply.status == pb.ChunkReply.CONTENT:
-            self._metrics.peer_bytes.add({}, len(reply.content))
-            return ChunkArrived(source=source, index=index, content=reply.content)
-        if reply.status == pb.ChunkReply.BUSY:
-            busy = Busy(retry_after_seconds=reply.retry_after_seconds)
-            return ChunkFailed(source=source, index=index, reason=busy)
-        return ChunkFailed(source=source, index=index, reason=Missing())
+        return await running.chunk_requested(request, context)
 
     def snapshot(self) -> dict[str, Any]:
         """Return the state for the state dump."""
         return {
-            "copies": {digest: r.copy.snapshot() for digest, r in self._copies.items()},
+            "copies": {digest: r.snapshot() for digest, r in self._copies.items()},
             "preparing": sorted(self._preparing),
+            "failures": dict(self._failures),
             "memory": self.memory.snapshot(),
             "allowance": self.allowance.snapshot(),
             "peers": len(self._peers),
         }
 
 
-def _matches_whole(manifest: Manifest, contents: list[bytes]) -> bool:
-    hasher = hashlib.blake2b(digest_size=32)
-    for content in contents:
-        hasher.update(content)
-    return hasher.hexdigest() == manifest.weights_digest
-
-
-def _refusal(reason: FailureReason) -> pb.ChunkReply:
-    if isinstance(reason, Busy):
-        return pb.ChunkReply(
-            status=pb.ChunkReply.BUSY, retry_after_seconds=reason.retry_after_seconds
-        )
-    return pb.ChunkReply(status=pb.ChunkReply.MISSING)
-
-
-def _encode_notice(
-    command: Announce | AskOwner | AnswerOwner | AskAllowance | GiveAllowance,
-) -> pb.CopyNotice:
-    match command:
-        case Announce(held=bytes() as held):
-            return pb.CopyNotice(held=pb.HeldChunks(bitmap=held))
-        case Announce():
-            return pb.CopyNotice(added=pb.AddedChunks(indexes=command.added))
-        case AskOwner():
-            return pb.CopyNotice(question=pb.OwnerQuestion(indexes=command.indexes))
-        case AnswerOwner():
-            answer = pb.OwnerAnswer(
-                asked=command.asked, held=command.held, fetching=command.fetching
-            )
-            return pb.CopyNotice(answer=answer)
-        case AskAllowance():
-            question = pb.AllowanceQuestion(size_bytes=command.size_bytes)
-            return pb.CopyNotice(allowance_question=question)
-        case GiveAllowance():
-            grant = pb.AllowanceGrant(size_bytes=command.size_bytes)
-            return pb.CopyNotice(allowance_grant=grant)
-
-
-def _decode_notice(notice: pb.CopyNotice) -> CopyMessage | None:
-    peer = InstanceId(notice.sender)
-    match notice.WhichOneof("body"):
-        case "held":
-            return PeerAnnounced(peer=peer, held=notice.held.bitmap)
-        case "added":
-            return PeerAnnounced(peer=peer, added=_indexes(notice.added.indexes))
-        case "question":
-            return OwnerAsked(peer=peer, indexes=_indexes(notice.question.indexes))
-        case "answer":
-            return OwnerAnswered(
-                peer=peer,
-                asked=_indexes(notice.answer.asked),
-                held=_indexes(notice.answer.held),
-                fetching=_indexes(notice.answer.fetching),
-            )
-        case "allowance_question":
-            return AllowanceAsked(peer=peer, size_bytes=notice.allowance_question.size_bytes)
-        case "allowance_grant":
-            return AllowanceReceived(peer=peer, size_bytes=notice.allowance_grant.size_bytes)
-        case _:
-            return None
+def link_burst_bytes(bytes_per_second: float) -> int:
+    """Return the burst of a link's share."""
+    return max(MINIMUM_BURST_BYTES, int(bytes_per_second * LINK_BURST_SECONDS))
 
 
-def _indexes(numbers: Iterable[int]) -> tuple[ChunkIndex, ...]:
-    return tuple(ChunkIndex(number) for number in numbers)
+def link_bucket(bytes_per_second: float) -> TokenBucket:
+    """Build the bucket for a share of a link."""
+    burst_bytes = link_burst_bytes(bytes_per_second)
+    return TokenBucket(bytes_per_second=bytes_per_second, burst_bytes=burst_bytes)
--- /dev/null
+++ b/egretrouter/daemons/_orders.py
@@ -0,0 +1,111 @@
+"""Give the orders of an agent to its engine."""
+
+import asyncio
+import random
+
+from eliot import log_message
+
+from egretrouter.backends import Engine
+from egretrouter.core.errors import (
+    BackendError,
+    EgretrouterError,
+    LostAnswerError,
+    StaleFencingNumberError,
+)
+from egretrouter.core.identifiers import Digest
+from egretrouter.core.rollout import LoadVersion, UnloadVersion, VersionReference
+from egretrouter.daemons._copies import CopyService
+from egretrouter.daemons._lease import OrderLeaseService
+
+ATTEMPTS = 5
+"""Tries of one order; with doubling waits they last about 8 s, longer than an engine restarts its
+listener, and short enough that a broken engine is reported as failed."""
+FIRST_RETRY_SECONDS = 0.5
+
+
+class EngineOrders:
+    """Load and unload versions one at a time, and try again after passing failures."""
+
+    def __init__(
+        self,
+        *,
+        engine: Engine,
+        lease: OrderLeaseService,
+        copies: CopyService,
+        rng: random.Random,
+        retry_seconds: float = FIRST_RETRY_SECONDS,
+    ) -> None:
+        self._engine = engine
+        self._lease = lease
+        self._copies = copies
+        self._rng = rng
+        self._retry_seconds = retry_seconds
+        self._one_order = asyncio.Lock()
+
+    async def load(self, command: LoadVersion) -> None:
+        """Load a version from chunk memory.
+
+        Raises EgretrouterError when the engine refuses it or goes on failing.
+        """
+        async with self._one_order:
+            for attempt in range(ATTEMPTS):
+                try:
+                    await self._load(command)
+                except (BackendError, StaleFencingNumberError) as error:
+                    self._note_stale(error)
+                    if attempt + 1 == ATTEMPTS:
+                        raise
+                    log_message("agent:load_retried", error=str(error))
+                    await self._wait(attempt)
+                    # The engine's report settles an order whose answer was lost.
+                    if isinstance(error, LostAnswerError) and await self._is_loaded(
+                        command.version.manifest_digest
+                    ):
+                        return
+                else:
+                    return
+
+    async def unload(self, command: UnloadVersion) -> None:
+        """Unload a version; the engine's next report shows whether that took effect."""
+        async with self._one_order:
+            try:
+                await self._unload(command.version)
+            except EgretrouterError as error:
+                self._note_stale(error)
+                log_message("agent:unload_failed", error=str(error))
+
+    async def _load(self, command: LoadVersion) -> None:
+        version = command.version
+        # An order may come after the time for which peers were served, so memory is filled again.
+        manifest = await self._copies.obtain(version)
+        await self._engine.load(
+            model=version.model,
+            version=version.version,
+            manifest_digest=version.manifest_digest,
+            weights_digest=manifest.weights_digest,
+            content=self._copies.content(version.manifest_digest),
+            fencing_number=await self._lease.permission(),
+            base_model=command.base_model,
+        )
+
+    async def _unload(self, version: VersionReference) -> None:
+        await self._engine.unload(
+            model=version.model,
+            version=version.version,
+            fencing_number=await self._lease.permission(),
+        )
+
+    async def _is_loaded(self, digest: Digest) -> bool:
+        try:
+            report = await self._engine.report()
+        except BackendError:
+            return False
+        return any(loaded.manifest_digest == digest for loaded in report.loaded)
+
+    async def _wait(self, attempt: int) -> None:
+        jitter = 0.5 + self._rng.random()
+        await asyncio.sleep(self._retry_seconds * 2**attempt * jitter)
+
+    def _note_stale(self, error: EgretrouterError) -> None:
+        if isinstance(error, StaleFencingNumberError):
+            self._lease.found_stale()
--- /dev/null
+++ b/egretrouter/daemons/_running_copy.py
@@ -0,0 +1,261 @@
+"""Carry out one copy of weights."""
+
+import asyncio
+import time
+from collections.abc import Callable, Coroutine
+from functools import singledispatchmethod
+from typing import Any
+
+from eliot import log_message
+
+from egretrouter.core.errors import CorruptedChunkError, ManifestMismatchError
+from egretrouter.core.identifiers import ChunkIndex, Digest, InstanceId
+from egretrouter.core.rollout import VersionReference
+from egretrouter.core.weights import (
+    ORIGIN,
+    STOPPED_STATES,
+    Announce,
+    AnswerOwner,
+    AskAllowance,
+    AskOwner,
+    CancelFetch,
+    ChunkFailed,
+    ChunkMemory,
+    ChunkProgressed,
+    ChunkRequested,
+    CopyCommand,
+    CopyCompleted,
+    CopyHalted,
+    CopyMessage,
+    CopyState,
+    FetchChunk,
+    FetchManifest,
+    GiveAllowance,
+    Manifest,
+    ManifestArrived,
+    Missing,
+    QuarantineSource,
+    RefuseChunk,
+    SendChunk,
+    Unavailable,
+    UploadEnded,
+    VerifyWhole,
+    WeightCopy,
+    WholeVerified,
+)
+from egretrouter.daemons._metrics import AgentMetrics
+from egretrouter.daemons._weight_transfers import WeightTransfers
+from egretrouter.protocol import egretrouter_pb2 as pb
+from egretrouter.protocol import encode_notice, encode_refusal
+
+
+class RunningCopy:
+    """Hold one copy with the tasks that carry its commands."""
+
+    def __init__(
+        self,
+        version: VersionReference,
+        manifest: Manifest,
+        copy: WeightCopy,
+        *,
+        memory: ChunkMemory,
+        transfers: WeightTransfers,
+        metrics: AgentMetrics,
+        address_of: Callable[[InstanceId], str | None],
+        on_ready: Callable[[], None],
+        on_failed: Callable[[str], None],
+        on_stopped: Callable[[], None],
+    ) -> None:
+        self.version = version
+        self.manifest = manifest
+        self.loaded = False
+        """Whether an engine runs the version, so that memory keeps it for peers only."""
+        self._copy = copy
+        self._memory = memory
+        self._transfers = transfers
+        self._metrics = metrics
+        self._address_of = address_of
+        self._on_ready = on_ready
+        self._on_failed = on_failed
+        self._on_stopped = on_stopped
+        self._closed = False
+        self._fetches: dict[tuple[InstanceId, ChunkIndex], asyncio.Task[None]] = {}
+        self._uploads: dict[tuple[InstanceId, ChunkIndex], asyncio.Future[CopyCommand]] = {}
+        self._jobs: set[asyncio.Task[None]] = set()
+        self._offsets = [0]
+        for chunk in manifest.chunks:
+            self._offsets.append(self._offsets[-1] + chunk.length_bytes)
+
+    @property
+    def digest(self) -> Digest:
+        """Return the digest of the manifest."""
+        return self.version.manifest_digest
+
+    @property
+    def state(self) -> CopyState:
+        """Return the state of the copy."""
+        return self._copy.state
+
+    def tell(self, message: CopyMessage) -> None:
+        """Hand a message to the copy and carry out its commands."""
+        if self._closed:
+            return
+        for command in self._copy.handle(message, now_seconds=time.monotonic()):
+            self._obey(command)
+        if self.state in STOPPED_STATES and not self._closed:
+            self.close()
+            self._on_stopped()
+
+    def close(self) -> None:
+        """Cancel every fetch; later messages are ignored."""
+        self._closed = True
+        for task in [*self._fetches.values(), *self._jobs]:
+            if task is not asyncio.current_task():
+                task.cancel()
+
+    def snapshot(self) -> dict[str, object]:
+        """Return the state for the state dump."""
+        return {**self._copy.snapshot(), "loaded": self.loaded}
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
+        task = asyncio.create_task(work)
+        self._jobs.add(task)
+        task.add_done_callback(self._jobs.discard)
+        return task
+
+    async def chunk_requested(self, request: pb.ChunkRequest, context: Any) -> pb.ChunkReply:
+        """Send a chunk to a peer, after a delay that keeps to the link's share."""
+        peer, index = InstanceId(request.sender), ChunkIndex(request.index)
+        if index >= len(self.manifest.chunks):
+            return pb.ChunkReply(status=pb.ChunkReply.MISSING)
+        decision: asyncio.Future[CopyCommand] = asyncio.get_running_loop().create_future()
+        self._uploads[peer, index] = decision
+        self.tell(ChunkRequested(peer=peer, index=index))
+        self._uploads.pop((peer, index), None)
+        command = decision.result() if decision.done() else None
+        if not isinstance(command, SendChunk):
+            reason = command.reason if isinstance(command, RefuseChunk) else Missing()
+            return encode_refusal(reason)
+        ended = UploadEnded(peer=peer, index=index)
+        context.add_done_callback(lambda _: self.tell(ended))
+        await asyncio.sleep(command.delay_seconds)
+        content = self._memory.get(self.digest, index)
+        if content is None:
+            return pb.ChunkReply(status=pb.ChunkReply.MISSING)
+        return pb.ChunkReply(status=pb.ChunkReply.CONTENT, content=content)
+
+    @singledispatchmethod
+    def _obey(self, command: CopyCommand) -> None:
+        raise TypeError(f"agent got unexpected command {command!r}")
+
+    @_obey.register
+    def _fetch(self, command: FetchChunk) -> None:
+        key = (command.source, command.index)
+        work = self._fetch_chunk(command)
+        task = self._fetches[key] = self._spawn(work)
+
+        def forget(done: asyncio.Task[None]) -> None:
+            if self._fetches.get(key) is done:
+                del self._fetches[key]
+
+        task.add_done_callback(forget)
+
+    @_obey.register
+    def _cancel(self, command: CancelFetch) -> None:
+        task = self._fetches.pop((command.source, command.index), None)
+        if task is not None:
+            task.cancel()
+
+    @_obey.register
+    def _send(self, command: SendChunk) -> None:
+        decision = self._uploads.get((command.peer, command.index))
+        if decision is not None:
+            decision.set_result(command)
+
+    @_obey.register
+    def _refuse(self, command: RefuseChunk) -> None:
+        decision = self._uploads.get((command.peer, command.index))
+        if decision is not None:
+            decision.set_result(command)
+
+    @_obey.register
+    def _fetch_manifest(self, command: FetchManifest) -> None:
+        self._spawn(self._read_manifest_again())
+
+    async def _read_manifest_again(self) -> None:
+        try:
+            content = await self._transfers.manifest_from_origin(self.version)
+        except ManifestMismatchError as error:
+            # A version that the origin lost can still be completed by peers.
+            log_message("agent:manifest_missing", error=str(error))
+            return
+        if content is not None:
+            self.tell(ManifestArrived(content=content))
+
+    @_obey.register
+    def _announce(self, command: Announce) -> None:
+        notice = encode_notice(command)
+        for peer in command.peers:
+            self._notify(peer, notice)
+
+    @_obey.register(AskOwner)
+    @_obey.register(AnswerOwner)
+    @_obey.register(AskAllowance)
+    @_obey.register(GiveAllowance)
+    def _notify_peer(self, command: AskOwner | AnswerOwner | AskAllowance | GiveAllowance) -> None:
+        self._notify(command.peer, encode_notice(command))
+
+    def _notify(self, peer: InstanceId, notice: pb.CopyNotice) -> None:
+        address = self._address_of(peer)
+        if address is not None:
+            self._spawn(self._transfers.send_notice(address, self.digest, notice))
+
+    @_obey.register
+    def _verify(self, command: VerifyWhole) -> None:
+        self._spawn(self._verify_whole())
+
+    async def _verify_whole(self) -> None:
+        contents = list(self._memory.contents(self.digest))
+        try:
+            await asyncio.to_thread(self.manifest.verify_whole, contents)
+        except CorruptedChunkError:
+            self.tell(WholeVerified(matches=False))
+        else:
+            self.tell(WholeVerified(matches=True))
+
+    @_obey.register
+    def _completed(self, command: CopyCompleted) -> None:
+        log_message("agent:copy_completed", digest=self.digest)
+        self._metrics.copies.inc({"result": "completed"})
+        self._on_ready()
+
+    @_obey.register
+    def _halted(self, command: CopyHalted) -> None:
+        log_message("agent:copy_halted", digest=self.digest, error=str(command.error))
+        self._metrics.copies.inc({"result": "halted"})
+        self._on_failed(str(command.error))
+
+    @_obey.register
+    def _quarantined(self, command: QuarantineSource) -> None:
+        log_message(
+            "agent:source_quarantined", source=command.source, quarantine_seconds=command.seconds
+        )
+        self._metrics.corrupted_chunks.inc({"source": "quarantined"})
+
+    async def _fetch_chunk(self, command: FetchChunk) -> None:
+        source, index = command.source, command.index
+        address = self._address_of(source)
+        message: CopyMessage
+        if source == ORIGIN:
+            message = await self._transfers.chunk_from_origin(
+                self.version,
+                index,
+                offset=self._offsets[index],
+                length=self.manifest.chunks[index].length_bytes,
+                on_progress=lambda: self.tell(ChunkProgressed(source=source, index=index)),
+            )
+        elif address is not None:
+            message = await self._transfers.chunk_from_peer(source, address, self.digest, index)
+        else:
+            message = ChunkFailed(source=source, index=index, reason=Unavailable())
+        self.tell(message)
--- /dev/null
+++ b/egretrouter/daemons/_weight_transfers.py
@@ -0,0 +1,211 @@
+"""Move manifests and chunks of weights to one agent from its peers and the origin."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Iterable
+
+import grpc
+import msgspec
+from eliot import log_message
+
+from egretrouter.backends import WeightSource
+from egretrouter.core.errors import (
+    BackendError,
+    ManifestMismatchError,
+    ObjectMissingError,
+    RateLimitedError,
+)
+from egretrouter.core.identifiers import ChunkIndex, Digest, InstanceId
+from egretrouter.core.membership import rendezvous_weight
+from egretrouter.core.rollout import VersionReference
+from egretrouter.core.weights import (
+    ORIGIN,
+    Busy,
+    ChunkArrived,
+    ChunkFailed,
+    CopyMessage,
+    FailureReason,
+    Manifest,
+    Peer,
+    Unavailable,
+)
+from egretrouter.daemons._metrics import AgentMetrics
+from egretrouter.daemons._rpc import ChannelPool
+from egretrouter.protocol import decode_chunk
+from egretrouter.protocol import egretrouter_pb2 as pb
+from egretrouter.protocol import egretrouter_pb2_grpc as pb_grpc
+
+NOTICE_TIMEOUT_SECONDS = 2.0
+CHUNK_TIMEOUT_SECONDS = 60.0
+MANIFEST_TIMEOUT_SECONDS = 5.0
+MANIFEST_RETRY_SECONDS = 0.3
+MANIFEST_PEERS = 3
+# The best-ranked agent reads the manifest from the origin at once, each later rank after this.
+MANIFEST_FALLBACK_SECONDS = 2.0
+PROGRESS_SECONDS = 1.0
+
+
+class CopyPeer(msgspec.Struct, frozen=True, kw_only=True):
+    """Name an agent that takes part in copies, and its address.
+
+    Without seen_seconds it counts as seen first when the copies are told of it.
+    """
+
+    peer: Peer
+    address: str
+    seen_seconds: float | None = None
+
+
+class WeightTransfers:
+    """Carry the requests of one agent's copies to other agents, the weight store and the origin."""
+
+    def __init__(
+        self,
+        *,
+        own: Peer,
+        origin: WeightSource,
+        weight_store: WeightSource | None,
+        channels: ChannelPool,
+        metrics: AgentMetrics,
+        rng: random.Random,
+    ) -> None:
+        self._own = own
+        self._origin = origin
+        self._weight_store = weight_store
+        self._channels = channels
+        self._metrics = metrics
+        self._rng = rng
+
+    async def chunk_from_origin(
+        self,
+        version: VersionReference,
+        index: ChunkIndex,
+        *,
+        offset: int,
+        length: int,
+        on_progress: Callable[[], None],
+    ) -> CopyMessage:
+        """Read a chunk from the weight store, else from the origin.
+
+        Calls on_progress about once a second while bytes arrive.
+        """
+        last_seconds = time.monotonic()
+
+        def on_bytes() -> None:
+            nonlocal last_seconds
+            now = time.monotonic()
+            if now - last_seconds >= PROGRESS_SECONDS:
+                last_seconds = now
+                on_progress()
+
+        reason: FailureReason = Unavailable()
+        for backend in (self._weight_store, self._origin):
+            if backend is None:
+                continue
+            try:
+                content = await backend.chunk(
+                    version.model,
+                    version.version,
+                    index,
+                    offset=offset,
+                    length=length,
+                    on_bytes=on_bytes,
+                )
+            except RateLimitedError as error:
+                reason = Busy(retry_after_seconds=error.retry_after_seconds)
+            except BackendError:
+                reason = Unavailable()
+            else:
+                kind = "weight_store" if backend is self._weight_store else "origin"
+                self._metrics.origin_bytes.add({"kind": kind}, len(content))
+                return ChunkArrived(source=ORIGIN, index=index, content=content)
+        return ChunkFailed(source=ORIGIN, index=index, reason=reason)
+
+    async def chunk_from_peer(
+        self, source: InstanceId, address: str, digest: Digest, index: ChunkIndex
+    ) -> CopyMessage:
+        """Ask a peer for a chunk."""
+        stub = pb_grpc.PeersStub(self._channels.channel(address))
+        request = pb.ChunkRequest(sender=self._own.instance_id, manifest_digest=digest, index=index)
+        try:
+            reply = await stub.FetchChunk(
+                request, metadata=self._channels.metadata, timeout=CHUNK_TIMEOUT_SECONDS
+            )
+        except grpc.aio.AioRpcError:
+            return ChunkFailed(source=source, index=index, reason=Unavailable())
+        if reply.status == pb.ChunkReply.CONTENT:
+            self._metrics.peer_bytes.add({}, len(reply.content))
+        return decode_chunk(reply, source=source, index=index)
+
+    async def send_notice(self, address: str, digest: Digest, notice: pb.CopyNotice) -> None:
+        """Send a message to another agent's copy; a lost one is repaired by later ones."""
+        notice.sender, notice.manifest_digest = self._own.instance_id, digest
+        stub = pb_grpc.PeersStub(self._channels.channel(address))
+        try:
+            await stub.NotifyCopy(
+                notice, metadata=self._channels.metadata, timeout=NOTICE_TIMEOUT_SECONDS
+            )
+        except grpc.aio.AioRpcError as error:
+            log_message("agent:notice_lost", address=address, code=error.code().name)
+
+    async def find_manifest(
+        self, version: VersionReference, peers: Callable[[], Iterable[CopyPeer]]
+    ) -> bytes:
+        """Read the manifest from a peer, or from the origin when this agent's turn comes.
+
+        Raises ManifestMismatchError.
+        """
+        digest = version.manifest_digest
+        ranked = self._ranked(peers(), digest)
+        own_weight = rendezvous_weight(f"manifest/{digest}", self._own.instance_id)
+        rank = sum(1 for weight, _ in ranked if weight > own_weight)
+        turn_seconds = time.monotonic() + rank * MANIFEST_FALLBACK_SECONDS
+        while True:
+            for _, peer in ranked[:MANIFEST_PEERS]:
+                content = await self._manifest_from_peer(peer, digest)
+                if content:
+                    return content
+            if time.monotonic() >= turn_seconds:
+                offered = await self.manifest_from_origin(version)
+                if offered is not None:
+                    return offered
+            await asyncio.sleep(MANIFEST_RETRY_SECONDS * (0.5 + self._rng.random()))
+            ranked = self._ranked(peers(), digest)
+
+    async def manifest_from_origin(self, version: VersionReference) -> bytes | None:
+        """Read the manifest that the origin offers now; None if the origin is out."""
+        try:
+            content = await self._origin.manifest(version.model, version.version)
+        except ObjectMissingError as error:
+            raise ManifestMismatchError(str(error)) from error
+        except BackendError as error:
+            log_message("agent:manifest_failed", error=type(error).__name__)
+            return None
+        self._metrics.origin_bytes.add({"kind": "manifest"}, len(content))
+        return content
+
+    def _ranked(self, peers: Iterable[CopyPeer], digest: Digest) -> list[tuple[int, CopyPeer]]:
+        weighed = [
+            (rendezvous_weight(f"manifest/{digest}", p.peer.instance_id), p)
+            for p in peers
+            if p.peer.zone == self._own.zone
+        ]
+        return sorted(weighed, key=lambda entry: -entry[0])
+
+    async def _manifest_from_peer(self, peer: CopyPeer, digest: Digest) -> bytes:
+        stub = pb_grpc.PeersStub(self._channels.channel(peer.address))
+        try:
+            reply = await stub.FetchManifest(
+                pb.ManifestRequest(manifest_digest=digest),
+                metadata=self._channels.metadata,
+                timeout=MANIFEST_TIMEOUT_SECONDS,
+            )
+        except grpc.aio.AioRpcError:
+            return b""
+        content: bytes = reply.manifest
+        try:
+            Manifest.from_json(content, pinned_digest=digest)
+        except ManifestMismatchError:
+            return b""
+        return content
