Write one status object per zone and show it in 'egretrouter status'

Cause: operators could see the published generation, but not which processes have it in force, which replicas serve which version, or why a version is halted.

Change: load samples carry the sender's generation, also those of routers, and every gossip message tells the generation of its sender. The highest ranked member of a zone writes status/<zone> through the guarded store, with a budget of its own: when something changed, at most every 5 s, and once a minute otherwise, so that its age tells a quiet zone from a lost one. Facts carry the reason of a failed load.

--- a/egretrouter/backends/_guarded_store.py
+++ b/egretrouter/backends/_guarded_store.py
@@ -29,6 +29,7 @@
     FENCING = "fencing"
     CLAIMS = "claims"
     PUBLISH = "publish"
+    STATUS = "status"
 
 
 class StoreBudget(msgspec.Struct, frozen=True, kw_only=True):
@@ -43,6 +44,7 @@
     StorePurpose.FENCING: StoreBudget(calls_per_second=1.0, burst=10.0),
     StorePurpose.CLAIMS: StoreBudget(calls_per_second=5.0, burst=20.0),
     StorePurpose.PUBLISH: StoreBudget(calls_per_second=20.0, burst=100.0),
+    StorePurpose.STATUS: StoreBudget(calls_per_second=0.2, burst=2.0),
 }
 
 
--- a/egretrouter/cli/_commands.py
+++ b/egretrouter/cli/_commands.py
@@ -17,6 +17,7 @@
 from egretrouter.cli._dump import fetch_state
 from egretrouter.cli._exit import EXIT_CODES_HELP, ExitCode, reported_errors
 from egretrouter.cli._files import ANY_ADAPTER, KINDS, check_files, read_files
+from egretrouter.cli._status import read_status, status_json, status_lines
 from egretrouter.core.configuration import Difference, compare
 from egretrouter.core.settings import HttpUrl, load_agent_settings, load_router_settings
 from egretrouter.core.validation import MistakesError, quoted
@@ -24,7 +25,6 @@
     pinned_collection,
     publish,
     published_configuration,
-    published_index,
 )
 
 Result = TypeVar("Result")
@@ -247,27 +247,25 @@
         print(f"size of {version} is not known; --origin looks it up")
 
 
-@cappa.command(help="Print the generation that the object store holds.", epilog=EXIT_CODES_HELP)
+@cappa.command(
+    help="Print the published generation, and what each zone has in force.", epilog=EXIT_CODES_HELP
+)
 @dataclass
 class Status:
-    """Print the published generation."""
+    """Print the published generation and the zones' status."""
 
     store: StoreUrl
+    json: Annotated[bool, cappa.Arg(long="--json", help="Print one JSON object.")] = False
     timeout_seconds: TimeoutSeconds = 5.0
 
     def __call__(self) -> None:
-        """Print the index on standard output."""
-        index = _run(
-            lambda session: published_index(
+        """Print the status on standard output."""
+        status = _run(
+            lambda session: read_status(
                 HttpObjectStore(session, base_url=self.store, timeout_seconds=self.timeout_seconds)
             )
         )
-        if index is None:
-            print("nothing is published")
-            return
-        print(f"generation {index.generation}, publication {index.publication_id}")
-        for name, digest in sorted(index.parts.items()):
-            print(f"{digest}  {name}")
+        print(status_json(status) if self.json else "\n".join(status_lines(status)))
 
 
 @cappa.command(
--- /dev/null
+++ b/egretrouter/cli/_status.py
@@ -0,0 +1,105 @@
+"""Show what is published and what each zone has in force."""
+
+import json
+import time
+from typing import Any
+
+import msgspec
+
+from egretrouter.backends import ObjectStore
+from egretrouter.core.configuration import ConfigurationIndex
+from egretrouter.core.identifiers import Generation
+from egretrouter.core.status import STATUS_KEY_PREFIX, StatusMalformedError, ZoneStatus
+from egretrouter.publishing import published_index
+
+DIGEST_CHARACTERS = 12
+LISTED_INSTANCES = 20
+
+
+class DeploymentStatus(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold what the store says about a deployment."""
+
+    index: ConfigurationIndex | None
+    zones: tuple[ZoneStatus, ...]
+    malformed: tuple[str, ...]
+    """Keys of objects that are not a zone's status."""
+    read_at_seconds: float
+
+
+async def read_status(store: ObjectStore) -> DeploymentStatus:
+    """Read the index and the status of all zones.
+
+    Raises BackendError or ConfigurationError.
+    """
+    index = await published_index(store)
+    zones, malformed = [], []
+    for stored in await store.list(STATUS_KEY_PREFIX):
+        try:
+            zones.append(ZoneStatus.from_json(stored.content))
+        except StatusMalformedError:
+            malformed.append(stored.key)
+    return DeploymentStatus(
+        index=index,
+        zones=tuple(sorted(zones, key=lambda zone: zone.zone)),
+        malformed=tuple(malformed),
+        read_at_seconds=time.time(),
+    )
+
+
+def status_lines(status: DeploymentStatus) -> list[str]:
+    """Return the status for people."""
+    if status.index is None:
+        return ["nothing is published"]
+    index = status.index
+    lines = [f"generation {index.generation}, publication {index.publication_id}"]
+    lines += [f"{digest}  {name}" for name, digest in sorted(index.parts.items())]
+    for zone in status.zones:
+        lines += _zone_lines(zone, index.generation, status.read_at_seconds)
+    lines += [f"{key}: not a zone's status" for key in status.malformed]
+    return lines
+
+
+def _zone_lines(zone: ZoneStatus, generation: Generation, read_at_seconds: float) -> list[str]:
+    lacking = zone.lacking(generation)
+    total = len(zone.processes)
+    age_seconds = max(0.0, read_at_seconds - zone.written_at_seconds)
+    lines = [
+        f"zone {zone.zone}: {total - len(lacking)} of {total} processes have "
+        f"generation {generation} in force, {age_seconds:.0f} s ago"
+    ]
+    shown = [f"{name} (generation {old})" for name, old in lacking.items()]
+    if shown:
+        more = len(shown) - LISTED_INSTANCES
+        tail = f" and {more} more" if more > 0 else ""
+        lines.append(f"  lacking: {', '.join(shown[:LISTED_INSTANCES])}{tail}")
+    for service, versions in sorted(zone.services.items()):
+        for digest, version in sorted(versions.items()):
+            name = digest[:DIGEST_CHARACTERS] or "plain"
+            if version.serving:
+                lines.append(f"  {service} {name} serves on {', '.join(version.serving)}")
+            state = "halted" if version.halted else "failed"
+            for instance_id, reason in sorted(version.failed.items()):
+                lines.append(f"  {service} {name} {state} on {instance_id}: {reason}")
+    return lines
+
+
+def status_json(status: DeploymentStatus) -> str:
+    """Return the status for programs."""
+    index = status.index
+    generation = index.generation if index else Generation(0)
+    value: dict[str, Any] = {
+        "generation": generation if index else None,
+        "publication_id": index.publication_id if index else None,
+        "parts": index.parts if index else {},
+        "zones": [
+            {
+                **msgspec.to_builtins(zone),
+                "age_seconds": round(max(0.0, status.read_at_seconds - zone.written_at_seconds), 1),
+                "in_force": len(zone.processes) - len(zone.lacking(generation)),
+                "lacking": zone.lacking(generation),
+            }
+            for zone in status.zones
+        ],
+        "malformed": list(status.malformed),
+    }
+    return json.dumps(value, indent=2, sort_keys=True)
--- a/egretrouter/core/membership/_membership.py
+++ b/egretrouter/core/membership/_membership.py
@@ -38,7 +38,6 @@
 from egretrouter.core.membership._pace import ExchangePace
 from egretrouter.core.membership._records import (
     LoadReport,
-    LoadSample,
     Member,
     MemberRole,
     MemberStatus,
@@ -103,6 +102,10 @@
         sample = self._table.loads.get(instance_id)
         return sample.load if sample else None
 
+    def generation_of(self, instance_id: InstanceId) -> Generation:
+        """Return the newest generation known to be in force at another member, or 0."""
+        return self._table.generation_of(instance_id)
+
     def summaries(self, *, now_seconds: float) -> tuple[ZoneSummary, ...]:
         """Return the newest summaries of other zones with their ages."""
         return self._book.summaries(now_seconds)
@@ -161,13 +164,7 @@
     def _load_reported(
         self, message: LoadReported, *, now_seconds: float
     ) -> list[MembershipCommand]:
-        sequence = self._view.load.sequence + 1 if self._view.load else 1
-        self._view.load = LoadSample(
-            instance_id=self.own.instance_id,
-            incarnation=self.own.incarnation,
-            sequence=sequence,
-            load=message.load,
-        )
+        self._view.renew_load(message.load, self._generation)
         return []
 
     @_dispatch.register
@@ -177,6 +174,8 @@
         if message.generation > self._generation:
             self._generation = message.generation
             self._urgent_generation_rounds = 2
+            load = self._view.load.load if self._view.load else None
+            self._view.renew_load(load, message.generation)
         return []
 
     @_dispatch.register
@@ -211,6 +210,7 @@
                 )
             )
         if sender.zone == self.own.zone:
+            self._table.note_generation(sender.instance_id, sender.incarnation, message.generation)
             if self._view.hear(body, now_seconds):
                 self._pace.plan_now()
         elif not isinstance(body, SummaryPush):
--- a/egretrouter/core/membership/_records.py
+++ b/egretrouter/core/membership/_records.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from egretrouter.core.identifiers import Digest, InstanceId, ServiceName, ZoneId
+from egretrouter.core.identifiers import Digest, Generation, InstanceId, ServiceName, ZoneId
 
 
 class MemberStatus(Enum):
@@ -44,6 +44,7 @@
     """The phase of the agent's rollout."""
     failed_digest: Digest = Digest("")
     """A version that could not be loaded."""
+    failed_reason: str = ""
 
 
 class LoadReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -73,12 +74,15 @@
 
 
 class LoadSample(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """Carry the load of one member; a higher sequence is newer within an incarnation."""
+    """Carry what changes often in one member; a higher sequence is newer in an incarnation."""
 
     instance_id: InstanceId
     incarnation: int
     sequence: int
-    load: LoadReport
+    load: LoadReport | None = None
+    """Routers have none."""
+    generation: Generation = Generation(0)
+    """The configuration generation in force."""
 
 
 class Seed(msgspec.Struct, frozen=True, kw_only=True):
--- a/egretrouter/core/membership/_summaries.py
+++ b/egretrouter/core/membership/_summaries.py
@@ -156,7 +156,8 @@
 def _version_summary(
     key: tuple[ServiceName, Digest], found: list[Member], table: MemberTable, rng: random.Random
 ) -> VersionSummary:
-    loads = [table.loads[m.instance_id].load for m in found if m.instance_id in table.loads]
+    samples_held = [table.loads[m.instance_id] for m in found if m.instance_id in table.loads]
+    loads = [sample.load for sample in samples_held if sample.load is not None]
     samples = rng.sample(found, min(SAMPLES_PER_VERSION, len(found)))
     return VersionSummary(
         service=key[0],
--- a/egretrouter/core/membership/_table.py
+++ b/egretrouter/core/membership/_table.py
@@ -9,7 +9,7 @@
 import msgspec
 import xxhash
 
-from egretrouter.core.identifiers import InstanceId
+from egretrouter.core.identifiers import Generation, InstanceId
 from egretrouter.core.membership._records import Facts, LoadSample, Member, MemberStatus
 
 BUCKETS = 64
@@ -91,6 +91,7 @@
         self._queue: dict[InstanceId, _Queued] = {}
         self._loads: dict[InstanceId, LoadSample] = {}
         self._load_queue: OrderedDict[InstanceId, int] = OrderedDict()
+        self._generations: dict[InstanceId, tuple[int, Generation]] = {}
         self._dead_until: OrderedDict[InstanceId, float] = OrderedDict()
 
     @property
@@ -168,6 +169,7 @@
             self._dead_until[instance_id] = now_seconds + DEAD_RETENTION_SECONDS
             self._dead_until.move_to_end(instance_id)
             self._loads.pop(instance_id, None)
+            self._generations.pop(instance_id, None)
             position = self._live_position.pop(instance_id, None)
             if position is not None:
                 last = self._live.pop()
@@ -276,6 +278,20 @@
             queued.urgent_rounds -= 1
         return tuple(queued.member for queued in chosen)
 
+    def note_generation(
+        self, instance_id: InstanceId, incarnation: int, generation: Generation
+    ) -> None:
+        """Keep a member's generation; it grows within an incarnation and starts anew after it."""
+        heard = (incarnation, generation)
+        if instance_id in self._live_position and heard > self._generations.get(
+            instance_id, (0, Generation(0))
+        ):
+            self._generations[instance_id] = heard
+
+    def generation_of(self, instance_id: InstanceId) -> Generation:
+        """Return the newest generation known to be in force at a member, or 0."""
+        return self._generations.get(instance_id, (0, Generation(0)))[1]
+
     def merge_load(self, sample: LoadSample) -> None:
         """Keep a load sample if it is newer, and queue it."""
         held = self._loads.get(sample.instance_id)
@@ -286,6 +302,7 @@
         if not newer or sample.instance_id not in self._live_position:
             return
         self._loads[sample.instance_id] = sample
+        self.note_generation(sample.instance_id, sample.incarnation, sample.generation)
         self._load_queue[sample.instance_id] = LOAD_TRANSMISSIONS
         self._load_queue.move_to_end(sample.instance_id)
         if len(self._load_queue) > MAXIMUM_QUEUED_LOADS:
--- a/egretrouter/core/membership/_view.py
+++ b/egretrouter/core/membership/_view.py
@@ -5,10 +5,10 @@
 
 import msgspec
 
-from egretrouter.core.identifiers import InstanceId
+from egretrouter.core.identifiers import Generation, InstanceId
 from egretrouter.core.membership._detection import FailureDetector
 from egretrouter.core.membership._gossip import GossipBody, Probe, ProbeAnswer
-from egretrouter.core.membership._records import LoadSample, Member, MemberStatus
+from egretrouter.core.membership._records import LoadReport, LoadSample, Member, MemberStatus
 from egretrouter.core.membership._table import MemberTable, Merge
 
 SILENCE_SECONDS = 3.0
@@ -31,6 +31,16 @@
         self._changed: dict[InstanceId, Member] = {}
         self._last_heard_seconds = float("-inf")
 
+    def renew_load(self, load: LoadReport | None, generation: Generation) -> None:
+        """Replace the load and generation that every probe carries."""
+        self.load = LoadSample(
+            instance_id=self.own.instance_id,
+            incarnation=self.own.incarnation,
+            sequence=self.load.sequence + 1 if self.load else 1,
+            load=load,
+            generation=generation,
+        )
+
     def take_changed(self) -> tuple[Member, ...]:
         """Return the members that changed since the last call."""
         changed, self._changed = self._changed, {}
--- a/egretrouter/core/rollout/_messages.py
+++ b/egretrouter/core/rollout/_messages.py
@@ -35,6 +35,7 @@
     drained: bool = False
     phase: Phase = Phase.IDLE
     failed_digest: Digest | None = None
+    failed_reason: str = ""
 
 
 class RolloutMessage(msgspec.Struct, frozen=True, kw_only=True):
--- a/egretrouter/core/rollout/_rollout.py
+++ b/egretrouter/core/rollout/_rollout.py
@@ -33,6 +33,9 @@
 SETTLE_SECONDS = 3.0
 """Time for gossip to spread an intention in a zone before the agent acts on it."""
 
+LONGEST_REASON = 160
+"""Reasons travel by gossip in every record of the agent, so they are cut to this length."""
+
 RESTORE_SECONDS = 10.0
 """Time between attempts to load the old version again after a failed load."""
 
@@ -89,7 +92,7 @@
     def facts(self) -> ReplicaFacts:
         """Return what is gossiped about this agent."""
         target = self._target.base.manifest_digest if self._target else None
-        failed = self._instance_id in self._failures.get(target, {}) if target else False
+        reason = self._failures.get(target, {}).get(self._instance_id) if target else None
         return ReplicaFacts(
             instance_id=self._instance_id,
             zone=self._zone,
@@ -97,7 +100,8 @@
             serving_digest=self._serving.manifest_digest if self._serving else None,
             drained=self._drained,
             phase=self._phase,
-            failed_digest=target if failed else None,
+            failed_digest=None if reason is None else target,
+            failed_reason=(reason or "")[:LONGEST_REASON],
         )
 
     def snapshot(self) -> dict[str, object]:
@@ -150,7 +154,7 @@
         for replica in self._replicas.values():
             if replica.failed_digest is not None:
                 failed = self._failures.setdefault(replica.failed_digest, {})
-                failed.setdefault(replica.instance_id, "reported by the replica")
+                failed.setdefault(replica.instance_id, replica.failed_reason)
         return []
 
     @_on.register
--- a/egretrouter/daemons/_agent.py
+++ b/egretrouter/daemons/_agent.py
@@ -411,6 +411,7 @@
                 ready=serving in self._admitted and serving not in self._leaving,
                 phase=facts.phase.value,
                 failed_digest=facts.failed_digest or NO_DIGEST,
+                failed_reason=facts.failed_reason,
             )
         )
 
@@ -579,6 +580,7 @@
         drained=facts.drained,
         phase=Phase(facts.phase or Phase.IDLE.value),
         failed_digest=facts.failed_digest or None,
+        failed_reason=facts.failed_reason,
     )
 
 
--- a/egretrouter/daemons/_process.py
+++ b/egretrouter/daemons/_process.py
@@ -27,6 +27,7 @@
 from egretrouter.daemons._operators import operators_application
 from egretrouter.daemons._peers import PeersServicer
 from egretrouter.daemons._rpc import ChannelPool, PeerSecurity, TlsFiles, bind_server, build_server
+from egretrouter.daemons._status import StatusService
 from egretrouter.protocol import egretrouter_pb2_grpc as pb_grpc
 
 SERVER_GRACE_SECONDS = 0.5
@@ -70,6 +71,7 @@
         self.peer_address = ""
         self.operators_port = 0
         self.control: ControlService
+        self.status_service: StatusService
         self.store_budgets: StoreBudgets
         self._object_store: ObjectStore
         self.session: aiohttp.ClientSession
@@ -107,6 +109,10 @@
         peers.control = self.control
         await self._server.start()
         await self.add_runtime_dependency(self.control)
+        self.status_service = StatusService(
+            control=self.control, store=self.guarded_store(StorePurpose.STATUS), beacon=self.beacon
+        )
+        await self.add_runtime_dependency(self.status_service)
         self.operators_port = await self.listen_http(
             operators_application(
                 dump=self.dump,
@@ -177,6 +183,7 @@
             "ready": self.ready,
             "control": self.control.snapshot(),
             "store": self.store_budgets.snapshot(),
+            "status": self.status_service.reporter.snapshot(),
         }
 
     def _own_member(self) -> Member:
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import re
+import time
 from collections.abc import AsyncIterator
 from pathlib import Path
 
@@ -10,6 +11,8 @@
 from aiohttp import web
 
 from egretrouter.cli import main
+from egretrouter.core.identifiers import Digest, Generation, InstanceId, ServiceName, ZoneId
+from egretrouter.core.status import VersionStatus, ZoneStatus
 from egretrouter.standins import ObjectApiStandin, OriginStandin, Outage
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
@@ -197,6 +200,44 @@
         assert await run_beside("status", "--store", store.url) == 3
 
 
+class TestStatus:
+    """Guard against a status that hides who lacks a generation or why a version is halted."""
+
+    async def test_shows_who_lacks_the_generation(self, capsys: pytest.CaptureFixture[str]) -> None:
+        store = ObjectApiStandin()
+        await store.start()
+        index = {"generation": 7, "publication_id": "p", "parts": {}}
+        await store.write("configuration/index", json.dumps(index).encode())
+        halted = VersionStatus(failed={InstanceId("e-2"): "out of memory"}, halted=True)
+        zone = ZoneStatus(
+            zone=ZoneId("serra-z1"),
+            processes={InstanceId("e-1"): Generation(7), InstanceId("e-2"): Generation(6)},
+            services={
+                ServiceName("llm"): {
+                    Digest("a" * 64): VersionStatus(serving=(InstanceId("e-1"),)),
+                    Digest("b" * 64): halted,
+                }
+            },
+            written_at_seconds=time.time() - 3600,
+        )
+        await store.write("status/serra-z1", zone.to_json())
+        await store.write("status/other", b"[]")
+        assert await run_beside("status", "--store", store.url) == 0
+        lines = capsys.readouterr().out.splitlines()
+        assert lines[1].startswith("zone serra-z1: 1 of 2 processes have generation 7 in force, 36")
+        assert lines[2:] == [
+            "  lacking: e-2 (generation 6)",
+            "  llm aaaaaaaaaaaa serves on e-1",
+            "  llm bbbbbbbbbbbb halted on e-2: out of memory",
+            "status/other: not a zone's status",
+        ]
+        assert await run_beside("status", "--store", store.url, "--json") == 0
+        value = json.loads(capsys.readouterr().out)
+        assert value["zones"][0]["lacking"] == {"e-2": 6}
+        assert value["zones"][0]["age_seconds"] >= 3600
+        await store.stop()
+
+
 class TestDump:
     """Guard against a dump that is not the process's state."""
 
