--- a/egretrouter/daemons/_process.py
+++ b/egretrouter/daemons/_process.py
@@ -28,6 +28,7 @@
 from egretrouter.daemons._operators import operators_application
 from egretrouter.daemons._peers import PeersServicer
 from egretrouter.daemons._rpc import ChannelPool, PeerSecurity, TlsFiles, bind_server, build_server
+from egretrouter.daemons._status import StatusService
 from egretrouter.protocol import egretrouter_pb2_grpc as pb_grpc
 
 SERVER_GRACE_SECONDS = 0.5
@@ -60,17 +61,21 @@
         *,
         metrics: ProcessMetrics,
         rng: random.Random,
+        reachable: Callable[[str], bool] = lambda _: True,
         **kwargs: Any,
     ) -> None:
+        """Take the settings; tests cut the process off from peers and the store by reachable."""
         super().__init__(**kwargs)
         self.settings = settings
         self.rng = rng
         self.process_metrics = metrics
         self.security = peer_security(settings.security)
-        self.channels = ChannelPool(self.security)
+        self.channels = ChannelPool(self.security, reachable=reachable)
+        self._reachable = reachable
         self.peer_address = ""
         self.operators_port = 0
         self.control: ControlService
+        self.status_service: StatusService
         self.store_budgets: StoreBudgets
         self._object_store: ObjectStore
         self.session: aiohttp.ClientSession
@@ -108,6 +113,10 @@
         peers.control = self.control
         await self._server.start()
         await self.add_runtime_dependency(self.control)
+        self.status_service = StatusService(
+            control=self.control, store=self.guarded_store(StorePurpose.STATUS), beacon=self.beacon
+        )
+        await self.add_runtime_dependency(self.status_service)
         self.operators_port = await self.listen_http(
             operators_application(
                 dump=self.dump,
@@ -130,6 +139,7 @@
             base_url=platform.object_store_url,
             timeout_seconds=platform.timeout_seconds,
             watch_seconds=platform.watch_seconds,
+            reachable=self._reachable,
         )
 
     def guarded_store(self, purpose: StorePurpose) -> ObjectStore:
@@ -183,6 +193,7 @@
             "ready": self.ready,
             "control": self.control.snapshot(),
             "store": self.store_budgets.snapshot(),
+            "status": self.status_service.reporter.snapshot(),
         }
 
     def _own_member(self) -> Member:
--- a/egretrouter/daemons/_router.py
+++ b/egretrouter/daemons/_router.py
@@ -108,6 +108,7 @@
                 router_id=InstanceId(self.settings.instance_id),
                 channels=self.channels,
                 coalesce_events=self.router_settings.coalesce_events,
+                on_load=lambda load: self.view.load_arrived(address, load),
                 beacon=self.beacon,
             )
             self.add_future(self.add_runtime_dependency(link))
