Tell admission of a first token when it arrives

The adaptive limit of calls in flight learned of waits only when a call ended, so open streams taught it nothing. The new test fails without the change.

--- a/egretrouter/daemons/_call_driver.py
+++ b/egretrouter/daemons/_call_driver.py
@@ -3,7 +3,7 @@
 import asyncio
 import contextlib
 import time
-from collections.abc import Coroutine
+from collections.abc import Callable, Coroutine
 from functools import singledispatchmethod
 from typing import Any
 
@@ -105,6 +105,7 @@
         self._started_seconds = time.monotonic()
         self.answer_bytes = 0
         self.first_token_seconds: float | None = None
+        self.on_first_token: Callable[[float], None] = lambda wait_seconds: None
 
     async def run(self) -> None:
         """Get the call answered; the stream tells how it ended."""
@@ -203,6 +204,7 @@
         if self.first_token_seconds is None:
             self.first_token_seconds = now - self._started_seconds
             self._services.hedging_budget.first_token_seen(wait_seconds=self.first_token_seconds)
+            self.on_first_token(self.first_token_seconds)
         message = FirstTokenSeen(call_id=lane.target.call_id)
         self._services.selector.handle(message, now_seconds=now)
 
--- a/egretrouter/daemons/_callers.py
+++ b/egretrouter/daemons/_callers.py
@@ -280,6 +280,9 @@
         self.idle.clear()
         stream = CallerStream(request, call_id=call.call_id, request_id=call.request_id)
         driver = CallDriver(call, services=self._services, stream=stream)
+        driver.on_first_token = lambda wait_seconds: self._tell(
+            admission, CallStartedAnswer(call_id=call.call_id, wait_seconds=wait_seconds)
+        )
         arrived_seconds = time.monotonic()
         try:
             with start_action(
@@ -323,9 +326,6 @@
         stream: CallerStream,
         arrived_seconds: float,
     ) -> None:
-        if driver.first_token_seconds is not None:
-            wait = driver.first_token_seconds
-            self._tell(admission, CallStartedAnswer(call_id=call.call_id, wait_seconds=wait))
         overloaded = stream.failure is not None and stream.failure.reason in _OVERLOAD_FAILURES
         self._tell(admission, CallReleased(call_id=call.call_id, overloaded=overloaded))
         self.open_calls -= 1
--- a/tests/test_daemon_calls.py
+++ b/tests/test_daemon_calls.py
@@ -8,6 +8,7 @@
 import pytest
 
 from egretrouter.core.configuration import FILE_ADAPTER, part_name
+from egretrouter.core.identifiers import ServiceName
 from egretrouter.core.routing import CallEnded, CallFailed, CallSent
 from egretrouter.daemons import RouterService
 from egretrouter.daemons._call_driver import WINDOW_BYTES
@@ -139,6 +140,23 @@
             assert first + await response.read() == b"".join(EVENTS)
         assert fleet.total("requests") == 1
 
+    async def test_first_event_is_counted_while_the_answer_goes_on(
+        self, fleet: ScriptedFleet, session: aiohttp.ClientSession
+    ) -> None:
+        """Guard against a limit of calls in flight that learns nothing from open streams."""
+        admission = fleet.router.handler._admissions[ServiceName("scripted")]
+        concurrency, waits = admission._concurrency, []
+        seen = concurrency.first_token_seen
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(
+                concurrency,
+                "first_token_seen",
+                lambda **wait: (waits.append(wait), seen(**wait)),
+            )
+            async with session.get(f"{fleet.url}/gated") as response:
+                await response.content.readexactly(len(EVENTS[0]))
+                assert len(waits) == 1
+
 
 class TestFailures:
     """Guard against failures that look like whole answers or are reported too late."""
