Carry out idempotency claims in the router

The commands RecordTarget, DeferToClaim and CloseClaim of a call raised NotImplementedError, so each keyed call that is not idempotent failed.

ClaimService owns the claim book. It reads and writes shard objects through the guarded store at the router's share of 300 writes a second, forwards claims to the shard's owner by the new RPC ForwardClaim, and claims directly if the owner does not answer. CallClaim holds the claim of one call: it records targets, settles the claims of others at their agents and answers from a claim that holds the key. Larger answers get objects of their own, which the claim book deletes with the expired claim. A malformed shard object no longer counts as known, so it is never overwritten.

--- a/egretrouter/core/calls/_claim_batch.py
+++ b/egretrouter/core/calls/_claim_batch.py
@@ -13,7 +13,7 @@
     EndClaim,
     PlaceClaim,
 )
-from egretrouter.core.identifiers import InstanceId
+from egretrouter.core.identifiers import Digest, InstanceId
 
 
 class ClaimLimits(msgspec.Struct, frozen=True, kw_only=True):
@@ -28,6 +28,8 @@
     batch_operations: int = 1000
     """A thousand claims took 4 ms to apply and encode, and the event loop waits for it."""
     place_timeout_seconds: float = 2.0
+    sweep_seconds: float = 60.0
+    """A write of a shard also removes its expired claims, at most this often."""
     waiting_ends: int = 10_000
     """Ends that wait while the store is out; a dropped one is settled at the agent instead."""
 
@@ -49,6 +51,7 @@
         self.changed = False
         # Claims whose operation left the content as it was, so that no update confirms it.
         self.unchanged: set[str] = set()
+        self.removed_answers: list[Digest] = []
         self._released = released
         self._routers = routers
         self._limits = limits
@@ -86,7 +89,8 @@
     def _is_expired(self, entry: ClaimEntry, now: float) -> bool:
         return now > entry.expires_at_seconds + self._limits.clock_skew_seconds
 
-    def _remove_expired(self, now: float) -> None:
+    def remove_expired(self, now: float) -> None:
+        """Remove the claims whose keys count as new."""
         for digest in [key for key, entry in self.entries.items() if self._is_expired(entry, now)]:
             self._remove(digest)
 
@@ -133,7 +137,7 @@
             expires_at_seconds=message.deadline_at_seconds + self._limits.retention_seconds,
         )
         if not self._fits(message.key_digest, entry):
-            self._remove_expired(now)
+            self.remove_expired(now)
         if not self._fits(message.key_digest, entry):
             self.unchanged.add(message.claim_id)
             return ClaimVerdict.SHARD_FULL
@@ -171,7 +175,9 @@
 
     def _remove(self, digest: str) -> None:
         self.size_bytes -= self._size_of(digest)
-        del self.entries[digest]
+        answer = self.entries.pop(digest).answer
+        if answer is not None and answer.content_digest is not None:
+            self.removed_answers.append(answer.content_digest)
         self.changed = True
 
 
--- a/egretrouter/core/calls/_claim_messages.py
+++ b/egretrouter/core/calls/_claim_messages.py
@@ -207,6 +207,12 @@
     content: bytes
 
 
+class DeleteAnswer(msgspec.Struct, frozen=True, kw_only=True):
+    """Delete the object of an answer whose claim was removed."""
+
+    content_digest: Digest
+
+
 class ClaimVerdict(Enum):
     """Name what became of a request to claim a key."""
 
@@ -228,7 +234,7 @@
     entry: ClaimEntry | None = None
 
 
-ClaimCommand = ReadShard | WriteShard | ClaimDecided
+ClaimCommand = ReadShard | WriteShard | DeleteAnswer | ClaimDecided
 
 
 class SettledClaim(Enum):
--- a/egretrouter/core/calls/_claims.py
+++ b/egretrouter/core/calls/_claims.py
@@ -14,6 +14,7 @@
     ClaimShard,
     ClaimTick,
     ClaimVerdict,
+    DeleteAnswer,
     EndClaim,
     PlaceClaim,
     ReadShard,
@@ -49,6 +50,7 @@
     in_flight: list[_Decided] = []
     written: dict[str, ClaimEntry] = {}
     written_bytes: int = 0
+    sweep_at_seconds: float = 0.0
     request: int = 0
     issued_at_arrival: int = 0
 
@@ -126,6 +128,9 @@
             batch, decided = self._decide(shard, fresh, now)
         shard.waiting = shard.waiting[len(decided) :]
         if batch.changed:
+            if now >= shard.sweep_at_seconds:
+                shard.sweep_at_seconds = now + self._limits.sweep_seconds
+                batch.remove_expired(now)
             return self._write(number, shard, batch, decided)
         decisions: list[ClaimCommand] = [d for _, d in decided if d is not None]
         return decisions + self._advance(number, shard, now)
@@ -150,13 +155,16 @@
         shard.in_flight = decided
         shard.written, shard.written_bytes = batch.entries, batch.size_bytes
         self._issue(shard)
+        # Nobody reads the answer of an expired claim, whether or not the write takes effect.
+        deletes = [DeleteAnswer(content_digest=digest) for digest in batch.removed_answers]
         return [
+            *deletes,
             WriteShard(
                 shard=number,
                 request=shard.request,
                 expected_version=shard.version,
                 content=ClaimShard(entries=batch.entries).to_bytes(),
-            )
+            ),
         ]
 
     def _issue(self, shard: _Shard) -> None:
@@ -181,8 +189,9 @@
         shard = self._answered(message.shard, message.request)
         if shard is None:
             return []
-        shard.known, shard.version = True, message.version
+        # Malformed content raises before the shard counts as known, so it is never overwritten.
         shard.entries = ClaimShard.from_bytes(message.content).entries
+        shard.known, shard.version = True, message.version
         shard.size_bytes = len(message.content)
         shard.fresh_through = shard.issued_at_arrival
         return self._advance(message.shard, shard, now)
--- a/egretrouter/daemons/_call_driver.py
+++ b/egretrouter/daemons/_call_driver.py
@@ -49,7 +49,9 @@
     FirstTokenSeen,
     RouteRequest,
 )
+from egretrouter.daemons._call_claim import CallClaim
 from egretrouter.daemons._caller_stream import CallerState, CallerStream
+from egretrouter.daemons._claims import ClaimService
 from egretrouter.daemons._link import AgentLink
 from egretrouter.protocol import decode_body
 from egretrouter.protocol import egretrouter_pb2 as pb
@@ -85,6 +87,7 @@
     retry_budget: RetryBudget
     hedging_budget: HedgingBudget
     backoff: Backoff
+    claims: ClaimService
     rng: random.Random
 
 
@@ -118,8 +121,16 @@
 class CallDriver:
     """Drive one call from its admission to the end of its answer."""
 
-    def __init__(self, call: RoutedCall, *, services: CallServices, stream: CallerStream) -> None:
+    def __init__(
+        self,
+        call: RoutedCall,
+        *,
+        services: CallServices,
+        stream: CallerStream,
+        claim: CallClaim | None = None,
+    ) -> None:
         self._call = call
+        self._claim = claim
         self._services = services
         self._stream = stream
         self._attempt = CallAttempt(call.call_id, rules=call.rules)
@@ -226,6 +237,8 @@
         task.add_done_callback(self._tasks.discard)
 
     def _forward(self, command: ForwardToCaller) -> None:
+        if self._claim is not None:
+            self._claim.keep(command.body)
         if isinstance(command.body, AnswerData):
             self.answer_bytes += len(command.body.data)
         self._stream.forward(command.body)
@@ -370,12 +383,15 @@
 
     @_carry_out.register
     def _record(self, command: RecordTarget) -> None:
-        raise NotImplementedError
+        assert self._claim is not None
+        self._spawn(self._claim.record(command, report=self.apply))
 
     @_carry_out.register
     def _defer(self, command: DeferToClaim) -> None:
-        raise NotImplementedError
+        assert self._claim is not None
+        self._spawn(self._claim.answer(self._stream))
 
     @_carry_out.register
     def _close_claim(self, command: CloseClaim) -> None:
-        raise NotImplementedError
+        assert self._claim is not None
+        self._claim.end(command.end)
--- a/egretrouter/daemons/_caller_stream.py
+++ b/egretrouter/daemons/_caller_stream.py
@@ -19,7 +19,11 @@
 _EVENT_STREAM = "text/event-stream"
 _STATUS_NOT_RUN = 503
 _STATUS_UNKNOWN = 502
-_STATUS_DEADLINE = 504
+_STATUS_OF_REASON = {
+    "deadline": 504,
+    "idempotency_key_in_progress": 409,
+    "idempotency_key_reused": 422,
+}
 
 
 class CallerState(Enum):
@@ -174,6 +178,6 @@
 
 def failure_status(failure: FailCaller) -> int:
     """Return the HTTP status that fits a failure."""
-    if failure.reason == "deadline":
-        return _STATUS_DEADLINE
+    if failure.reason in _STATUS_OF_REASON:
+        return _STATUS_OF_REASON[failure.reason]
     return _STATUS_NOT_RUN if failure.outcome.value == "not_run" else _STATUS_UNKNOWN
--- a/egretrouter/daemons/_callers.py
+++ b/egretrouter/daemons/_callers.py
@@ -3,14 +3,14 @@
 import asyncio
 import time
 import uuid
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Mapping
 from typing import Any
 
 import msgspec
 from aiohttp import web
-from eliot import log_message, start_action
+from eliot import start_action
 
-from egretrouter.core.calls import AttemptRules, check_key, is_idempotent
+from egretrouter.core.calls import AttemptRules, check_key, is_idempotent, request_fingerprint
 from egretrouter.core.configuration import (
     Configuration,
     ModelServiceFile,
@@ -34,6 +34,7 @@
 )
 from egretrouter.core.routing import RouteRequest, ServiceCatalog
 from egretrouter.core.settings import CallerLimits
+from egretrouter.daemons._call_claim import CallClaim, ClaimedRequest
 from egretrouter.daemons._call_driver import CallDriver, CallServices, RoutedCall
 from egretrouter.daemons._caller_stream import CallerState, CallerStream
 from egretrouter.daemons._endpoint import forwarded_headers
@@ -43,11 +44,11 @@
     CHARACTERS_PER_TOKEN,
     DEADLINE_HEADER,
     PRIORITY_HEADER,
-    ForbiddenError,
     NotFoundError,
     RequestError,
     TooManyStreamsError,
     Workspaces,
+    check_allowed,
     parse_model_body,
     positive_number,
     prompt_blocks,
@@ -201,7 +202,7 @@
         if target is None:
             known = ", ".join(sorted(self._catalog.model_names()))
             raise NotFoundError(f"model {body.model[:80]!r} is unknown; known are: {known}")
-        _check_allowed(target.service, workspace)
+        check_allowed(target.service, workspace)
         prompt = body.prompt_bytes()
         prompt_tokens = len(prompt) // CHARACTERS_PER_TOKEN
         route = RouteRequest(
@@ -224,7 +225,7 @@
         service = self._catalog.plain(host=request.host, path=request.path)
         if service is None:
             raise NotFoundError(f"no service has host {request.host!r} or path {request.path!r}")
-        _check_allowed(service, workspace)
+        check_allowed(service, workspace)
         content = await read_body(request, limits=self._limits)
         headers = {name.lower(): value for name, value in request.headers.items()}
         key = request.headers.get("Idempotency-Key")
@@ -236,7 +237,23 @@
         rules = AttemptRules(idempotent=idempotent, keyed=key is not None and not idempotent)
         route = RouteRequest(service=ServiceName(service.name), request_bytes=len(content))
         call = self._routed(request, request_id, workspace, service, content, route, rules)
-        return await self._answer(request, call, 0)
+        claim = None if key is None or idempotent else self._claim(call, key, headers)
+        return await self._answer(request, call, 0, claim)
+
+    def _claim(self, call: RoutedCall, key: str, headers: Mapping[str, str]) -> CallClaim:
+        kind = headers.get("content-type", "")
+        fingerprint = request_fingerprint(
+            method=call.method, path=call.path, content_type=kind, content=call.content
+        )
+        request = ClaimedRequest(
+            call_id=call.call_id,
+            workspace=call.workspace,
+            service=call.route.service,
+            key=key,
+            fingerprint=fingerprint,
+            deadline_at_seconds=time.time() + call.deadline_at_seconds - time.monotonic(),
+        )
+        return CallClaim(request, claims=self._services.claims)
 
     def _routed(
         self,
@@ -272,13 +289,13 @@
         )
 
     async def _answer(
-        self, request: web.Request, call: RoutedCall, tokens: int
+        self, request: web.Request, call: RoutedCall, tokens: int, claim: CallClaim | None = None
     ) -> web.StreamResponse:
         admission = self._admissions[call.route.service]
         self.open_calls += 1
         self.idle.clear()
         stream = CallerStream(request, call_id=call.call_id, request_id=call.request_id)
-        driver = CallDriver(call, services=self._services, stream=stream)
+        driver = CallDriver(call, services=self._services, stream=stream, claim=claim)
         arrived_seconds = time.monotonic()
         try:
             with start_action(
@@ -369,12 +386,6 @@
     return stream.failure.outcome.value if stream.failure is not None else "refused"
 
 
-def _check_allowed(service: ModelServiceFile | PlainServiceFile, workspace: WorkspaceId) -> None:
-    if service.workspaces and workspace not in service.workspaces:
-        log_message("router:forbidden", service=service.name, workspace=workspace)
-        raise ForbiddenError(f"workspace {workspace!r} may not use service {service.name!r}")
-
-
 def _refusal(
     status: int, name: str, detail: str, request_id: str, retry_after_seconds: float | None
 ) -> web.Response:
--- /dev/null
+++ b/egretrouter/daemons/_claims.py
@@ -0,0 +1,355 @@
+"""Claim idempotency keys in the store, or at the router that owns a key's shard."""
+
+import asyncio
+import random
+import time
+from collections.abc import Callable, Coroutine
+from functools import singledispatchmethod
+from typing import Any
+
+import grpc
+import msgspec
+from eliot import log_message
+from mode import Service
+
+from egretrouter.backends import ObjectStore
+from egretrouter.core.calls import (
+    ClaimBook,
+    ClaimCommand,
+    ClaimDecided,
+    ClaimLimits,
+    ClaimMessage,
+    ClaimTick,
+    ClaimVerdict,
+    DeleteAnswer,
+    EndClaim,
+    PlaceClaim,
+    ReadShard,
+    RoutersChanged,
+    ShardRead,
+    ShardUnavailable,
+    ShardWriteUndecided,
+    ShardWritten,
+    Target,
+    WriteShard,
+    shard_of,
+)
+from egretrouter.core.digests import content_digest
+from egretrouter.core.errors import (
+    BackendError,
+    BackendUnavailableError,
+    LostAnswerError,
+    ObjectMissingError,
+    ProtocolError,
+    RateLimitedError,
+    ValidationError,
+    VersionConflictError,
+)
+from egretrouter.core.identifiers import Digest
+from egretrouter.core.limits._token_bucket import TokenBucket
+from egretrouter.daemons._claim_routers import ClaimRouters
+from egretrouter.daemons._rpc import ChannelPool
+from egretrouter.daemons._settle import settle
+from egretrouter.protocol import egretrouter_pb2 as pb
+from egretrouter.protocol import egretrouter_pb2_grpc as pb_grpc
+
+CLAIM_KEY_PREFIX = "claims/"
+ANSWER_KEY_PREFIX = "claims/answers/"
+TICK_SECONDS = 0.5
+# The store takes several hundred writes a second from all processes together.
+STORE_WRITES_PER_SECOND = 300.0
+# One router's pace stays below the claims' budget of store calls, which reads share.
+FASTEST_PACE_PER_SECOND = 20.0
+WRITE_BURST = 10.0
+WRITE_TRIES = 3
+LONGEST_RATE_WAIT_SECONDS = 0.5
+DELETE_TRIES = 3
+DELETE_RETRY_SECONDS = 30.0
+# Longer than the claim book takes to decide, so that only an owner that is gone runs into it.
+FORWARD_TIMEOUT_SECONDS = 2.5
+
+
+class ClaimService(Service):
+    """Own the claim book and carry out its commands."""
+
+    def __init__(
+        self,
+        *,
+        routers: ClaimRouters,
+        store: ObjectStore,
+        channels: ChannelPool,
+        rng: random.Random,
+        limits: ClaimLimits | None = None,
+        clock: Callable[[], float] = time.time,
+        **kwargs: Any,
+    ) -> None:
+        super().__init__(**kwargs)
+        self.routers = routers
+        self.limits = limits or ClaimLimits()
+        self.forwarded_total = 0
+        self.received_total = 0
+        self._book = ClaimBook(limits=self.limits)
+        self._store = store
+        self._channels = channels
+        self._rng = rng
+        self._clock = clock
+        self._pace = _pace(1)
+        self._paced_routers = 1
+        self._pacing = asyncio.Lock()
+        self._decisions: dict[tuple[str, int], set[asyncio.Future[ClaimDecided]]] = {}
+        self._jobs: set[asyncio.Task[None]] = set()
+
+    @property
+    def now_seconds(self) -> float:
+        """Return the wall clock that claims are dated by."""
+        return self._clock()
+
+    async def place(self, message: PlaceClaim) -> tuple[ClaimDecided, bool]:
+        """Place a claim; also tell whether this router's own book was used."""
+        owner = self.routers.owner(self._shard(message.key_digest))
+        if owner is not None:
+            request = pb.ClaimRequest(place=msgspec.msgpack.encode(message))
+            reply = await self._forward(owner, request)
+            if reply is not None:
+                try:
+                    return msgspec.msgpack.decode(reply.decided, type=ClaimDecided), False
+                except msgspec.MsgspecError as error:
+                    log_message("claims:reply_malformed", owner=owner[0], error=str(error))
+        return await self._place_here(message), True
+
+    def end(self, message: EndClaim, *, placed_here: bool, stored: bytes | None) -> None:
+        """Record the end of a claim in the background, its answer's object first."""
+        if not self.should_stop:
+            self._spawn(self._end(message, placed_here=placed_here, stored=stored))
+
+    async def ask_agent(self, target: Target) -> pb.SettleReply | None:
+        """Ask an agent what became of a call; None means that it did not answer."""
+        return await settle(self._channels, target)
+
+    async def answer_object(self, digest: Digest) -> bytes | None:
+        """Read the object of an answer; None if it is gone or is not what was written.
+
+        Raises BackendUnavailableError.
+        """
+        try:
+            content = (await self._store.get(ANSWER_KEY_PREFIX + digest)).content
+        except ObjectMissingError:
+            return None
+        return content if content_digest(content) == digest else None
+
+    async def claim_requested(self, request: pb.ClaimRequest) -> pb.ClaimReply:
+        """Carry out what another router forwarded.
+
+        Raises ProtocolError if the request is malformed.
+        """
+        self.received_total += 1
+        reply = pb.ClaimReply(router_id=self.routers.own_id)
+        try:
+            if request.WhichOneof("body") == "place":
+                place = msgspec.msgpack.decode(request.place, type=PlaceClaim)
+                self.routers.heard(place.router_id)
+                # The book compares the claim's router with the routers that it knows of.
+                self._tell(RoutersChanged(routers=self.routers.live_ids()))
+                reply.decided = msgspec.msgpack.encode(await self._place_here(place))
+            else:
+                self._tell(msgspec.msgpack.decode(request.end, type=EndClaim))
+        except msgspec.MsgspecError as error:
+            raise ProtocolError(f"forwarded claim is malformed: {error}") from error
+        return reply
+
+    def _shard(self, digest: str) -> int:
+        return shard_of(digest, shards=self.limits.shards)
+
+    async def _forward(
+        self, owner: tuple[Any, str], request: pb.ClaimRequest
+    ) -> pb.ClaimReply | None:
+        instance_id, address = owner
+        stub = pb_grpc.PeersStub(self._channels.channel(address))
+        self.forwarded_total += 1
+        try:
+            reply: pb.ClaimReply = await stub.ForwardClaim(
+                request, metadata=self._channels.metadata, timeout=FORWARD_TIMEOUT_SECONDS
+            )
+        except grpc.aio.AioRpcError as error:
+            log_message("claims:owner_silent", owner=instance_id, code=error.code().name)
+            self.routers.silent(instance_id)
+            return None
+        self.routers.heard(reply.router_id)
+        return reply
+
+    async def _place_here(self, message: PlaceClaim) -> ClaimDecided:
+        future: asyncio.Future[ClaimDecided] = asyncio.get_running_loop().create_future()
+        key = (message.claim_id, message.attempt)
+        self._decisions.setdefault(key, set()).add(future)
+        try:
+            self._tell(message)
+            # The book itself refuses a claim in time; the bound covers a claim that was released.
+            async with asyncio.timeout(self.limits.place_timeout_seconds + 2 * TICK_SECONDS):
+                return await future
+        except TimeoutError:
+            verdict = ClaimVerdict.STORE_OUT
+            return ClaimDecided(claim_id=message.claim_id, attempt=message.attempt, verdict=verdict)
+        finally:
+            waiting = self._decisions[key]
+            waiting.discard(future)
+            if not waiting:
+                del self._decisions[key]
+
+    async def _end(self, message: EndClaim, *, placed_here: bool, stored: bytes | None) -> None:
+        if stored is not None and not await self._write_answer(stored):
+            assert message.answer is not None
+            bare = msgspec.structs.replace(message.answer, content_digest=None)
+            message = msgspec.structs.replace(message, answer=bare)
+        owner = self.routers.owner(self._shard(message.key_digest))
+        if owner is not None:
+            request = pb.ClaimRequest(end=msgspec.msgpack.encode(message))
+            taken = await self._forward(owner, request) is not None
+            # A write of this router's own book may still take effect after a release.
+            if taken and not (placed_here and message.status is None):
+                return
+        self._tell(message)
+
+    async def _write_answer(self, stored: bytes) -> bool:
+        key = ANSWER_KEY_PREFIX + content_digest(stored)
+        for _ in range(WRITE_TRIES):
+            await self._wait_for_pace()
+            try:
+                await self._store.put(key, stored, expected_version=0)
+            except VersionConflictError:
+                return True
+            except LostAnswerError:
+                continue
+            except BackendError as error:
+                log_message("claims:answer_not_stored", error=type(error).__name__)
+                return False
+            return True
+        return False
+
+    def _tell(self, message: ClaimMessage) -> None:
+        try:
+            commands = self._book.handle(message, now_seconds=self._clock())
+        except ValidationError as error:
+            log_message("claims:shard_malformed", error=str(error))
+            return
+        for command in commands:
+            self._carry_out(command)
+
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+        job = asyncio.create_task(work)
+        self._jobs.add(job)
+        job.add_done_callback(self._jobs.discard)
+
+    @singledispatchmethod
+    def _carry_out(self, command: ClaimCommand) -> None:
+        raise TypeError(f"router got unexpected claim command {command!r}")
+
+    @_carry_out.register
+    def _decided(self, command: ClaimDecided) -> None:
+        for future in self._decisions.get((command.claim_id, command.attempt), ()):
+            if not future.done():
+                future.set_result(command)
+
+    @_carry_out.register
+    def _read(self, command: ReadShard) -> None:
+        self._spawn(self._read_shard(command))
+
+    async def _read_shard(self, command: ReadShard) -> None:
+        shard, request = command.shard, command.request
+        version, content = 0, b""
+        try:
+            stored = await self._store.get(f"{CLAIM_KEY_PREFIX}{shard}")
+            version, content = stored.version, stored.content
+        except ObjectMissingError:
+            pass
+        except BackendError as error:
+            log_message("claims:read_failed", shard=shard, error=type(error).__name__)
+            self._tell(ShardUnavailable(shard=shard, request=request))
+            return
+        self._tell(ShardRead(shard=shard, request=request, version=version, content=content))
+
+    @_carry_out.register
+    def _write(self, command: WriteShard) -> None:
+        self._spawn(self._write_shard(command))
+
+    async def _write_shard(self, command: WriteShard) -> None:
+        shard, request = command.shard, command.request
+        try:
+            version = await self._put_shard(command)
+        except (VersionConflictError, LostAnswerError) as error:
+            log_message("claims:write_undecided", shard=shard, error=type(error).__name__)
+            self._tell(ShardWriteUndecided(shard=shard, request=request))
+        except BackendError as error:
+            log_message("claims:write_failed", shard=shard, error=type(error).__name__)
+            self._tell(ShardUnavailable(shard=shard, request=request))
+        else:
+            self._tell(ShardWritten(shard=shard, request=request, version=version))
+
+    async def _put_shard(self, command: WriteShard) -> int:
+        key, expected = f"{CLAIM_KEY_PREFIX}{command.shard}", command.expected_version
+        for _ in range(WRITE_TRIES - 1):
+            await self._wait_for_pace()
+            try:
+                return await self._store.put(key, command.content, expected_version=expected)
+            except RateLimitedError as error:
+                # A refused write took no effect, so it may be sent again.
+                wait_seconds = min(error.retry_after_seconds, LONGEST_RATE_WAIT_SECONDS)
+                await asyncio.sleep(wait_seconds * (1.0 + self._rng.random()))
+        await self._wait_for_pace()
+        return await self._store.put(key, command.content, expected_version=expected)
+
+    @_carry_out.register
+    def _delete(self, command: DeleteAnswer) -> None:
+        self._spawn(self._delete_answer(command.content_digest))
+
+    async def _delete_answer(self, digest: Digest) -> None:
+        for _ in range(DELETE_TRIES):
+            await self._wait_for_pace()
+            try:
+                await self._store.delete(ANSWER_KEY_PREFIX + digest)
+            except (BackendUnavailableError, LostAnswerError):
+                await asyncio.sleep(DELETE_RETRY_SECONDS)
+            except BackendError:
+                # The object is gone already.
+                return
+            else:
+                return
+
+    async def _wait_for_pace(self) -> None:
+        """Wait for this router's share of the store's write rate, in the order of arrival."""
+        async with self._pacing:
+            await asyncio.sleep(self._pace.wait_seconds(now_seconds=time.monotonic()))
+            self._pace.take(now_seconds=time.monotonic())
+
+    @Service.task
+    async def _tick(self) -> None:
+        while not self.should_stop:
+            self._set_pace(self.routers.count())
+            self._tell(RoutersChanged(routers=self.routers.live_ids()))
+            self._tell(ClaimTick())
+            await self.sleep(TICK_SECONDS)
+
+    def _set_pace(self, routers: int) -> None:
+        if routers == self._paced_routers:
+            return
+        self._paced_routers = routers
+        self._pace = _pace(routers)
+
+    async def on_stop(self) -> None:
+        """Drop what is not written; the agents tell what became of those calls."""
+        for job in list(self._jobs):
+            job.cancel()
+
+    def snapshot(self) -> dict[str, Any]:
+        """Return the state for the state dump."""
+        return {
+            **self._book.snapshot(),
+            "router_id": self.routers.own_id,
+            "live_routers": sorted(self.routers.live_ids()),
+            "forwarded_total": self.forwarded_total,
+            "received_total": self.received_total,
+        }
+
+
+def _pace(routers: int) -> TokenBucket:
+    rate = min(FASTEST_PACE_PER_SECOND, STORE_WRITES_PER_SECOND / routers)
+    return TokenBucket(rate_per_second=rate, burst=WRITE_BURST, now_seconds=time.monotonic())
--- a/egretrouter/daemons/_link.py
+++ b/egretrouter/daemons/_link.py
@@ -12,12 +12,12 @@
 from egretrouter.core.calls import Target
 from egretrouter.core.identifiers import CallId, Epoch, InstanceId
 from egretrouter.daemons._rpc import ChannelPool
+from egretrouter.daemons._settle import settle
 from egretrouter.protocol import egretrouter_pb2 as pb
 from egretrouter.protocol import egretrouter_pb2_grpc as pb_grpc
 
 RECONNECT_DELAY_SECONDS = 0.2
 RECONNECT_DELAY_LIMIT_SECONDS = 2.0
-SETTLE_TIMEOUT_SECONDS = 2.0
 
 
 class LinkState(Enum):
@@ -90,19 +90,7 @@
 
     async def settle(self, target: Target) -> pb.SettleReply | None:
         """Ask the agent what became of a call; None means that it did not answer."""
-        stub = pb_grpc.AgentCallsStub(self._channels.channel(self.address))
-        request = pb.SettleRequest(
-            call_id=target.call_id,
-            epoch=target.epoch,
-            expires_at_seconds=target.expires_at_seconds,
-        )
-        try:
-            reply: pb.SettleReply = await stub.Settle(
-                request, metadata=self._channels.metadata, timeout=SETTLE_TIMEOUT_SECONDS
-            )
-        except grpc.aio.AioRpcError:
-            return None
-        return reply
+        return await settle(self._channels, target)
 
     def agent_clock(self, now_seconds: float) -> float:
         """Return the agent's monotonic clock, late by the time that a message took."""
--- a/egretrouter/daemons/_peers.py
+++ b/egretrouter/daemons/_peers.py
@@ -4,7 +4,10 @@
 from collections.abc import Callable
 from typing import Any
 
+import grpc
+
 from egretrouter.core.identifiers import Digest
+from egretrouter.daemons._claims import ClaimService
 from egretrouter.daemons._control import ControlService
 from egretrouter.daemons._copies import CopyService
 from egretrouter.protocol import egretrouter_pb2 as pb
@@ -17,6 +20,7 @@
     def __init__(self, *, dump: Callable[[], dict[str, Any]]) -> None:
         self.control: ControlService | None = None
         self.copies: CopyService | None = None
+        self.claims: ClaimService | None = None
         self._dump = dump
 
     async def Gossip(self, request: pb.GossipMessage, context: Any) -> pb.GossipReply:  # noqa: N802
@@ -57,6 +61,13 @@
             return pb.ChunkReply(status=pb.ChunkReply.MISSING)
         return await self.copies.chunk_requested(request, context)
 
+    async def ForwardClaim(self, request: pb.ClaimRequest, context: Any) -> pb.ClaimReply:  # noqa: N802
+        """Place or end a claim that another router forwards."""
+        if self.claims is None:
+            await context.abort(grpc.StatusCode.UNAVAILABLE, "this process takes no claims")
+        assert self.claims is not None
+        return await self.claims.claim_requested(request)
+
     async def DumpState(self, request: pb.DumpRequest, context: Any) -> pb.DumpReply:  # noqa: N802
         """Send the state of this process."""
         return pb.DumpReply(state=json.dumps(self._dump(), default=str).encode())
--- a/egretrouter/daemons/_router.py
+++ b/egretrouter/daemons/_router.py
@@ -7,6 +7,7 @@
 from aiohttp import web
 from mode import Service
 
+from egretrouter.backends import StorePurpose
 from egretrouter.core.configuration import Configuration
 from egretrouter.core.identifiers import InstanceId, RegionId, ServiceName, ZoneId
 from egretrouter.core.limits import Backoff, HedgingBudget, RetryBudget
@@ -15,6 +16,8 @@
 from egretrouter.core.settings import RouterSettings
 from egretrouter.daemons._call_driver import CallServices
 from egretrouter.daemons._callers import CallerHandler
+from egretrouter.daemons._claim_routers import ClaimRouters
+from egretrouter.daemons._claims import ClaimService
 from egretrouter.daemons._endpoint_view import EndpointView
 from egretrouter.daemons._link import AgentLink
 from egretrouter.daemons._metrics import RouterMetrics
@@ -36,6 +39,7 @@
         self.router_settings = settings
         self.callers_port = 0
         self.handler: CallerHandler
+        self.claims: ClaimService
         self.selector: EndpointSelector
         self.view: EndpointView
         self._links: dict[str, AgentLink] = {}
@@ -50,6 +54,8 @@
             random_generator=random.Random(self.rng.random()),
         )
         await self.start_process(servicers=lambda _: None, peers=peers)
+        self.claims = peers.claims = self._claim_service()
+        await self.add_runtime_dependency(self.claims)
         self.view = EndpointView(membership=self.control.membership, selector=self.selector)
         self.handler = CallerHandler(
             services=self._call_services(),
@@ -91,9 +97,21 @@
             retry_budget=RetryBudget(),
             hedging_budget=HedgingBudget(),
             backoff=Backoff(random.Random(self.rng.random())),
+            claims=self.claims,
             rng=self.rng,
         )
 
+    def _claim_service(self) -> ClaimService:
+        return ClaimService(
+            routers=ClaimRouters(
+                membership=self.control.membership, listed=lambda: self.control.listed
+            ),
+            store=self.guarded_store(StorePurpose.CLAIMS),
+            channels=self.channels,
+            rng=random.Random(self.rng.random()),
+            beacon=self.beacon,
+        )
+
     def _link(self, address: str) -> AgentLink:
         link = self._links.get(address)
         if link is None:
@@ -123,6 +141,7 @@
 
     async def on_stop(self) -> None:
         """Close links before the sockets below them."""
+        await self.claims.stop()
         for link in self._links.values():
             await link.stop()
         await super().on_stop()
@@ -139,6 +158,7 @@
             **super().dump(),
             "callers_port": self.callers_port,
             "calls": self.handler.snapshot(),
+            "claims": self.claims.snapshot(),
             "selector": self.selector.snapshot(now_seconds=now_seconds),
             "links": {address: link.link_state.value for address, link in self._links.items()},
         }
--- /dev/null
+++ b/egretrouter/daemons/_settle.py
@@ -0,0 +1,27 @@
+"""Ask agents what became of calls."""
+
+import grpc
+
+from egretrouter.core.calls import Target
+from egretrouter.daemons._rpc import ChannelPool
+from egretrouter.protocol import egretrouter_pb2 as pb
+from egretrouter.protocol import egretrouter_pb2_grpc as pb_grpc
+
+SETTLE_TIMEOUT_SECONDS = 2.0
+
+
+async def settle(channels: ChannelPool, target: Target) -> pb.SettleReply | None:
+    """Ask the agent what became of a call; None means that it did not answer."""
+    stub = pb_grpc.AgentCallsStub(channels.channel(target.address))
+    request = pb.SettleRequest(
+        call_id=target.call_id,
+        epoch=target.epoch,
+        expires_at_seconds=target.expires_at_seconds,
+    )
+    try:
+        reply: pb.SettleReply = await stub.Settle(
+            request, metadata=channels.metadata, timeout=SETTLE_TIMEOUT_SECONDS
+        )
+    except grpc.aio.AioRpcError:
+        return None
+    return reply
