--- a/egretrouter/daemons/_router.py
+++ b/egretrouter/daemons/_router.py
@@ -23,9 +23,10 @@
 from egretrouter.daemons._peers import PeersServicer
 from egretrouter.daemons._process import ProcessService
 from egretrouter.daemons._routed_call import CallServices
+from egretrouter.daemons._tls import CallerTls
 
 REFRESH_SECONDS = 0.5
-LINK_IDLE_TICKS = 120
+LIMITS_TICK_SECONDS = 0.1
 
 
 class RouterService(ProcessService):
@@ -70,9 +71,14 @@
         limits = self.router_settings.limits
         application = web.Application(client_max_size=limits.max_body_bytes)
         application.add_routes(self.handler.routes())
+        tls = None
+        if self.router_settings.callers_tls is not None:
+            tls = CallerTls(self.router_settings.callers_tls)
+            self.add_future(tls.keep_current())
         self.callers_port = await self.listen_http(
             application,
             self.router_settings.callers,
+            ssl_context=tls.context if tls is not None else None,
             handler_cancellation=True,
             max_field_size=limits.max_header_bytes,
             max_line_size=limits.max_header_bytes,
@@ -137,6 +143,11 @@
             await self.sleep(REFRESH_SECONDS)
             self.view.refresh()
             self.handler.count_routers(self.view.routers()[1])
+
+    @Service.task
+    async def _expire_queued(self) -> None:
+        while not self.should_stop:
+            await self.sleep(LIMITS_TICK_SECONDS)
             self.handler.tick()
 
     async def on_stop(self) -> None:
