Ask gateways for zone summaries more often in zones with few routers

Cause: a router asked a gateway in one of 16 pulls and otherwise another router. In zones with 3 routers the others know as little, so summaries of other zones got up to 124 s old. A new router whose first pull found nobody waited 2.5 to 7.5 s for the next one; after all routers of a fleet were replaced at once, 9.1 s passed until each had every service (tests/test_recovery.py).

Change: the share of pulls that go to gateways is 4 over the number of routers (as before with 67). A new router that lacks zones of the instance list asks a gateway once a second, 8 times at most.

--- a/egretrouter/core/membership/_membership.py
+++ b/egretrouter/core/membership/_membership.py
@@ -36,6 +36,7 @@
     ZoneSummaryChanged,
 )
 from egretrouter.core.membership._pace import ExchangePace
+from egretrouter.core.membership._pulls import PullPace
 from egretrouter.core.membership._records import (
     LoadReport,
     Member,
@@ -57,9 +58,7 @@
 JOIN_SECONDS = 1.0
 JOIN_CONTACTS = 3
 RECONNECT_SECONDS = 10.0
-PULL_SECONDS = 5.0
 PULL_CANDIDATES = 8
-GATEWAY_PULL_SHARE = 1 / 16
 PAUSE_SECONDS = 2.0
 """Below the shortest suspicion, so a paused process never judges others by old timers."""
 
@@ -81,7 +80,7 @@
         self._pace = ExchangePace(rng=rng)
         self._next_reconnect_seconds = 0.0
         self._next_summary_seconds = 0.0
-        self._next_pull_seconds = 0.0
+        self._pulls = PullPace(rng=rng)
 
     @property
     def own(self) -> Member:
@@ -364,17 +363,23 @@
                     sender=self.own, summaries=(self._summarize(),), wants_answer=True
                 )
                 commands += [self._send_to(target, address, push) for target, address in due]
-        if self.own.role is MemberRole.ROUTER and now_seconds >= self._next_pull_seconds:
-            self._next_pull_seconds = now_seconds + PULL_SECONDS * (0.5 + self._rng.random())
-            commands += self._pull(chosen, now_seconds)
+        if self.own.role is MemberRole.ROUTER and self._pulls.is_due(now_seconds):
+            pulls = self._pull(chosen, now_seconds)
+            self._pulls.pulled(now_seconds, sent=bool(pulls), lacks_zones=self._book.lacks_zones)
+            commands += pulls
         return commands
 
     def _pull(self, chosen: list[InstanceId], now_seconds: float) -> list[MembershipCommand]:
-        """Ask another router, and now and then a gateway, since gateways learn first."""
-        sampled = self._table.sample(PULL_CANDIDATES)
-        targets = [m for m in sampled if m.role is MemberRole.ROUTER]
+        """Ask another router or a gateway; gateways learn first."""
+        routers = [m for m in self.members() if m.role is MemberRole.ROUTER]
+        targets = [m for m in self._table.sample(PULL_CANDIDATES) if m.role is MemberRole.ROUTER]
         others = [i for i in chosen if i != self.own.instance_id]
-        if others and (not targets or self._rng.random() < GATEWAY_PULL_SHARE):
+        if others and (
+            not targets
+            or self._pulls.asks_gateway(
+                routers=1 + len(routers), lacks_zones=self._book.lacks_zones
+            )
+        ):
             targets = [self._table.entries[self._rng.choice(others)].member]
         pull = SummaryPull(sender=self.own, ages_seconds=self._book.ages(now_seconds))
         return [self._send(target, pull) for target in targets[:1]]
--- a/egretrouter/core/membership/_summaries.py
+++ b/egretrouter/core/membership/_summaries.py
@@ -45,6 +45,11 @@
         self._next_push_seconds: dict[ZoneId, float] = {}
         self._turns: dict[ZoneId, int] = {}
 
+    @property
+    def lacks_zones(self) -> bool:
+        """Tell whether a zone of the instance list has no summary here yet."""
+        return not self._held or not self._seeds.keys() <= self._held.keys()
+
     def list_seeds(self, seeds: Iterable[Seed]) -> None:
         """Replace the addresses taken from the instance list."""
         by_zone: dict[ZoneId, list[tuple[InstanceId, str]]] = {}
