Carry loads and drains over the links between routers and agents

The view also dropped a newer sample with the same load, so that a steady load counted as old. Routers of other zones learned of a drain by summaries, after seconds.

Change: an agent sends its load on each link with the first message and about once a second, with its age; while a link reports, gossip is not used. A drain is sent over links at once. A newer sample is a new report even if the load is unchanged. Tests can cut processes off by a function given to ChannelPool and the store client; Fleet.cut_off uses it.

Test changed: Membership.load became load_sample, and test_membership.py compares its load.

--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -122,7 +122,8 @@
 
 def _load_age(zone: VirtualZone, agents: list[InstanceId], seconds: int) -> float:
     routers = [node for node in zone.nodes.values() if node.own.role is MemberRole.ROUTER]
-    found = [node.load(a) for node in routers for a in agents]
+    samples = [node.load_sample(a) for node in routers for a in agents]
+    found = [sample.load if sample else None for sample in samples]
     ages = [seconds - load.queued_calls if load else seconds for load in found]
     return sum(ages) / len(ages)
 
--- a/egretrouter/backends/_http.py
+++ b/egretrouter/backends/_http.py
@@ -1,8 +1,9 @@
 """Send requests to the platform's systems and map failures to the exception tree."""
 
 import asyncio
-from collections.abc import AsyncIterable, Mapping
+from collections.abc import AsyncIterable, Callable, Mapping
 from email.utils import parsedate_to_datetime
+from functools import partial
 from time import time
 
 import aiohttp
@@ -64,12 +65,22 @@
     """Send requests to one system over a shared session."""
 
     def __init__(
-        self, session: aiohttp.ClientSession, *, name: str, base_url: str, timeout_seconds: float
+        self,
+        session: aiohttp.ClientSession,
+        *,
+        name: str,
+        base_url: str,
+        timeout_seconds: float,
+        reachable: Callable[[str], bool] = lambda _: True,
     ) -> None:
-        """Use base_url for every path; the name appears in errors."""
+        """Use base_url for every path; the name appears in errors.
+
+        Tests cut the network by reachable, which is asked for base_url.
+        """
         self._session = session
         self._name = name
         self._base_url = URL(base_url)
+        self._is_reachable = partial(reachable, base_url)
         self._timeout_seconds = timeout_seconds
 
     def url(self, *segments: str) -> URL:
@@ -157,6 +168,7 @@
         data: bytes | AsyncIterable[bytes] | None = None,
         middlewares: tuple[aiohttp.ClientMiddlewareType, ...] = (),
     ) -> Answer:
+        self._raise_if_cut()
         async with self._session.request(
             method,
             url,
@@ -173,8 +185,14 @@
                     raise MalformedAnswerError(
                         f"{self._name}: {method} {url.path} answered more than {max} bytes"
                     )
+            # An answer that was waited for since before a cut does not arrive either.
+            self._raise_if_cut()
             return Answer(status=response.status, headers=response.headers, content=bytes(content))
 
+    def _raise_if_cut(self) -> None:
+        if not self._is_reachable():
+            raise aiohttp.ClientConnectionError("the network is cut")
+
     def _raise_for_rate(self, answer: Answer, url: URL) -> None:
         if answer.status == 429:
             raise RateLimitedError(
--- a/egretrouter/backends/_object_store.py
+++ b/egretrouter/backends/_object_store.py
@@ -1,7 +1,7 @@
 """Call the platform's object API over HTTP."""
 
 import base64
-from collections.abc import AsyncIterator, Mapping
+from collections.abc import AsyncIterator, Callable, Mapping
 
 import aiohttp
 import msgspec
@@ -40,10 +40,15 @@
         base_url: str,
         timeout_seconds: float = 5.0,
         watch_seconds: float = 30.0,
+        reachable: Callable[[str], bool] = lambda _: True,
     ) -> None:
         """Bound each call by timeout_seconds and each long poll by watch_seconds."""
         self._caller = HttpCaller(
-            session, name="object store", base_url=base_url, timeout_seconds=timeout_seconds
+            session,
+            name="object store",
+            base_url=base_url,
+            timeout_seconds=timeout_seconds,
+            reachable=reachable,
         )
         self._watch_seconds = watch_seconds
 
--- a/egretrouter/core/membership/_membership.py
+++ b/egretrouter/core/membership/_membership.py
@@ -38,7 +38,7 @@
 from egretrouter.core.membership._pace import ExchangePace
 from egretrouter.core.membership._pulls import PullPace
 from egretrouter.core.membership._records import (
-    LoadReport,
+    LoadSample,
     Member,
     MemberRole,
     MemberStatus,
@@ -96,10 +96,9 @@
         entries = (self._table.entries[i] for i in self._table.live_ids())
         return [e.member for e in entries if self._table.is_usable(e, now_seconds=now_seconds)]
 
-    def load(self, instance_id: InstanceId) -> LoadReport | None:
-        """Return the newest load report known of a member."""
-        sample = self._table.loads.get(instance_id)
-        return sample.load if sample else None
+    def load_sample(self, instance_id: InstanceId) -> LoadSample | None:
+        """Return the newest load report known of a member, with its sequence number."""
+        return self._table.loads.get(instance_id)
 
     def generation_of(self, instance_id: InstanceId) -> Generation:
         """Return the newest generation known to be in force at another member, or 0."""
--- a/egretrouter/daemons/_agent.py
+++ b/egretrouter/daemons/_agent.py
@@ -155,6 +155,7 @@
         """Take no new work and wait until the calls in progress ended."""
         self._draining = True
         self._publish_facts()
+        self.calls.announce_drain()
         await self.control.leave()
         self.calls.drain()
         await self.calls.drained.wait()
@@ -509,7 +510,7 @@
                 self._tell(Tick())
             elif self._admitted:
                 running = self.calls.registry.in_progress
-                self.control.set_load(LoadReport(running_calls=running))
+                self._report_load(LoadReport(running_calls=running))
 
     def _end_leaving(self) -> None:
         now = time.monotonic()
@@ -543,9 +544,13 @@
         )
         self._versions = {version.manifest_digest: version for version in loaded}
         load = LoadReport(queued_calls=report.queued_calls, running_calls=report.running_calls)
-        self.control.set_load(load)
+        self._report_load(load)
         self._tell(EngineReported(loaded=loaded))
 
+    def _report_load(self, load: LoadReport) -> None:
+        self.control.set_load(load)
+        self.calls.report_load(load)
+
     @property
     def admitted(self) -> frozenset[Digest]:
         """Return the versions that calls may use."""
--- a/egretrouter/daemons/_agent_calls.py
+++ b/egretrouter/daemons/_agent_calls.py
@@ -34,6 +34,7 @@
 )
 from egretrouter.core.errors import CallError, ProtocolError
 from egretrouter.core.identifiers import CallId, Digest, Epoch, InstanceId
+from egretrouter.core.membership import LoadReport
 from egretrouter.daemons._endpoint import EndpointClient
 from egretrouter.protocol import egretrouter_pb2 as pb
 from egretrouter.protocol import egretrouter_pb2_grpc as pb_grpc
@@ -43,6 +44,8 @@
 # be held for 5 ms at most.
 COALESCE_SECONDS = 0.002
 MAXIMUM_FRAMES = 512
+# Reports come once a second or more often; links carry about one a second.
+LOAD_SECONDS = 0.9
 DEFAULT_WINDOW_BYTES = 256 * 1024
 MINIMUM_CALL_SECONDS = 0.001
 
@@ -55,6 +58,7 @@
         self._frames: list[pb.AnswerFrame] = []
         self._wakeup = asyncio.Event()
         self._urgent = False
+        self._load_is_due = False
         self.closed = False
 
     def queue(self, frame: pb.AnswerFrame, *, urgent: bool) -> None:
@@ -63,6 +67,16 @@
         self._urgent = self._urgent or urgent
         self._wakeup.set()
 
+    def load_changed(self) -> None:
+        """Send the load with the next message, or at once if no frame waits."""
+        self._load_is_due = True
+        self._wakeup.set()
+
+    def take_load_due(self) -> bool:
+        """Tell whether a load is to be sent, and take it as sent."""
+        due, self._load_is_due = self._load_is_due, False
+        return due
+
     def close(self) -> None:
         """Let the batch that is waited for end."""
         self.closed = True
@@ -123,12 +137,43 @@
         self._clock = clock
         self._links: dict[InstanceId, RouterLink] = {}
         self._running: dict[CallId, _RunningCall] = {}
+        self._draining = False
+        self._load: LoadReport | None = None
+        self._load_at_seconds = 0.0
+        self._next_load_seconds = float("-inf")
+
+    def report_load(self, load: LoadReport) -> None:
+        """Tell every router that has a link the endpoint's load."""
+        self._load = load
+        self._load_at_seconds = self._clock()
+        if self._load_at_seconds >= self._next_load_seconds:
+            self._next_load_seconds = self._load_at_seconds + LOAD_SECONDS
+            for link in self._links.values():
+                link.load_changed()
+
+    def _load_message(self) -> pb.EndpointLoad | None:
+        if self._load is None and not self._draining:
+            return None
+        load = self._load or LoadReport()
+        return pb.EndpointLoad(
+            queued_calls=load.queued_calls,
+            running_calls=load.running_calls,
+            finished_calls_total=self.finished_calls_total,
+            age_seconds=self._clock() - self._load_at_seconds,
+            draining=self._draining,
+        )
 
     def apply(self, message: RegistryMessage) -> None:
         """Pass a message to the registry and carry out what it commands."""
         for command in self.registry.handle(message, now_seconds=self._clock()):
             self._carry_out(command)
 
+    def announce_drain(self) -> None:
+        """Tell the routers that have a link before calls are refused."""
+        self._draining = True
+        for link in self._links.values():
+            link.load_changed()
+
     def drain(self) -> None:
         """Admit no more calls; the drained event tells when the last one ended."""
         self.apply(Drain())
@@ -162,9 +207,13 @@
         reader = asyncio.create_task(self._read(router_id, link, request_iterator))
         epoch = self.registry.epoch
         try:
-            yield pb.AgentMessage(epoch=epoch, clock_seconds=self._clock())
+            yield pb.AgentMessage(
+                epoch=epoch, clock_seconds=self._clock(), load=self._load_message()
+            )
             while not link.closed:
                 frames = await link.batch(coalesce=self.coalesce_events)
+                if link.take_load_due():
+                    yield pb.AgentMessage(epoch=epoch, load=self._load_message())
                 size = MAXIMUM_FRAMES if self.coalesce_events else 1
                 for start in range(0, len(frames), size):
                     part = frames[start : start + size]
--- a/egretrouter/daemons/_endpoint_view.py
+++ b/egretrouter/daemons/_endpoint_view.py
@@ -14,7 +14,7 @@
     ServiceName,
     ZoneId,
 )
-from egretrouter.core.membership import Member, MemberRole, Membership, VersionSummary
+from egretrouter.core.membership import LoadSample, Member, MemberRole, Membership, VersionSummary
 from egretrouter.core.routing import (
     EndpointGone,
     EndpointSeen,
@@ -23,9 +23,12 @@
     RouteRequest,
     RoutersCounted,
 )
+from egretrouter.protocol import egretrouter_pb2 as pb
 
 # Load reports travel by gossip, which takes about this long inside a zone.
 GOSSIP_AGE_SECONDS = 1.0
+# A link brings a report about once a second, so after this time gossip may be fresher.
+LINK_REPORT_SECONDS = 3.0
 
 
 class _Known(msgspec.Struct, frozen=True, kw_only=True):
@@ -51,7 +54,10 @@
         self._clock = clock
         self._regions: Mapping[ZoneId, RegionId] = {}
         self._known: dict[EndpointId, _Known] = {}
-        self._loads: dict[InstanceId, object] = {}
+        self._loads: dict[EndpointId, LoadSample] = {}
+        self._by_address: dict[str, EndpointId] = {}
+        self._draining: set[str] = set()
+        self._linked_until: dict[EndpointId, float] = {}
 
     def set_regions(self, regions: Mapping[ZoneId, RegionId]) -> None:
         """Learn the region of each zone."""
@@ -73,6 +79,10 @@
         """Return the services that have an endpoint in view."""
         return frozenset(known.seen.service for known in self._known.values())
 
+    def endpoints(self) -> frozenset[EndpointId]:
+        """Return the endpoints that calls may be sent to."""
+        return frozenset(self._known)
+
     def routers(self) -> tuple[int, int]:
         """Return the live routers of this zone and of all zones."""
         members = self._membership.members()
@@ -83,7 +93,13 @@
     def refresh(self) -> None:
         """Tell the selector what changed."""
         now = self._clock()
-        current = {e.seen.endpoint_id: e for e in (*self._near(now), *self._far(now))}
+        found = (*self._near(now), *self._far(now))
+        self._draining &= {known.seen.address for known in found}
+        current = {
+            known.seen.endpoint_id: known
+            for known in found
+            if known.seen.address not in self._draining
+        }
         for endpoint_id in self._known.keys() - current.keys():
             self._selector.handle(EndpointGone(endpoint_id=endpoint_id), now_seconds=now)
         for endpoint_id, known in current.items():
@@ -91,10 +107,36 @@
             if previous is None or previous.seen != known.seen:
                 self._selector.handle(known.seen, now_seconds=now)
         self._known = current
+        self._loads = {e: sample for e, sample in self._loads.items() if e in current}
+        self._by_address = {known.seen.address: e for e, known in current.items()}
+        self._linked_until = {e: t for e, t in self._linked_until.items() if t > now}
         self._refresh_loads(now)
         near, _ = self.routers()
         self._selector.handle(RoutersCounted(routers=near), now_seconds=now)
 
+    def load_arrived(self, address: str, load: pb.EndpointLoad) -> None:
+        """Take a load report, or the word that an agent drains, that a link brought."""
+        endpoint_id = self._by_address.get(address)
+        if endpoint_id is None:
+            return
+        if load.draining:
+            # Summaries tell the routers of other zones of a drain only after seconds.
+            self._draining.add(address)
+            self.refresh()
+            return
+        now = self._clock()
+        self._linked_until[endpoint_id] = now + LINK_REPORT_SECONDS
+        self._selector.handle(
+            LoadReported(
+                endpoint_id=endpoint_id,
+                queued_calls=load.queued_calls,
+                running_calls=load.running_calls,
+                age_seconds=load.age_seconds,
+                finished_calls_total=load.finished_calls_total,
+            ),
+            now_seconds=now,
+        )
+
     def _near(self, now: float) -> list[_Known]:
         members = self._membership.usable_members(now_seconds=now)
         return [
@@ -146,10 +188,14 @@
 
     def _refresh_loads(self, now: float) -> None:
         for endpoint_id in self._known:
-            load = self._membership.load(InstanceId(endpoint_id))
-            if load is None or self._loads.get(InstanceId(endpoint_id)) == load:
+            if endpoint_id in self._linked_until:
+                continue
+            sample = self._membership.load_sample(InstanceId(endpoint_id))
+            # An unchanged load in a newer sample is news too: the endpoint is as it was.
+            if sample is None or sample.load is None or self._loads.get(endpoint_id) == sample:
                 continue
-            self._loads[InstanceId(endpoint_id)] = load
+            self._loads[endpoint_id] = sample
+            load = sample.load
             self._selector.handle(
                 LoadReported(
                     endpoint_id=endpoint_id,
--- a/egretrouter/daemons/_link.py
+++ b/egretrouter/daemons/_link.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import time
+from collections.abc import Callable
 from enum import Enum
 from typing import Any, Protocol
 
@@ -54,10 +55,12 @@
         router_id: InstanceId,
         channels: ChannelPool,
         coalesce_events: bool = True,
+        on_load: Callable[[pb.EndpointLoad], None] | None = None,
         **kwargs: Any,
     ) -> None:
         super().__init__(**kwargs)
         self.coalesce_events = coalesce_events
+        self._on_load = on_load
         self.address = address
         self.link_state = LinkState.CONNECTING
         self.epoch: Epoch | None = None
@@ -143,6 +146,8 @@
                     self._clock_offset_seconds = message.clock_seconds - time.monotonic()
                     self._rise(Epoch(message.epoch))
                     writer = asyncio.create_task(self._write(stream))
+                if self._on_load is not None and message.HasField("load"):
+                    self._on_load(message.load)
                 self._distribute(message)
         except (grpc.aio.AioRpcError, asyncio.InvalidStateError):
             pass
--- a/egretrouter/daemons/_process.py
+++ b/egretrouter/daemons/_process.py
@@ -60,14 +60,17 @@
         *,
         metrics: ProcessMetrics,
         rng: random.Random,
+        reachable: Callable[[str], bool] = lambda _: True,
         **kwargs: Any,
     ) -> None:
+        """Take the settings; tests cut the process off from peers and the store by reachable."""
         super().__init__(**kwargs)
         self.settings = settings
         self.rng = rng
         self.process_metrics = metrics
         self.security = peer_security(settings.security)
-        self.channels = ChannelPool(self.security)
+        self.channels = ChannelPool(self.security, reachable=reachable)
+        self._reachable = reachable
         self.peer_address = ""
         self.operators_port = 0
         self.control: ControlService
@@ -135,6 +138,7 @@
             base_url=platform.object_store_url,
             timeout_seconds=platform.timeout_seconds,
             watch_seconds=platform.watch_seconds,
+            reachable=self._reachable,
         )
 
     def guarded_store(self, purpose: StorePurpose) -> ObjectStore:
--- a/egretrouter/daemons/_router.py
+++ b/egretrouter/daemons/_router.py
@@ -101,6 +101,7 @@
                 address=address,
                 router_id=InstanceId(self.settings.instance_id),
                 channels=self.channels,
+                on_load=lambda load: self.view.load_arrived(address, load),
                 beacon=self.beacon,
             )
             self.add_future(self.add_runtime_dependency(link))
--- a/egretrouter/daemons/_rpc.py
+++ b/egretrouter/daemons/_rpc.py
@@ -12,6 +12,8 @@
 MESSAGE_LIMIT_BYTES = 16 * 1024**2
 KEEPALIVE_MILLISECONDS = 5_000
 KEEPALIVE_TIMEOUT_MILLISECONDS = 3_000
+# Nothing listens on port 1 of loopback, so calls to it fail as calls to a lost peer do.
+UNREACHABLE_ADDRESS = "127.0.0.1:1"
 # Addresses are IP numbers, so certificates are checked against one shared name.
 CERTIFICATE_NAME = "egretrouter"
 
@@ -99,8 +101,12 @@
 class ChannelPool:
     """Keep one channel to each peer address."""
 
-    def __init__(self, security: PeerSecurity) -> None:
+    def __init__(
+        self, security: PeerSecurity, *, reachable: Callable[[str], bool] = lambda _: True
+    ) -> None:
+        """Open channels on first use; tests cut the network by reachable."""
         self._security = security
+        self._reachable = reachable
         self._channels: dict[str, Any] = {}
 
     @property
@@ -111,6 +117,8 @@
 
     def channel(self, address: str) -> Any:
         """Return the channel to an address, creating it on first use."""
+        if not self._reachable(address):
+            address = UNREACHABLE_ADDRESS
         channel = self._channels.get(address)
         if channel is None:
             channel = self._channels[address] = self._open(address)
--- a/egretrouter/demo/_fleet.py
+++ b/egretrouter/demo/_fleet.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 
 import aiohttp
@@ -70,6 +70,8 @@
         self.routers: dict[str, RouterService] = {}
         self._rng = random.Random(self.options.seed)
         self._session: aiohttp.ClientSession
+        self._cut_zones: frozenset[str] = frozenset()
+        self._zones: dict[str, str] = {}
 
     @property
     def deployment(self) -> DeploymentFile:
@@ -130,9 +132,12 @@
                 "origin_hold_seconds": self.options.origin_hold_seconds,
             }
         )
-        agent = AgentService(settings, rng=random.Random(self._rng.random()))
+        agent = AgentService(
+            settings, rng=random.Random(self._rng.random()), reachable=self._reachable_from(zone)
+        )
         await agent.start()
         self.agents[instance_id] = agent
+        self._zones[agent.peer_address] = zone
         self.instance_list.add(
             instance_id, zone=zone, role=f"agent:{service}", address=agent.peer_address
         )
@@ -147,12 +152,35 @@
                 "callers": {"port": 0},
             }
         )
-        router = RouterService(settings, rng=random.Random(self._rng.random()))
+        router = RouterService(
+            settings, rng=random.Random(self._rng.random()), reachable=self._reachable_from(zone)
+        )
         await router.start()
         self.routers[instance_id] = router
+        self._zones[router.peer_address] = zone
         self.instance_list.add(instance_id, zone=zone, role="router", address=router.peer_address)
         return router
 
+    def processes(self, zone: str) -> list[AgentService | RouterService]:
+        """Return the agents and routers of a zone."""
+        agents = [a for a in self.agents.values() if a.settings.zone == zone]
+        routers = [r for r in self.routers.values() if r.settings.zone == zone]
+        return [*agents, *routers]
+
+    async def cut_off(self, *zones: str) -> None:
+        """Cut zones off from the others and from the store; without zones, heal."""
+        self._cut_zones = frozenset(zones)
+        for process in (*self.agents.values(), *self.routers.values()):
+            for address in self._zones:
+                if not self._is_reachable(process.settings.zone, address):
+                    await process.channels.discard(address)
+
+    def _reachable_from(self, zone: str) -> Callable[[str], bool]:
+        return lambda target: self._is_reachable(zone, target)
+
+    def _is_reachable(self, zone: str, target: str) -> bool:
+        return (zone in self._cut_zones) == (self._zones.get(target) in self._cut_zones)
+
     def _process_settings(self, instance_id: str, zone: str) -> dict[str, object]:
         region = next(z.region for z in self.deployment.zones if z.name == zone)
         return {
--- /dev/null
+++ b/tests/test_endpoint_view.py
@@ -0,0 +1,90 @@
+"""Test what a router takes from membership and links about endpoints."""
+
+import random
+
+from egretrouter.core.identifiers import EndpointId, InstanceId, RegionId, ServiceName, ZoneId
+from egretrouter.core.membership import (
+    Facts,
+    GossipReceived,
+    LoadReport,
+    LoadSample,
+    Member,
+    MemberRole,
+    Membership,
+    Updates,
+)
+from egretrouter.core.routing import EndpointSelector
+from egretrouter.daemons._endpoint_view import EndpointView
+from egretrouter.protocol import egretrouter_pb2 as pb
+
+ZONE = ZoneId("serra-z1")
+AGENT = Member(
+    instance_id=InstanceId("agent"),
+    zone=ZONE,
+    role=MemberRole.AGENT,
+    address="10.0.0.2:7000",
+    facts=Facts(service=ServiceName("llm"), ready=True),
+)
+ENDPOINT = EndpointId("agent")
+
+
+class World:
+    """Hold a view whose time the test sets."""
+
+    def __init__(self) -> None:
+        self.now = 0.0
+        router = Member(
+            instance_id=InstanceId("router"),
+            zone=ZONE,
+            role=MemberRole.ROUTER,
+            address="10.0.0.1:7000",
+        )
+        self.membership = Membership(own=router, rng=random.Random(1))
+        self.selector = EndpointSelector(
+            zone=ZONE, region=RegionId("serra"), random_generator=random.Random(1)
+        )
+        self.view = EndpointView(
+            membership=self.membership, selector=self.selector, clock=lambda: self.now
+        )
+
+    def gossip(self, now: float, *, sequence: int) -> None:
+        """Hear a load sample of the agent and refresh."""
+        self.now = now
+        sample = LoadSample(
+            instance_id=AGENT.instance_id, incarnation=1, sequence=sequence, load=LoadReport()
+        )
+        body = Updates(sender=AGENT, loads=(sample,))
+        self.membership.handle(GossipReceived(body=body), now_seconds=now)
+        self.view.refresh()
+
+    def reported_at(self) -> float | None:
+        """Return when the load that the selector uses was measured."""
+        return self.selector._loads[ENDPOINT].report_at_seconds
+
+
+class TestLoads:
+    """Guard against choices by old loads."""
+
+    def test_an_unchanged_load_in_a_newer_sample_is_a_new_report(self) -> None:
+        world = World()
+        world.gossip(1.0, sequence=1)
+        world.gossip(9.0, sequence=2)
+        assert world.reported_at() == 8.0
+
+    def test_a_link_overrules_gossip_while_it_reports(self) -> None:
+        world = World()
+        world.gossip(1.0, sequence=1)
+        world.now = 5.0
+        world.view.load_arrived(AGENT.address, pb.EndpointLoad(age_seconds=0.25))
+        assert world.reported_at() == 4.75
+        world.gossip(7.0, sequence=2)
+        assert world.reported_at() == 4.75
+        world.gossip(9.0, sequence=3)
+        assert world.reported_at() == 8.0
+
+    def test_a_draining_agent_is_out_of_choice_at_once(self) -> None:
+        world = World()
+        world.gossip(1.0, sequence=1)
+        assert ENDPOINT in world.view.endpoints()
+        world.view.load_arrived(AGENT.address, pb.EndpointLoad(draining=True))
+        assert ENDPOINT not in world.view.endpoints()
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -198,7 +198,9 @@
         for name, node in zone.nodes.items():
             if name != source:
                 assert facts in [m.facts for m in node.members()]
-                assert node.load(source) == LoadReport(queued_calls=9)
+                sample = node.load_sample(source)
+                assert sample is not None
+                assert sample.load == LoadReport(queued_calls=9)
         assert len(heard) >= 3
 
     def test_healing_a_cut_zone_kills_nobody_and_causes_no_storm(self) -> None:
