Let a new agent on the address of a drained one get calls

Cause: the drain of an agent was remembered by address until membership no longer showed it. Change: a load report that does not drain ends it (tests/test_endpoint_view.py).

--- a/egretrouter/daemons/_endpoint_view.py
+++ b/egretrouter/daemons/_endpoint_view.py
@@ -116,14 +116,14 @@
 
     def load_arrived(self, address: str, load: pb.EndpointLoad) -> None:
         """Take a load report, or the word that an agent drains, that a link brought."""
+        if load.draining != (address in self._draining):
+            # Summaries tell the routers of other zones of a drain only after seconds. A new agent
+            # may listen on the address of one that drained.
+            self._draining ^= {address}
+            self.refresh()
         endpoint_id = self._by_address.get(address)
         if endpoint_id is None:
             return
-        if load.draining:
-            # Summaries tell the routers of other zones of a drain only after seconds.
-            self._draining.add(address)
-            self.refresh()
-            return
         now = self._clock()
         self._linked_until[endpoint_id] = now + LINK_REPORT_SECONDS
         self._selector.handle(
--- a/tests/test_endpoint_view.py
+++ b/tests/test_endpoint_view.py
@@ -88,3 +88,7 @@
         assert ENDPOINT in world.view.endpoints()
         world.view.load_arrived(AGENT.address, pb.EndpointLoad(draining=True))
         assert ENDPOINT not in world.view.endpoints()
+        world.gossip(2.0, sequence=2)
+        assert ENDPOINT not in world.view.endpoints()
+        world.view.load_arrived(AGENT.address, pb.EndpointLoad())
+        assert ENDPOINT in world.view.endpoints()
--- /dev/null
+++ b/tests/test_recovery.py
@@ -0,0 +1,277 @@
+"""Test that a fleet with real services comes back from what fails at scale."""
+
+import asyncio
+import random
+from collections.abc import AsyncIterator, Callable
+from pathlib import Path
+
+import aiohttp
+import pytest
+
+from egretrouter.backends import HttpObjectStore, StoredObject
+from egretrouter.core.configuration import INDEX_KEY, Collection, collect, encode_part
+from egretrouter.core.errors import PublishConflictError
+from egretrouter.core.membership import MemberStatus
+from egretrouter.core.status import ZoneStatus
+from egretrouter.core.weights import Manifest
+from egretrouter.daemons import AgentService, RouterService
+from egretrouter.demo import Fleet, FleetOptions, read_parts
+from egretrouter.publishing import publish
+from egretrouter.standins import Outage, expected_answer
+
+EXAMPLES = Path(__file__).parent.parent / "examples"
+WAIT_SECONDS = 30.0
+ZONE = "taquari-z1"
+SERVICES = ["llm-cotacoes", "razao-vendas", "portal-socio"]
+
+
+async def eventually(condition: Callable[[], bool]) -> None:
+    """Wait until a condition holds; raises TimeoutError."""
+    async with asyncio.timeout(WAIT_SECONDS):
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.02)
+
+
+class ServingFleet(Fleet):
+    """Serve one version of the model in every zone."""
+
+    manifest: Manifest
+
+    async def serve(self) -> None:
+        """Start, publish and wait until everything serves."""
+        await self.start()
+        content = random.Random(1).randbytes(300_000)
+        self.manifest = self.origin.add_version("cotacoes", "2026-11", content, chunk_bytes=65536)
+        await self.publish()
+        await self.wait_for_replicas(self.manifest.digest, 6, timeout_seconds=WAIT_SECONDS)
+        await self.wait_for_routes(SERVICES, timeout_seconds=WAIT_SECONDS)
+
+    def orders(self) -> int:
+        """Return the orders that all engines have accepted."""
+        return sum(len(engine.orders) for engine in self.engines().values())
+
+    async def replace_agent(self, instance_id: str) -> AgentService:
+        """Start a new agent for an endpoint whose agent has stopped."""
+        old = self.agents[instance_id].agent_settings
+        return await self.start_agent(instance_id, old.endpoint.service, zone=old.zone)
+
+    def collection(self) -> Collection:
+        """Return the operators' files with pinned digests."""
+        pinned = {"manifest_digest": self.manifest.digest}
+        return collect(
+            {
+                f"{name}.json": encode_part(
+                    part.model_copy(update=pinned) if part.kind == "model" else part
+                )
+                for name, part in self.parts.items()
+            }
+        )
+
+
+@pytest.fixture
+async def fleet() -> AsyncIterator[ServingFleet]:
+    fleet = ServingFleet(
+        read_parts(EXAMPLES / "ovo-justo"),
+        options=FleetOptions(routers=3, token_interval_seconds=0.001),
+    )
+    await fleet.serve()
+    yield fleet
+    await fleet.stop()
+
+
+async def answers(fleet: ServingFleet, router: RouterService) -> bool:
+    """Tell whether a router gives the whole answer of the version."""
+    url = f"http://127.0.0.1:{router.callers_port}/v1/completions"
+    body = {"model": "cotacoes", "prompt": "ovos", "max_tokens": 8}
+    async with aiohttp.ClientSession() as session, session.post(url, json=body) as response:
+        answer = await response.json()
+    text = expected_answer(fleet.manifest.digest, "ovos", count=8)
+    return response.status == 200 and bool(answer["choices"][0]["text"] == text)
+
+
+async def all_answer(fleet: ServingFleet) -> bool:
+    """Tell whether every router answers."""
+    return all([await answers(fleet, router) for router in fleet.routers.values()])
+
+
+class TestReplacement:
+    """Guard against state that only a replaced process held, and against needless copies."""
+
+    async def test_all_routers_are_replaced_at_once(self, fleet: ServingFleet) -> None:
+        old, orders = dict(fleet.routers), fleet.orders()
+        await asyncio.gather(*(router.stop() for router in old.values()))
+        fleet.routers.clear()
+        for name, router in old.items():
+            await fleet.start_router(f"{name}-new", zone=router.settings.zone)
+        await fleet.wait_for_routes(SERVICES, timeout_seconds=WAIT_SECONDS)
+        assert await all_answer(fleet)
+        assert fleet.orders() == orders
+
+    async def test_agents_of_a_zone_take_over_what_their_engines_have_loaded(
+        self, fleet: ServingFleet
+    ) -> None:
+        orders, sent_bytes = fleet.orders(), fleet.origin.sent_bytes
+        old = [a for a in fleet.processes(ZONE) if isinstance(a, AgentService)]
+        await asyncio.gather(*(agent.stop() for agent in old))
+        new = [await fleet.replace_agent(agent.instance_id) for agent in old]
+        await eventually(lambda: all(agent.ready for agent in new))
+        names = {agent.instance_id for agent in new}
+        router = next(r for r in fleet.routers.values() if r.settings.zone == ZONE)
+        await eventually(lambda: names <= router.view.endpoints())
+        assert await all_answer(fleet)
+        assert (fleet.orders(), fleet.origin.sent_bytes) == (orders, sent_bytes)
+
+    async def test_status_in_the_store_names_every_process(self, fleet: ServingFleet) -> None:
+        def told() -> ZoneStatus | None:
+            content = fleet.object_api.content(f"status/{ZONE}")
+            return ZoneStatus.from_json(content) if content else None
+
+        names = {process.settings.instance_id for process in fleet.processes(ZONE)}
+
+        def complete() -> bool:
+            status = told()
+            return status is not None and status.processes == dict.fromkeys(names, 1)
+
+        await eventually(complete)
+
+    async def test_a_link_brings_load_that_gossip_does_not(self, fleet: ServingFleet) -> None:
+        """Summaries of other zones carry no load of single endpoints, so only links can."""
+        router = next(r for r in fleet.routers.values() if r.settings.zone == ZONE)
+        name, agent = next(
+            (n, a)
+            for n, a in fleet.agents.items()
+            if a.settings.zone != ZONE and a.service == "llm-cotacoes"
+        )
+        await eventually(lambda: name in router.view.endpoints())
+        router._link(agent.peer_address)
+        await eventually(
+            lambda: router.selector._loads[name].report_at_seconds is not None  # type: ignore[index]
+        )
+
+
+class TestStoreOut:
+    """Guard against a start that needs the store."""
+
+    async def test_a_router_learns_the_configuration_from_peers(self, fleet: ServingFleet) -> None:
+        fleet.object_api.outage = Outage.DROP
+        router = await fleet.start_router("entry-late", zone=ZONE)
+        await eventually(lambda: set(SERVICES) <= router.served_services())
+        assert await answers(fleet, router)
+
+    async def test_a_whole_zone_restarts(self, fleet: ServingFleet) -> None:
+        fleet.object_api.outage = Outage.DROP
+        orders, sent_bytes = fleet.orders(), fleet.origin.sent_bytes
+        old = fleet.processes(ZONE)
+        await asyncio.gather(*(process.stop() for process in old))
+        for process in old:
+            if isinstance(process, AgentService):
+                await fleet.replace_agent(process.instance_id)
+            else:
+                await fleet.start_router(process.settings.instance_id, zone=ZONE)
+        new = fleet.processes(ZONE)
+        assert not set(new) & set(old)
+        await eventually(lambda: all(process.ready for process in new))
+        await fleet.wait_for_routes(SERVICES, timeout_seconds=WAIT_SECONDS)
+        assert await all_answer(fleet)
+        assert (fleet.orders(), fleet.origin.sent_bytes) == (orders, sent_bytes)
+
+
+class StaleStore(HttpObjectStore):
+    """Show the index as it was before another operator published, once."""
+
+    before: StoredObject | None = None
+
+    async def get(self, key: str) -> StoredObject:
+        """Read an object."""
+        if key == INDEX_KEY and self.before is not None:
+            before, self.before = self.before, None
+            return before
+        return await super().get(key)
+
+
+class TestPartition:
+    """Guard against a generation that reverts or is published twice."""
+
+    async def test_a_zone_cut_off_keeps_its_generation_and_catches_up(
+        self, fleet: ServingFleet
+    ) -> None:
+        seen: dict[str, list[int]] = {}
+        inside = fleet.processes(ZONE)
+        everyone = [*fleet.agents.values(), *fleet.routers.values()]
+        for process in everyone:
+            found = seen.setdefault(process.settings.instance_id, [])
+            process.control.on_configuration.append(
+                lambda c, found=found: found.append(c.generation)  # type: ignore[misc]
+            )
+        async with aiohttp.ClientSession() as session:
+            store = StaleStore(session, base_url=fleet.object_api.url)
+            before = await store.get(INDEX_KEY)
+            await fleet.cut_off(ZONE)
+            limits = fleet.deployment.workspaces[0].model_copy(update={"weight": 7})
+            others = fleet.deployment.workspaces[1:]
+            changed = fleet.deployment.model_copy(update={"workspaces": (limits, *others)})
+            original = fleet.deployment
+            fleet.replace(changed)
+            assert await fleet.publish() == 2
+            outside = [process for process in everyone if process not in inside]
+            await eventually(lambda: all(p.control.configuration.generation == 2 for p in outside))
+            assert all(p.control.configuration.generation == 1 for p in inside)
+            router = next(r for r in inside if isinstance(r, RouterService))
+            assert await answers(fleet, router)
+            store.before = before
+            fleet.replace(original.model_copy(update={"workspaces": others}))
+            with pytest.raises(PublishConflictError) as conflict:
+                await publish(store, fleet.collection())
+            assert conflict.value.generation == 2
+        await fleet.cut_off()
+        await eventually(lambda: all(p.control.configuration.generation == 2 for p in inside))
+        assert await all_answer(fleet)
+        assert all(generations == [2] for generations in seen.values())
+
+
+class TestMembership:
+    """Guard against work for a leaving instance, and against one that is lost for good."""
+
+    async def test_a_leaving_agent_is_out_of_choice_while_the_list_shows_it(
+        self, fleet: ServingFleet
+    ) -> None:
+        name, agent = next((n, a) for n, a in fleet.agents.items() if a.service == "llm-cotacoes")
+        for router in fleet.routers.values():
+            await eventually(lambda r=router: name in r.view.endpoints())  # type: ignore[misc]
+            await router._link(agent.peer_address).wait_until_up(timeout_seconds=WAIT_SECONDS)
+        drained = asyncio.create_task(agent.drain())
+        await eventually(
+            lambda: not any(name in r.view.endpoints() for r in fleet.routers.values())
+        )
+        # The agent ends its announcement only after every router knows of it.
+        assert not drained.done()
+        await drained
+        await agent.stop()
+        reads = fleet.instance_list.reads
+        await eventually(lambda: fleet.instance_list.reads > reads + len(fleet.agents))
+        assert not any(name in r.view.endpoints() for r in fleet.routers.values())
+        assert await all_answer(fleet)
+
+    async def test_a_paused_agent_returns(self, fleet: ServingFleet) -> None:
+        agent = next(
+            a
+            for a in fleet.agents.values()
+            if a.service == "llm-cotacoes" and a.settings.zone == ZONE
+        )
+        router = next(r for r in fleet.routers.values() if r.settings.zone == ZONE)
+        name, control = agent.instance_id, agent.control
+        incarnation = control.membership.own.incarnation
+        handle = control._tell_membership
+        control._tell_membership = lambda message: None  # type: ignore[method-assign]
+
+        def status() -> MemberStatus | None:
+            members = {m.instance_id: m for m in router.control.membership.members()}
+            return members[name].status if name in members else None
+
+        await eventually(lambda: status() not in (MemberStatus.ALIVE, MemberStatus.SUSPECT))
+        assert name not in router.view.endpoints()
+        assert await all_answer(fleet)
+        control._tell_membership = handle  # type: ignore[method-assign]
+        await eventually(lambda: status() is MemberStatus.ALIVE)
+        await eventually(lambda: name in router.view.endpoints())
+        assert control.membership.own.incarnation > incarnation
