Keep one circuit breaker and one token bucket in the limits

Cause: core/limits had two circuit breakers and two token buckets with the same logic. The breaker in front of the store had no jitter, so processes that saw the same outage tried it again together.

Change: the jittered breaker and the bucket with late charges are the only ones, each in its own file. The bucket of core/weights reserves ahead and stays.

--- a/egretrouter/backends/_guarded_store.py
+++ b/egretrouter/backends/_guarded_store.py
@@ -16,8 +16,7 @@
     ObjectMissingError,
     RateLimitedError,
 )
-from egretrouter.core.limits._circuit_breaker import CircuitBreaker
-from egretrouter.core.limits._token_bucket import TokenBucket
+from egretrouter.core.limits import CircuitBreaker, TokenBucket
 
 Result = TypeVar("Result")
 
@@ -75,12 +74,13 @@
     def __init__(
         self,
         *,
+        rng: random.Random,
         budgets: Mapping[StorePurpose, StoreBudget] = DEFAULT_BUDGETS,
         clock: Callable[[], float] = time.monotonic,
     ) -> None:
         """Start with full buckets."""
         self.clock = clock
-        self.breaker = CircuitBreaker()
+        self.breaker = CircuitBreaker(rng)
         self.calls = dict.fromkeys(budgets, 0)
         self._buckets = {
             purpose: TokenBucket(
@@ -98,7 +98,7 @@
         # The budget comes first, so that a refused trial does not keep the breaker half open.
         if not self._buckets[purpose].take(now_seconds=now):
             raise StoreBudgetError(f"the budget of store calls for {purpose.value!r} is spent")
-        if not self.breaker.allows(now_seconds=now):
+        if not self.breaker.allow(now_seconds=now):
             raise StoreCircuitOpenError("calls to the store are held back after failures")
         self.calls[purpose] += 1
 
--- a/egretrouter/core/limits/__init__.py
+++ b/egretrouter/core/limits/__init__.py
@@ -1,13 +1,8 @@
 """Offer workspace limits, fair queueing, budgets and the circuit breaker."""
 
 from egretrouter.core.limits._admission import Admission
-from egretrouter.core.limits._budgets import (
-    Backoff,
-    CircuitBreaker,
-    CircuitState,
-    HedgingBudget,
-    RetryBudget,
-)
+from egretrouter.core.limits._budgets import Backoff, HedgingBudget, RetryBudget
+from egretrouter.core.limits._circuit_breaker import CircuitBreaker, CircuitState
 from egretrouter.core.limits._concurrency import AdaptiveConcurrency
 from egretrouter.core.limits._fair_queue import FairQueue
 from egretrouter.core.limits._messages import (
@@ -24,7 +19,8 @@
     StartCall,
     WorkspaceLimits,
 )
-from egretrouter.core.limits._workspaces import TokenBucket, WorkspaceLimiter
+from egretrouter.core.limits._token_bucket import TokenBucket
+from egretrouter.core.limits._workspaces import WorkspaceLimiter
 
 __all__ = [
     "AdaptiveConcurrency",
--- a/egretrouter/core/limits/_circuit_breaker.py
+++ b/egretrouter/core/limits/_circuit_breaker.py
@@ -1,9 +1,10 @@
 """Stop calling a system that fails."""
 
+import random
 from enum import Enum
 
 
-class BreakerState(Enum):
+class CircuitState(Enum):
     """Name the states of a circuit breaker."""
 
     CLOSED = "closed"
@@ -12,52 +13,64 @@
 
 
 class CircuitBreaker:
-    """Open after failures in a row; then let one trial through at growing intervals."""
+    """Stop calls to a failing system, and probe it with one call at a time."""
 
     def __init__(
         self,
+        random_generator: random.Random,
         *,
         failures_to_open: int = 5,
-        first_open_seconds: float = 1.0,
-        longest_open_seconds: float = 30.0,
+        open_seconds: float = 1.0,
+        limit_seconds: float = 30.0,
+        probe_timeout_seconds: float = 10.0,
     ) -> None:
         """Start closed."""
+        self._random = random_generator
         self._failures_to_open = failures_to_open
-        self._first_open_seconds = first_open_seconds
-        self._longest_open_seconds = longest_open_seconds
+        self._open_seconds = open_seconds
+        self._limit_seconds = limit_seconds
+        self._probe_timeout_seconds = probe_timeout_seconds
         self._failures = 0
-        self._open_seconds = first_open_seconds
-        self._retry_at_seconds = 0.0
-        self._state = BreakerState.CLOSED
-
-    @property
-    def state(self) -> BreakerState:
-        """Return the state."""
-        return self._state
-
-    def allows(self, *, now_seconds: float) -> bool:
-        """Tell whether a call may start; a trial call must be reported back."""
-        if self._state is BreakerState.CLOSED:
+        self._openings = 0
+        self._next_probe_seconds = 0.0
+        self.state = CircuitState.CLOSED
+
+    def allow(self, *, now_seconds: float) -> bool:
+        """Tell whether a call may be made now; an allowed call must report its outcome."""
+        if self.state is CircuitState.CLOSED:
             return True
-        if now_seconds < self._retry_at_seconds:
+        if now_seconds < self._next_probe_seconds:
             return False
-        self._state = BreakerState.HALF_OPEN
-        # A trial that is never reported back must not block the next one for ever.
-        self._retry_at_seconds = now_seconds + self._open_seconds
+        self.state = CircuitState.HALF_OPEN
+        # A probe whose outcome is never reported must not block the next one for ever.
+        self._next_probe_seconds = now_seconds + self._probe_timeout_seconds
         return True
 
+    def retry_after_seconds(self, *, now_seconds: float) -> float:
+        """Return the time until the next call may be allowed."""
+        if self.state is CircuitState.CLOSED:
+            return 0.0
+        return max(0.0, self._next_probe_seconds - now_seconds)
+
     def succeeded(self) -> None:
-        """Note a success, which closes the breaker."""
+        """Close the circuit."""
+        self.state = CircuitState.CLOSED
         self._failures = 0
-        self._open_seconds = self._first_open_seconds
-        self._state = BreakerState.CLOSED
+        self._openings = 0
 
     def failed(self, *, now_seconds: float) -> None:
-        """Note a failure, which opens the breaker if there were enough in a row."""
+        """Count a failure; open after several in a row, or at once after a failed probe."""
         self._failures += 1
-        if self._state is BreakerState.HALF_OPEN:
-            self._open_seconds = min(self._open_seconds * 2, self._longest_open_seconds)
-        elif self._failures < self._failures_to_open or self._state is BreakerState.OPEN:
+        if self.state is CircuitState.OPEN:
             return
-        self._state = BreakerState.OPEN
-        self._retry_at_seconds = now_seconds + self._open_seconds
+        if self.state is CircuitState.CLOSED and self._failures < self._failures_to_open:
+            return
+        ceiling = min(self._limit_seconds, self._open_seconds * 2.0 ** min(self._openings, 30))
+        self._openings += 1
+        self.state = CircuitState.OPEN
+        # Many processes see the same outage; jitter keeps their probes apart.
+        self._next_probe_seconds = now_seconds + ceiling * self._random.uniform(0.5, 1.0)
+
+    def snapshot(self) -> dict[str, object]:
+        """Return the breaker for the state dump."""
+        return {"state": self.state.value, "failures": self._failures, "openings": self._openings}
--- a/egretrouter/core/limits/_workspaces.py
+++ b/egretrouter/core/limits/_workspaces.py
@@ -4,6 +4,7 @@
 
 from egretrouter.core.identifiers import WorkspaceId
 from egretrouter.core.limits._messages import LimitReason, WorkspaceLimits
+from egretrouter.core.limits._token_bucket import TokenBucket
 
 BURST_SECONDS = 5.0
 # A small workspace's share of one router is less than a call; chance alone sends it two or three
@@ -12,40 +13,6 @@
 MINIMUM_CONCURRENT_CALLS = 3
 
 
-class TokenBucket:
-    """Allow a rate with a bounded burst; the level may go below zero by a late charge."""
-
-    def __init__(self, *, rate_per_second: float, burst: float, now_seconds: float) -> None:
-        """Start full."""
-        self.rate_per_second = rate_per_second
-        self.burst = burst
-        self._level = burst
-        self._at_seconds = now_seconds
-
-    def change(self, *, rate_per_second: float, burst: float, now_seconds: float) -> None:
-        """Change rate and burst without handing out a new burst."""
-        self._refill(now_seconds)
-        self.rate_per_second = rate_per_second
-        self.burst = burst
-        self._level = min(self._level, burst)
-
-    def wait_seconds(self, amount: float, *, now_seconds: float) -> float:
-        """Return the time until an amount is allowed; more than a burst waits for a full one."""
-        self._refill(now_seconds)
-        missing = min(amount, self.burst) - self._level
-        # 1e-9 absorbs the rounding error of refilling.
-        return 0.0 if missing <= 1e-9 else missing / self.rate_per_second
-
-    def charge(self, amount: float) -> None:
-        """Take an amount, or give back a negative one."""
-        self._level = min(self.burst, self._level - amount)
-
-    def _refill(self, now_seconds: float) -> None:
-        passed = max(0.0, now_seconds - self._at_seconds)
-        self._at_seconds = max(self._at_seconds, now_seconds)
-        self._level = min(self.burst, self._level + passed * self.rate_per_second)
-
-
 class _Usage:
     def __init__(self, limits: WorkspaceLimits, *, routers: int, now_seconds: float) -> None:
         self.concurrent_calls = 0
--- a/egretrouter/daemons/_process.py
+++ b/egretrouter/daemons/_process.py
@@ -132,7 +132,7 @@
         self.session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(limit=PLATFORM_CONNECTIONS)
         )
-        self.store_budgets = StoreBudgets()
+        self.store_budgets = StoreBudgets(rng=random.Random(self.rng.random()))
         self._object_store = HttpObjectStore(
             self.session,
             base_url=platform.object_store_url,
