Refuse callers beyond loopback while no workspace has tokens

Cause: a router that listened beyond loopback took everyone for the first workspace when the configuration had no token.

Change: such a router refuses every call with 401 and is not ready until the configuration in force has a token, unless allow_unauthenticated_bind is set. Tests cover the shared secret (right, wrong, empty, missing), the refusal to start and the tokens. Certificates are not tested, because the cryptography package is not in requirements.lock.

--- a/egretrouter/core/settings.py
+++ b/egretrouter/core/settings.py
@@ -237,6 +237,15 @@
     callers_tls: TlsSettings | None = None
     limits: CallerLimits = CallerLimits()
 
+    @property
+    def needs_tokens(self) -> bool:
+        """Tell whether callers are refused while no workspace has tokens.
+
+        The configuration arrives after the start and changes later, so settings can't be
+        checked against it once and for all.
+        """
+        return not (self.callers.is_loopback or self.security.allow_unauthenticated_bind)
+
 
 class EndpointSettings(SettingsModel):
     """Name the endpoint that an agent serves."""
--- a/egretrouter/daemons/_callers.py
+++ b/egretrouter/daemons/_callers.py
@@ -78,12 +78,14 @@
         services: CallServices,
         limits: CallerLimits,
         metrics: RouterMetrics,
+        needs_tokens: bool = False,
     ) -> None:
         self._services = services
         self._limits = limits
         self._metrics = metrics
         self._catalog = ServiceCatalog(None)
-        self._workspaces = Workspaces(None)
+        self._needs_tokens = needs_tokens
+        self._workspaces = Workspaces(None, needs_tokens=needs_tokens)
         self._configuration: Configuration | None = None
         self._admissions: dict[ServiceName, Admission] = {}
         self._waiting: dict[CallId, asyncio.Future[StartCall]] = {}
@@ -97,7 +99,9 @@
         """Put a configuration in force for the calls to come."""
         self._configuration = configuration
         self._catalog = ServiceCatalog(configuration)
-        self._workspaces = Workspaces(configuration)
+        self._workspaces = Workspaces(configuration, needs_tokens=self._needs_tokens)
+        if self._workspaces.lacks_tokens:
+            log_message("router:callers_refused", reason="no workspace has tokens")
         limits = LimitsChanged(
             workspaces=tuple(
                 WorkspaceLimits(
@@ -133,7 +137,8 @@
     @property
     def ready(self) -> bool:
         """Tell whether calls can be answered."""
-        return self._configuration is not None and not self._draining
+        is_open = self._configuration is not None and not self._workspaces.lacks_tokens
+        return is_open and not self._draining
 
     def routes(self) -> list[web.RouteDef]:
         """Return the routes of the callers' port."""
--- a/egretrouter/daemons/_requests.py
+++ b/egretrouter/daemons/_requests.py
@@ -166,8 +166,12 @@
 class Workspaces:
     """Tell which workspace a request belongs to."""
 
-    def __init__(self, configuration: Configuration | None) -> None:
-        """Index the token digests of a configuration."""
+    def __init__(self, configuration: Configuration | None, *, needs_tokens: bool = False) -> None:
+        """Index the token digests of a configuration.
+
+        With needs_tokens, callers are refused while no workspace has a token.
+        """
+        self._needs_tokens = needs_tokens
         workspaces = configuration.deployment.workspaces if configuration else ()
         self._names = [WorkspaceId(workspace.name) for workspace in workspaces]
         self._by_digest = {
@@ -176,12 +180,21 @@
             for digest in workspace.token_sha256
         }
 
+    @property
+    def lacks_tokens(self) -> bool:
+        """Tell whether every caller is refused for want of tokens in the configuration."""
+        return self._needs_tokens and not self._by_digest
+
     def authenticate(self, request: web.Request) -> WorkspaceId:
         """Return the caller's workspace.
 
         Without any token in the configuration the X-Workspace header names it, and the first
         workspace is the default. Raises UnauthorizedError.
         """
+        if self.lacks_tokens:
+            raise UnauthorizedError(
+                "the callers' port is open beyond loopback, and no workspace has tokens"
+            )
         if not self._by_digest:
             named = WorkspaceId(request.headers.get("X-Workspace", ""))
             if named in self._names:
--- a/egretrouter/daemons/_router.py
+++ b/egretrouter/daemons/_router.py
@@ -55,6 +55,7 @@
             services=self._call_services(),
             limits=self.router_settings.limits,
             metrics=self.metrics,
+            needs_tokens=self.router_settings.needs_tokens,
         )
         self.control.on_configuration.append(self._configure)
         self.control.on_members.append(self.view.refresh)
--- /dev/null
+++ b/tests/test_security.py
@@ -0,0 +1,139 @@
+"""Test how processes and callers prove who they are."""
+
+import hashlib
+import json
+from pathlib import Path
+from typing import Any
+
+import grpc
+import pytest
+from aiohttp.test_utils import make_mocked_request
+from configuration_samples import deployment, encode, plain
+
+from egretrouter.cli import main
+from egretrouter.core.configuration import Configuration, ConfigurationIndex, assemble, collect
+from egretrouter.core.identifiers import Generation, PublicationId
+from egretrouter.core.settings import ROUTER_ADAPTER, SecuritySettings
+from egretrouter.core.validation import decode
+from egretrouter.daemons._peers import PeersServicer
+from egretrouter.daemons._process import peer_security
+from egretrouter.daemons._requests import UnauthorizedError, Workspaces
+from egretrouter.daemons._rpc import ChannelPool, bind_server, build_server
+from egretrouter.protocol import egretrouter_pb2 as pb
+from egretrouter.protocol import egretrouter_pb2_grpc as pb_grpc
+
+TOKEN = "caller's token"
+ROUTER = {
+    "kind": "router",
+    "instance_id": "r-1",
+    "zone": "serra-z1",
+    "region": "serra",
+    "platform": {"object_store_url": "http://127.0.0.1:1"},
+}
+
+
+class TestSharedSecret:
+    """Guard against a process of another deployment, or none, that is taken for a peer."""
+
+    @pytest.mark.parametrize(
+        ("offered", "accepted"), [("right", True), ("wrong", False), ("", False), (None, False)]
+    )
+    async def test_only_the_right_secret_is_accepted(
+        self, tmp_path: Path, offered: str | None, accepted: bool
+    ) -> None:
+        def security(secret: str | None) -> Any:
+            path = tmp_path / "secret"
+            path.write_text(f"{secret}\n")
+            name = None if secret is None else str(path)
+            return peer_security(SecuritySettings(shared_secret_file=name))
+
+        own = security("right")
+        server = build_server(own)
+        pb_grpc.add_PeersServicer_to_server(PeersServicer(dump=lambda: {"a": 1}), server)
+        port = bind_server(server, "127.0.0.1:0", own)
+        await server.start()
+        channels = ChannelPool(security(offered))
+        stub = pb_grpc.PeersStub(channels.channel(f"127.0.0.1:{port}"))
+        call = stub.DumpState(pb.DumpRequest(), metadata=channels.metadata, timeout=5.0)
+        if accepted:
+            assert json.loads((await call).state) == {"a": 1}
+        else:
+            with pytest.raises(grpc.aio.AioRpcError) as refusal:
+                await call
+            assert refusal.value.code() is grpc.StatusCode.UNAUTHENTICATED
+        await channels.close()
+        await server.stop(None)
+
+
+class TestBinding:
+    """Guard against a port that anyone can reach and nobody has to prove anything at."""
+
+    @pytest.mark.parametrize("port", ["peers", "operators"])
+    def test_a_router_does_not_start_without_authentication(
+        self, tmp_path: Path, port: str, capsys: pytest.CaptureFixture[str]
+    ) -> None:
+        listen = {"address": "0.0.0.0", "port": 0}
+        if port == "peers":
+            listen["advertised_address"] = "10.0.0.7"
+        settings = tmp_path / "router.json"
+        settings.write_text(json.dumps({**ROUTER, port: listen}))
+        with pytest.raises(SystemExit) as ended:
+            main(["router", "--settings", str(settings)])
+        assert ended.value.code == 1
+        assert "beyond loopback without authentication" in capsys.readouterr().err
+
+    @pytest.mark.parametrize(
+        ("callers", "allowed", "needs_tokens"),
+        [
+            ("127.0.0.1", False, False),
+            ("::1", False, False),
+            ("0.0.0.0", False, True),
+            ("10.0.0.7", False, True),
+            ("10.0.0.7", True, False),
+        ],
+    )
+    def test_callers_beyond_loopback_need_tokens(
+        self, callers: str, allowed: bool, needs_tokens: bool
+    ) -> None:
+        value = {
+            **ROUTER,
+            "callers": {"address": callers, "port": 0},
+            "security": {"allow_unauthenticated_bind": allowed},
+        }
+        settings = decode(json.dumps(value).encode(), ROUTER_ADAPTER, file="router.json")
+        assert settings.needs_tokens is needs_tokens
+
+
+def configuration(*token_sha256: str) -> Configuration:
+    """Return a configuration whose one workspace has tokens."""
+    workspaces = [{"name": "granja", "token_sha256": list(token_sha256)}]
+    collection = collect(encode(deployment=deployment(workspaces=workspaces), plain=plain()))
+    index = ConfigurationIndex(
+        generation=Generation(1), publication_id=PublicationId("p"), parts=collection.parts
+    )
+    return assemble(index, collection.contents)
+
+
+class TestWorkspaces:
+    """Guard against callers that are let in because a configuration lost its tokens."""
+
+    def test_a_port_that_needs_tokens_refuses_everyone_without_them(self) -> None:
+        request = make_mocked_request("GET", "/", headers={"X-Workspace": "granja"})
+        assert Workspaces(configuration()).authenticate(request) == "granja"
+        for found in (None, configuration()):
+            workspaces = Workspaces(found, needs_tokens=True)
+            assert workspaces.lacks_tokens
+            with pytest.raises(UnauthorizedError, match="no workspace has tokens"):
+                workspaces.authenticate(request)
+
+    def test_a_token_names_the_workspace(self) -> None:
+        digest = hashlib.sha256(TOKEN.encode()).hexdigest()
+        workspaces = Workspaces(configuration(digest), needs_tokens=True)
+        assert not workspaces.lacks_tokens
+        for token, accepted in ((TOKEN, True), ("other", False)):
+            request = make_mocked_request("GET", "/", headers={"Authorization": f"Bearer {token}"})
+            if accepted:
+                assert workspaces.authenticate(request) == "granja"
+            else:
+                with pytest.raises(UnauthorizedError):
+                    workspaces.authenticate(request)
