--- a/egretrouter/core/settings.py
+++ b/egretrouter/core/settings.py
@@ -239,6 +239,15 @@
     coalesce_events: bool = True
     """Whether events of one call that arrive together are written to the caller at once."""
 
+    @property
+    def needs_tokens(self) -> bool:
+        """Tell whether callers are refused while no workspace has tokens.
+
+        The configuration arrives after the start and changes later, so settings can't be
+        checked against it once and for all.
+        """
+        return not (self.callers.is_loopback or self.security.allow_unauthenticated_bind)
+
 
 class EndpointSettings(SettingsModel):
     """Name the endpoint that an agent serves."""
--- a/egretrouter/daemons/_endpoint_view.py
+++ b/egretrouter/daemons/_endpoint_view.py
@@ -14,7 +14,7 @@
     ServiceName,
     ZoneId,
 )
-from egretrouter.core.membership import Member, MemberRole, Membership, VersionSummary
+from egretrouter.core.membership import LoadSample, Member, MemberRole, Membership, VersionSummary
 from egretrouter.core.routing import (
     EndpointGone,
     EndpointSeen,
@@ -54,7 +54,7 @@
         self._clock = clock
         self._regions: Mapping[ZoneId, RegionId] = {}
         self._known: dict[EndpointId, _Known] = {}
-        self._loads: dict[InstanceId, object] = {}
+        self._loads: dict[EndpointId, LoadSample] = {}
         self._by_address: dict[str, EndpointId] = {}
         self._draining: set[str] = set()
         self._linked_until: dict[EndpointId, float] = {}
@@ -107,6 +107,7 @@
             if previous is None or previous.seen != known.seen:
                 self._selector.handle(known.seen, now_seconds=now)
         self._known = current
+        self._loads = {e: sample for e, sample in self._loads.items() if e in current}
         self._by_address = {known.seen.address: e for e, known in current.items()}
         self._linked_until = {e: t for e, t in self._linked_until.items() if t > now}
         self._refresh_loads(now)
@@ -115,14 +116,14 @@
 
     def load_arrived(self, address: str, load: pb.EndpointLoad) -> None:
         """Take a load report, or the word that an agent drains, that a link brought."""
+        if load.draining != (address in self._draining):
+            # Summaries tell the routers of other zones of a drain only after seconds. A new agent
+            # may listen on the address of one that drained.
+            self._draining ^= {address}
+            self.refresh()
         endpoint_id = self._by_address.get(address)
         if endpoint_id is None:
             return
-        if load.draining:
-            # Summaries tell the routers of other zones of a drain only after seconds.
-            self._draining.add(address)
-            self.refresh()
-            return
         now = self._clock()
         self._linked_until[endpoint_id] = now + LINK_REPORT_SECONDS
         self._selector.handle(
@@ -189,10 +190,12 @@
         for endpoint_id in self._known:
             if endpoint_id in self._linked_until:
                 continue
-            load = self._membership.load(InstanceId(endpoint_id))
-            if load is None or self._loads.get(InstanceId(endpoint_id)) == load:
+            sample = self._membership.load_sample(InstanceId(endpoint_id))
+            # An unchanged load in a newer sample is news too: the endpoint is as it was.
+            if sample is None or sample.load is None or self._loads.get(endpoint_id) == sample:
                 continue
-            self._loads[InstanceId(endpoint_id)] = load
+            self._loads[endpoint_id] = sample
+            load = sample.load
             self._selector.handle(
                 LoadReported(
                     endpoint_id=endpoint_id,
