--- a/egretrouter/core/rollout/_messages.py
+++ b/egretrouter/core/rollout/_messages.py
@@ -77,6 +77,8 @@
 
     manifest_digest: Digest
     reason: str | None = None
+    engine_unreachable: bool = False
+    """The order did not reach the engine, which tells nothing about the version."""
 
 
 class EngineReported(RolloutMessage, frozen=True, kw_only=True):
--- a/egretrouter/core/rollout/_rollout.py
+++ b/egretrouter/core/rollout/_rollout.py
@@ -65,6 +65,8 @@
         self._intended_seconds = 0.0
         self._restoring: VersionReference | None = None
         self._restore_seconds = 0.0
+        self._unreachable = False
+        self._retry_seconds = 0.0
         self._published: ReplicaFacts | None = None
         self._adapters = Adapters()
 
@@ -185,7 +187,10 @@
         if self._loading is None or message.manifest_digest != self._loading.manifest_digest:
             return []
         self._phase = Phase.CHECKING
-        if message.reason is not None:
+        self._unreachable = message.engine_unreachable
+        if self._unreachable:
+            self._retry_seconds = now_seconds + RESTORE_SECONDS
+        elif message.reason is not None:
             self._note_failure(message.manifest_digest, message.reason)
         return [ReadEngine()]
 
@@ -240,7 +245,7 @@
                 return [StartCopy(version=base)]
             return []
         if self._idle():
-            return self._load(base)
+            return self._load(base) if now_seconds >= self._retry_seconds else []
         return self._leave(now_seconds)
 
     def _retire(self, now_seconds: float) -> list[RolloutCommand]:
@@ -323,7 +328,8 @@
         loaded, self._loading, old = self._loading, None, self._serving
         reported = loaded.manifest_digest in self._engine
         wanted = self._target is not None and self._target.base == loaded
-        if wanted and not reported and self._instance_id not in self._failed_on(loaded):
+        failed = self._unreachable or self._instance_id in self._failed_on(loaded)
+        if wanted and not reported and not failed:
             reason = "the engine does not report the version that it was told to load"
             self._note_failure(loaded.manifest_digest, reason)
         if wanted and reported and self._instance_id not in self._failed_on(loaded):
--- a/egretrouter/daemons/_agent.py
+++ b/egretrouter/daemons/_agent.py
@@ -23,6 +23,7 @@
 from egretrouter.core.configuration import Configuration, DistributionFile, EndpointFile
 from egretrouter.core.errors import (
     BackendError,
+    BackendUnavailableError,
     EgretrouterError,
     OrderError,
     StaleFencingNumberError,
@@ -436,7 +437,10 @@
         except EgretrouterError as error:
             self._note_refusal(error)
             log_message("agent:load_failed", digest=digest, error=str(error))
-            self._tell(LoadEnded(manifest_digest=digest, reason=str(error)))
+            unreachable = isinstance(error, BackendUnavailableError)
+            self._tell(
+                LoadEnded(manifest_digest=digest, reason=str(error), engine_unreachable=unreachable)
+            )
             return
         log_message("agent:version_loaded", digest=digest)
         self._tell(LoadEnded(manifest_digest=digest))
--- a/egretrouter/daemons/_agent_calls.py
+++ b/egretrouter/daemons/_agent_calls.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Collection
 from functools import singledispatchmethod
 from typing import Any
 
@@ -145,6 +145,12 @@
         for link in self._links.values():
             link.close()
 
+    def break_links(self, router_ids: Collection[str]) -> None:
+        """End the streams of routers that can't be reached any more."""
+        for router_id, link in self._links.items():
+            if router_id in router_ids:
+                link.close()
+
     async def Attach(  # noqa: N802
         self, request_iterator: AsyncIterator[pb.RouterMessage], context: Any
     ) -> AsyncIterator[pb.AgentMessage]:
--- a/egretrouter/daemons/_process.py
+++ b/egretrouter/daemons/_process.py
@@ -59,6 +59,7 @@
         *,
         metrics: ProcessMetrics,
         rng: random.Random,
+        reachable: Callable[[str], bool] | None = None,
         **kwargs: Any,
     ) -> None:
         super().__init__(**kwargs)
@@ -66,7 +67,7 @@
         self.rng = rng
         self.process_metrics = metrics
         self.security = peer_security(settings.security)
-        self.channels = ChannelPool(self.security)
+        self.channels = ChannelPool(self.security, reachable=reachable)
         self.peer_address = ""
         self.operators_port = 0
         self.control: ControlService
--- a/egretrouter/daemons/_rpc.py
+++ b/egretrouter/daemons/_rpc.py
@@ -14,6 +14,8 @@
 KEEPALIVE_TIMEOUT_MILLISECONDS = 3_000
 # Addresses are IP numbers, so certificates are checked against one shared name.
 CERTIFICATE_NAME = "egretrouter"
+# Nothing listens on port 1, so calls to a peer that is cut off fail as UNAVAILABLE.
+UNREACHABLE_ADDRESS = "127.0.0.1:1"
 
 _SECRET_KEY = "x-egretrouter-secret"
 _OPTIONS: list[tuple[str, Any]] = [
@@ -99,8 +101,12 @@
 class ChannelPool:
     """Keep one channel to each peer address."""
 
-    def __init__(self, security: PeerSecurity) -> None:
+    def __init__(
+        self, security: PeerSecurity, *, reachable: Callable[[str], bool] | None = None
+    ) -> None:
+        """Take what tells whether an address is reachable now; experiments cut peers off so."""
         self._security = security
+        self._reachable = reachable
         self._channels: dict[str, Any] = {}
 
     @property
@@ -111,6 +117,8 @@
 
     def channel(self, address: str) -> Any:
         """Return the channel to an address, creating it on first use."""
+        if self._reachable is not None and not self._reachable(address):
+            address = UNREACHABLE_ADDRESS
         channel = self._channels.get(address)
         if channel is None:
             channel = self._channels[address] = self._open(address)
--- a/egretrouter/demo/_fleet.py
+++ b/egretrouter/demo/_fleet.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import random
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from pathlib import Path
 
 import aiohttp
@@ -26,6 +26,7 @@
     ObjectApiStandin,
     OriginStandin,
     PlainServiceStandin,
+    Standin,
 )
 
 MEBIBYTE = 1024 * 1024
@@ -70,6 +71,10 @@
         self.routers: dict[str, RouterService] = {}
         self._rng = random.Random(self.options.seed)
         self._session: aiohttp.ClientSession
+        self._zones: dict[str, str] = {}
+        """Zone by peer address."""
+        self._platform_urls: dict[str, dict[str, str]] = {}
+        self._cut_zones: set[str] = set()
 
     @property
     def deployment(self) -> DeploymentFile:
@@ -87,8 +92,14 @@
     async def start(self) -> None:
         """Start the platform, then the endpoints with their agents, then the routers."""
         self._session = aiohttp.ClientSession()
-        for standin in (self.object_api, self.origin, self.instance_list):
+        for standin in self._platform():
             await standin.start()
+        for zone_file in self.deployment.zones:
+            self._platform_urls[zone_file.name] = {
+                "object_store_url": await self.object_api.listen_for(zone_file.name),
+                "origin_url": await self.origin.listen_for(zone_file.name),
+                "instance_list_url": await self.instance_list.listen_for(zone_file.name),
+            }
         for service in self.services():
             for placement in service.placement:
                 for number in range(placement.replicas):
@@ -130,8 +141,11 @@
                 "origin_hold_seconds": self.options.origin_hold_seconds,
             }
         )
-        agent = AgentService(settings, rng=random.Random(self._rng.random()))
+        agent = AgentService(
+            settings, rng=random.Random(self._rng.random()), reachable=self._reachable_from(zone)
+        )
         await agent.start()
+        self._zones[agent.peer_address] = zone
         self.agents[instance_id] = agent
         self.instance_list.add(
             instance_id, zone=zone, role=f"agent:{service}", address=agent.peer_address
@@ -147,8 +161,11 @@
                 "callers": {"port": 0},
             }
         )
-        router = RouterService(settings, rng=random.Random(self._rng.random()))
+        router = RouterService(
+            settings, rng=random.Random(self._rng.random()), reachable=self._reachable_from(zone)
+        )
         await router.start()
+        self._zones[router.peer_address] = zone
         self.routers[instance_id] = router
         self.instance_list.add(instance_id, zone=zone, role="router", address=router.peer_address)
         return router
@@ -159,13 +176,47 @@
             "instance_id": instance_id,
             "zone": zone,
             "region": region,
-            "platform": {
-                "object_store_url": self.object_api.url,
-                "origin_url": self.origin.url,
-                "instance_list_url": self.instance_list.url,
-            },
+            "platform": self._platform_urls[zone],
         }
 
+    def _platform(self) -> tuple[Standin, ...]:
+        return (self.object_api, self.origin, self.instance_list)
+
+    def _reachable_from(self, zone: str) -> Callable[[str], bool]:
+        def reachable(address: str) -> bool:
+            other = self._zones.get(address, zone)
+            return other == zone or not self._cut_zones & {zone, other}
+
+        return reachable
+
+    def cut_off_from_zones(self, zone: str) -> None:
+        """Cut a zone off from the other zones."""
+        self._cut_zones.add(zone)
+        routers = self.routers.values()
+        for agent in self.agents.values():
+            reachable = self._reachable_from(agent.zone)
+            lost = {r.settings.instance_id for r in routers if not reachable(r.peer_address)}
+            agent.calls.break_links(lost)
+
+    def cut_off_from_platform(self, zone: str) -> None:
+        """Cut a zone off from the object API, the origin and the instance list."""
+        for standin in self._platform():
+            standin.cut_off(zone)
+
+    def reconnect(self, zone: str) -> None:
+        """End the cuts of a zone."""
+        self._cut_zones.discard(zone)
+        for standin in self._platform():
+            standin.reconnect(zone)
+
+    async def kill_agent(self, instance_id: str) -> None:
+        """Stop an agent without a word to its peers or its calls; its endpoint goes on."""
+        await self.agents.pop(instance_id).stop()
+
+    async def kill_router(self, instance_id: str) -> None:
+        """Stop a router without a word to its peers or its callers."""
+        await self.routers.pop(instance_id).stop()
+
     async def publish(self) -> int:
         """Publish the operators' files and return the generation."""
         files = {f"{name}.json": encode_part(part) for name, part in self.parts.items()}
@@ -207,6 +258,6 @@
         await asyncio.gather(*(agent.stop() for agent in self.agents.values()))
         for endpoint in self.endpoints.values():
             await endpoint.stop()
-        for standin in (self.object_api, self.origin, self.instance_list):
+        for standin in self._platform():
             await standin.stop()
         await self._session.close()
--- a/egretrouter/standins/_base.py
+++ b/egretrouter/standins/_base.py
@@ -65,6 +65,8 @@
         self.latency_seconds = 0.0
         self._runner: web.AppRunner | None = None
         self._transports: set[asyncio.Transport] = set()
+        self._callers: dict[int, str] = {}
+        self._cut_callers: set[str] = set()
 
     @property
     def outage(self) -> Outage | None:
@@ -89,6 +91,30 @@
         self.url = f"http://{host}:{self._runner.addresses[0][1]}"
         return self.url
 
+    async def listen_for(self, caller: str) -> str:
+        """Listen on a port for one caller, or one group of them, and return the URL."""
+        assert self._runner is not None
+        site = web.TCPSite(self._runner, "127.0.0.1", 0)
+        await site.start()
+        port: int = self._runner.addresses[-1][1]
+        self._callers[port] = caller
+        return f"http://127.0.0.1:{port}"
+
+    def cut_off(self, caller: str) -> None:
+        """Reset the requests of a caller that has a port of its own, until it is reconnected."""
+        self._cut_callers.add(caller)
+        for transport in list(self._transports):
+            if self._caller(transport) == caller:
+                transport.abort()
+
+    def reconnect(self, caller: str) -> None:
+        """Serve a caller again."""
+        self._cut_callers.discard(caller)
+
+    def _caller(self, transport: asyncio.Transport | None) -> str | None:
+        address = transport.get_extra_info("sockname") if transport is not None else None
+        return self._callers.get(address[1]) if address else None
+
     async def stop(self) -> None:
         """Break the open connections and stop listening."""
         self.break_connections()
@@ -112,6 +138,8 @@
         try:
             if self.latency_seconds:
                 await asyncio.sleep(self.latency_seconds)
+            if self._caller(transport) in self._cut_callers:
+                return drop(request)
             if self.outage is Outage.REFUSE:
                 return web.Response(status=503, text="out of service")
             if self.outage is Outage.DROP:
--- /dev/null
+++ b/features/steps/failure_steps.py
@@ -0,0 +1,187 @@
+"""Make processes, endpoints, links and the platform fail."""
+
+import asyncio
+
+from support.steps import given, when
+from support.world import World
+
+from egretrouter.standins import EngineStandin, Outage, PlainServiceStandin
+
+
+@when("the object API is out")
+async def _(world: World) -> None:
+    world.fleet.object_api.outage = Outage.DROP
+
+
+@when("the object API hangs")
+async def _(world: World) -> None:
+    world.fleet.object_api.outage = Outage.HANG
+
+
+@when("the object API answers again")
+async def _(world: World) -> None:
+    world.fleet.object_api.outage = None
+
+
+@given("the object API loses its next {count:d} answers to writes")
+@when("the object API loses its next {count:d} answers to writes")
+async def _(world: World, count: int) -> None:
+    world.fleet.object_api.lose_answers = count
+
+
+@when("the object API goes back to the first index")
+async def _(world: World) -> None:
+    history = world.fleet.object_api._history["configuration/index"]
+    first = next(entry for _, entry in history if entry is not None)
+    await world.fleet.object_api.write("configuration/index", first[1])
+
+
+@when("the origin is out")
+async def _(world: World) -> None:
+    world.fleet.origin.outage = Outage.DROP
+
+
+@when("the origin answers again")
+async def _(world: World) -> None:
+    world.fleet.origin.outage = None
+
+
+@when("the origin damages its next {damaged:d} answers and stalls {stalled:d}")
+async def _(world: World, damaged: int, stalled: int) -> None:
+    world.fleet.origin.corrupt_next = damaged
+    world.fleet.origin.stall_next = stalled
+
+
+@when('the engine "{instance_id}" dies after {tokens:d} tokens')
+async def _(world: World, instance_id: str, tokens: int) -> None:
+    engine = _engine(world, instance_id)
+    await world.wait(
+        lambda: any(sequence.position >= tokens for sequence in engine.batch.running),
+        f"{tokens} tokens of one call at {instance_id}",
+    )
+    await engine.die()
+
+
+@when('the engine "{instance_id}" dies')
+async def _(world: World, instance_id: str) -> None:
+    await _engine(world, instance_id).die()
+
+
+@when('the engine "{instance_id}" starts again')
+async def _(world: World, instance_id: str) -> None:
+    engine = _engine(world, instance_id)
+    await engine.start(port=int(engine.url.rpartition(":")[2]))
+
+
+@when('the engine "{instance_id}" ends its next {count:d} answers halfway')
+async def _(world: World, instance_id: str, count: int) -> None:
+    _engine(world, instance_id).truncate_streams = count
+
+
+@when("every engine ends its next answer halfway")
+async def _(world: World) -> None:
+    for engine in world.fleet.engines().values():
+        engine.truncate_streams = 1
+
+
+@when('the agent "{instance_id}" is killed')
+async def _(world: World, instance_id: str) -> None:
+    await world.fleet.kill_agent(instance_id)
+
+
+@when('the agent "{instance_id}" starts again')
+async def _(world: World, instance_id: str) -> None:
+    service, zone = next(
+        (service.name, placement.zone)
+        for service in world.fleet.services()
+        for placement in service.placement
+        if instance_id.startswith(f"{service.name}-{placement.zone}-")
+    )
+    await world.fleet.start_agent(instance_id, service, zone=zone)
+
+
+@when('the router "{instance_id}" is killed')
+async def _(world: World, instance_id: str) -> None:
+    await world.fleet.kill_router(instance_id)
+
+
+@when('the agent "{instance_id}" leaves')
+async def _(world: World, instance_id: str) -> None:
+    agent = world.fleet.agents[instance_id]
+
+    async def leave() -> None:
+        await agent.drain()
+        await agent.stop()
+
+    world.spawn(f"drain of {instance_id}", leave())
+    # The drain begins before the next step does.
+    await asyncio.sleep(0)
+
+
+@when('the router "{instance_id}" leaves')
+async def _(world: World, instance_id: str) -> None:
+    router = world.fleet.routers[instance_id]
+
+    async def leave() -> None:
+        await router.drain()
+        await router.stop()
+
+    world.spawn(f"drain of {instance_id}", leave())
+    await asyncio.sleep(0)
+
+
+@when('the drain of "{instance_id}" has ended')
+async def _(world: World, instance_id: str) -> None:
+    job = world.jobs[f"drain of {instance_id}"]
+    await world.wait(job.done, f"the end of the drain of {instance_id}")
+    job.result()
+    world.fleet.agents.pop(instance_id, None)
+    world.fleet.routers.pop(instance_id, None)
+
+
+@when('zone "{zone}" is cut off from the other zones')
+async def _(world: World, zone: str) -> None:
+    world.fleet.cut_off_from_zones(zone)
+
+
+@when('zone "{zone}" is cut off from the platform')
+async def _(world: World, zone: str) -> None:
+    world.fleet.cut_off_from_platform(zone)
+
+
+@when('zone "{zone}" is connected again')
+async def _(world: World, zone: str) -> None:
+    world.fleet.reconnect(zone)
+
+
+@given("orders take {seconds:g} seconds")
+async def _(world: World, seconds: float) -> None:
+    for service in _order_services(world).values():
+        service.execution_seconds = seconds
+
+
+@when("every order service resets {before:d} requests before and {after:d} after they run")
+async def _(world: World, before: int, after: int) -> None:
+    for service in _order_services(world).values():
+        service.reset_before, service.reset_after = before, after
+
+
+@when("every order service sends its next {count:d} answers twice")
+async def _(world: World, count: int) -> None:
+    for service in _order_services(world).values():
+        service.answer_twice = count
+
+
+def _engine(world: World, instance_id: str) -> EngineStandin:
+    engine = world.fleet.endpoints[instance_id]
+    assert isinstance(engine, EngineStandin)
+    return engine
+
+
+def _order_services(world: World) -> dict[str, PlainServiceStandin]:
+    name = world.order_service.name
+    return {
+        instance_id: endpoint
+        for instance_id, endpoint in world.fleet.endpoints.items()
+        if instance_id.startswith(f"{name}-") and isinstance(endpoint, PlainServiceStandin)
+    }
--- /dev/null
+++ b/features/support/__init__.py
@@ -0,0 +1,1 @@
+"""Support the steps of the scenarios."""
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -14,6 +14,7 @@
     ZoneId,
 )
 from egretrouter.core.rollout import (
+    RESTORE_SECONDS,
     AdmitVersion,
     Assignment,
     AssignmentChanged,
@@ -295,6 +296,29 @@
         zone.run(5)
         assert zone.serving("v1") == 3
 
+    def test_an_engine_that_is_down_during_the_switch_loads_once_it_is_up(self) -> None:
+        """Guard against a dead engine counting as a failure of the version for good."""
+        rollout = Rollout(instance_id=InstanceId("r0"), zone=ZONE)
+        new = version("2")
+        digest = new.manifest_digest
+        started = [
+            AssignmentChanged(assignment=assignment("2")),
+            EngineReported(loaded=()),
+            WeightsReady(manifest_digest=digest),
+        ]
+        commands = [c for m in started for c in rollout.handle(m, now_seconds=0.0)]
+        assert LoadVersion(version=new) in commands
+        unreached = LoadEnded(manifest_digest=digest, reason="refused", engine_unreachable=True)
+        rollout.handle(unreached, now_seconds=1.0)
+        commands = rollout.handle(EngineReported(loaded=()), now_seconds=1.0)
+        assert LoadVersion(version=new) not in commands
+        assert rollout.facts().failed_digest is None
+        later = rollout.handle(Tick(), now_seconds=1.0 + RESTORE_SECONDS)
+        assert LoadVersion(version=new) in later
+        rollout.handle(LoadEnded(manifest_digest=digest), now_seconds=12.0)
+        commands = rollout.handle(EngineReported(loaded=(new,)), now_seconds=12.0)
+        assert AdmitVersion(manifest_digest=digest) in commands
+
     def test_a_version_that_changes_during_the_load_is_not_served(self) -> None:
         zone = serving_zone(3)
         zone.assign(assignment("v2"))
