--- a/egretrouter/daemons/_agent.py
+++ b/egretrouter/daemons/_agent.py
@@ -20,6 +20,7 @@
 from egretrouter.core.configuration import Configuration, EndpointFile
 from egretrouter.core.errors import (
     BackendError,
+    BackendUnavailableError,
     EgretrouterError,
     OrderError,
 )
@@ -370,7 +371,10 @@
             await self.orders.load(command)
         except EgretrouterError as error:
             log_message("agent:load_failed", digest=digest, error=str(error))
-            self._tell(LoadEnded(manifest_digest=digest, reason=str(error)))
+            unreachable = isinstance(error, BackendUnavailableError)
+            self._tell(
+                LoadEnded(manifest_digest=digest, reason=str(error), engine_unreachable=unreachable)
+            )
             return
         log_message("agent:version_loaded", digest=digest)
         self._tell(LoadEnded(manifest_digest=digest))
