Tell routers over the link which version new calls get

Cause: routers of other zones learn of a version switch from summaries that are up to 6 s old; their calls for the old version were refused three times and ended as other-version. Repeats of an order in progress counted as unknown in the demo, though a caller would ask again. Ruled out: the retry budget (such refusals are free) and the agent's drain (it waits).

--- a/egretrouter/core/limits/_concurrency.py
+++ b/egretrouter/core/limits/_concurrency.py
@@ -1,8 +1,8 @@
 """Adapt the number of calls in flight to what the endpoints can take."""
 
 INCREASE_CALLS = 1.0
-# Until the first decrease the limit grows by half in each window: one call at a time would take a new
-# router minutes to reach the hundreds of streams that it holds at the design size.
+# Until the first decrease the limit grows by half in each window: one call at a time would take a
+# new router minutes to reach the hundreds of streams that it holds at the design size.
 SLOW_START_FACTOR = 1.5
 DECREASE_FACTOR = 0.9
 WAIT_SHARE = 0.05
--- a/egretrouter/daemons/_agent.py
+++ b/egretrouter/daemons/_agent.py
@@ -336,13 +336,16 @@
             for digest in sorted(self._admitted - self._leaving.keys() - {serving})
             if (version := self._versions.get(digest)) is not None
         )
+        ready = serving in self._admitted and serving not in self._leaving
+        takes_calls = ready and not facts.drained and not self._draining
+        self.calls.announce_version(serving if takes_calls else None)
         self.control.set_facts(
             Facts(
                 service=self.service,
                 version_digest=serving,
                 adapters=adapters,
                 drained=facts.drained or self._draining,
-                ready=serving in self._admitted and serving not in self._leaving,
+                ready=ready,
                 phase=facts.phase.value,
                 failed_digest=facts.failed_digest or NO_DIGEST,
                 failed_reason=facts.failed_reason,
--- a/egretrouter/daemons/_agent_calls.py
+++ b/egretrouter/daemons/_agent_calls.py
@@ -133,6 +133,7 @@
         self._links: dict[InstanceId, RouterLink] = {}
         self._running: dict[CallId, _RunningCall] = {}
         self._draining = False
+        self._serving: Digest | None = None
         self._load: LoadReport | None = None
         self._load_at_seconds = 0.0
         self._next_load_seconds = float("-inf")
@@ -146,18 +147,27 @@
             for link in self._links.values():
                 link.load_changed()
 
-    def _load_message(self) -> pb.EndpointLoad | None:
-        if self._load is None and not self._draining:
-            return None
+    def _load_message(self) -> pb.EndpointLoad:
         load = self._load or LoadReport()
         return pb.EndpointLoad(
             queued_calls=load.queued_calls,
             running_calls=load.running_calls,
             finished_calls_total=self.finished_calls_total,
             age_seconds=self._clock() - self._load_at_seconds,
-            draining=self._draining,
+            draining=self._draining or self._serving is None,
+            version_digest=self._serving or "",
         )
 
+    def announce_version(self, digest: Digest | None) -> None:
+        """Tell the routers that have a link which version new calls get; None for no version.
+
+        Gossip and summaries take seconds, in which calls for the old version would be refused.
+        """
+        if digest != self._serving:
+            self._serving = digest
+            for link in self._links.values():
+                link.load_changed()
+
     def apply(self, message: RegistryMessage) -> None:
         """Pass a message to the registry and carry out what it commands."""
         for command in self.registry.handle(message, now_seconds=self._clock()):
--- a/egretrouter/daemons/_endpoint_view.py
+++ b/egretrouter/daemons/_endpoint_view.py
@@ -58,6 +58,7 @@
         self._by_address: dict[str, EndpointId] = {}
         self._draining: set[str] = set()
         self._linked_until: dict[EndpointId, float] = {}
+        self._linked_digests: dict[EndpointId, Digest] = {}
 
     def set_regions(self, regions: Mapping[ZoneId, RegionId]) -> None:
         """Learn the region of each zone."""
@@ -96,7 +97,7 @@
         found = (*self._near(now), *self._far(now))
         self._draining &= {known.seen.address for known in found}
         current = {
-            known.seen.endpoint_id: known
+            known.seen.endpoint_id: self._as_linked(known)
             for known in found
             if known.seen.address not in self._draining
         }
@@ -110,6 +111,9 @@
         self._loads = {e: sample for e, sample in self._loads.items() if e in current}
         self._by_address = {known.seen.address: e for e, known in current.items()}
         self._linked_until = {e: t for e, t in self._linked_until.items() if t > now}
+        self._linked_digests = {
+            e: digest for e, digest in self._linked_digests.items() if e in self._linked_until
+        }
         self._refresh_loads(now)
         near, _ = self.routers()
         self._selector.handle(RoutersCounted(routers=near), now_seconds=now)
@@ -126,6 +130,10 @@
             return
         now = self._clock()
         self._linked_until[endpoint_id] = now + LINK_REPORT_SECONDS
+        digest = Digest(load.version_digest)
+        if not load.draining and self._linked_digests.get(endpoint_id) != digest:
+            self._linked_digests[endpoint_id] = digest
+            self.refresh()
         self._selector.handle(
             LoadReported(
                 endpoint_id=endpoint_id,
@@ -137,6 +145,15 @@
             now_seconds=now,
         )
 
+    def _as_linked(self, known: _Known) -> _Known:
+        """Prefer the version that the agent's link told last to what gossip says."""
+        digest = self._linked_digests.get(known.seen.endpoint_id, known.serving_digest)
+        if digest == known.serving_digest:
+            return known
+        served = (known.seen.version_digests - {known.serving_digest}) | {digest}
+        seen = msgspec.structs.replace(known.seen, version_digests=served)
+        return msgspec.structs.replace(known, seen=seen, serving_digest=digest)
+
     def _near(self, now: float) -> list[_Known]:
         members = self._membership.usable_members(now_seconds=now)
         return [
--- a/egretrouter/demo/_load.py
+++ b/egretrouter/demo/_load.py
@@ -18,6 +18,9 @@
 CALL_TIMEOUT_SECONDS = 30.0
 MODEL_TOKENS = 24
 REPEAT_SHARE = 0.3
+REPEAT_TRIES = 20
+REPEAT_SECONDS = 0.25
+HTTP_CONFLICT = 409
 
 
 class CallCounts(msgspec.Struct, kw_only=True):
@@ -157,6 +160,23 @@
         content: bytes,
         workspace: str,
     ) -> None:
+        for _ in range(REPEAT_TRIES):
+            if await self._try_order(session, service, key, path, content, workspace):
+                return
+            await asyncio.sleep(REPEAT_SECONDS)
+        self.counts.sent += 1
+        self._failed("unknown", "still in progress")
+
+    async def _try_order(
+        self,
+        session: aiohttp.ClientSession,
+        service: PlainServiceFile,
+        key: str,
+        path: str,
+        content: bytes,
+        workspace: str,
+    ) -> bool:
+        """Send an order once and tell whether it ended; a repeat waits for the first one."""
         headers = {
             "Host": service.hosts[0] if service.hosts else "localhost",
             "Idempotency-Key": key,
@@ -172,11 +192,14 @@
         except (aiohttp.ClientError, TimeoutError):
             self._unsettled_keys.add(key)
             self._failed("unknown", "connection")
-            return
+            return True
+        if response.status == HTTP_CONFLICT:
+            self.counts.sent -= 1
+            return False
         if response.status != 200:
             outcome = self._refused(answer)
             (self._not_run_keys if outcome == "not_run" else self._unsettled_keys).add(key)
-            return
+            return True
         self._unsettled_keys.add(key)
         expected = PlainServiceStandin.expected_answer(
             key, method="POST", path=path, content=content
@@ -185,6 +208,7 @@
             self.counts.completed += 1
         else:
             self.counts.wrong_answers += 1
+        return True
 
     def _refused(self, content: bytes) -> str:
         try:
