--- a/benchmarks/control.py
+++ b/benchmarks/control.py
@@ -61,6 +61,10 @@
 
 SIZES = (50, 100, 200, 500)
 SPREAD_SIZES = (50, 100, 200)
+CHANGE_PERIOD_SECONDS = 2.8
+"""31,000 changes a day."""
+
+ZONE_MEMBERS = 437
 STEADY_SECONDS = 20
 CHANGE_SECONDS = 10
 WATCH_LATENCY_SECONDS = 0.01
@@ -159,6 +163,7 @@
         self.everyone_watches = everyone_watches
         self.store_calls = 0
         self.fetched_bytes = 0
+        self.handle_seconds = 0.0
         self.generations: dict[int, tuple[ConfigurationIndex, dict[Digest, bytes]]] = {}
         self.states: dict[InstanceId, ConfigurationState] = {}
         self.watching: set[InstanceId] = set()
@@ -194,7 +199,10 @@
             self._handle(name, heard)
 
     def _handle(self, name: InstanceId, message: Any) -> None:
-        for command in self.states[name].handle(message, now_seconds=self.zone.now):
+        start = time.perf_counter()
+        commands = self.states[name].handle(message, now_seconds=self.zone.now)
+        self.handle_seconds += time.perf_counter() - start
+        for command in commands:
             self._execute(name, command)
 
     def _execute(self, name: InstanceId, command: ConfigurationCommand) -> None:
@@ -275,6 +283,32 @@
     }
 
 
+def measure_changes(count: int, seed: int) -> dict[str, Any]:
+    """Measure a node's cost while configurations change as often as at design size."""
+    zone = joined_zone(count, seed, encode=True)
+    configured = ConfiguredZone(zone)
+    zone.handle_seconds = configured.handle_seconds = 0.0
+    sent, fetched, calls = zone.sent_bytes, configured.fetched_bytes, configured.store_calls
+    rounds = 10
+    for number in range(2, 2 + rounds):
+        configured.publish(number)
+        zone.run(CHANGE_PERIOD_SECONDS)
+    node_seconds = count * rounds * CHANGE_PERIOD_SECONDS
+    lowest = min(state.generation for state in configured.states.values())
+    return {
+        "members": count,
+        "period_seconds": CHANGE_PERIOD_SECONDS,
+        "generations_behind": 1 + rounds - lowest,
+        "gossip_cpu_percent_of_core": round(100 * zone.handle_seconds / node_seconds, 4),
+        "configuration_cpu_percent_of_core": round(
+            100 * configured.handle_seconds / node_seconds, 4
+        ),
+        "gossip_bytes_per_second": round((zone.sent_bytes - sent) / node_seconds),
+        "fetched_bytes_per_second": round((configured.fetched_bytes - fetched) / node_seconds),
+        "store_calls_per_publication": (configured.store_calls - calls) / rounds,
+    }
+
+
 def measure_store_calls(count: int, zones: int, seed: int) -> dict[str, Any]:
     """Count store calls for one publication against one watch a node; zones are alike."""
     found: dict[str, Any] = {"members_per_zone": count, "zones": zones}
@@ -329,6 +363,7 @@
         },
         "in_force": spread,
         "in_force_slope_seconds_per_doubling": slope(spread, "mean_seconds"),
+        "continuous_changes": measure_changes(ZONE_MEMBERS, seed),
         "leaving_out_of_choice": leave,
         "store_calls_per_publication": calls,
         "elapsed_seconds": round(time.perf_counter() - start, 1),
