--- a/egretrouter/daemons/_callers.py
+++ b/egretrouter/daemons/_callers.py
@@ -49,6 +49,7 @@
     RequestError,
     TooManyStreamsError,
     Workspaces,
+    check_headers,
     parse_model_body,
     positive_number,
     prompt_blocks,
@@ -173,6 +174,7 @@
             request_id = request_id_of(request, fallback=uuid.uuid4().hex)
             try:
                 self._check_open()
+                check_headers(request, limits=self._limits)
                 return await handler(request, request_id)
             except RequestError as error:
                 self._metrics.refused(error.name)
@@ -219,9 +221,12 @@
             prompt_blocks=prompt_blocks(prompt),
             request_bytes=len(content),
         )
-        # Engines answer a prompt of one version with the same tokens only if sampling is seeded,
-        # which the router can't see; so a started answer is resumed but never begun anew.
-        rules = AttemptRules(idempotent=True, hedged=not body.stream)
+        rules = AttemptRules(
+            idempotent=True,
+            hedged=not body.stream,
+            # An adapter's answer also depends on its base version, which its digest does not name.
+            repeatable_answer=target.service.endpoint.resumes_streams and target.adapter is None,
+        )
         call = self._routed(request, request_id, workspace, target.service, content, route, rules)
         call = msgspec.structs.replace(call, priority=call.priority or body.priority)
         return await self._answer(request, call, prompt_tokens + body.answer_tokens)
--- a/egretrouter/daemons/_requests.py
+++ b/egretrouter/daemons/_requests.py
@@ -58,6 +58,20 @@
     name = "body-too-large"
 
 
+class HeadersTooLargeError(RequestError):
+    """The headers together are larger than the limit."""
+
+    status = 431
+    name = "headers-too-large"
+
+
+class TooManyConnectionsError(RequestError):
+    """As many connections as the limit allows are open."""
+
+    status = 503
+    name = "too-many-connections"
+
+
 class TooManyStreamsError(RequestError):
     """As many calls as the limit allows are open."""
 
@@ -127,6 +141,21 @@
     return tuple(blocks)
 
 
+def check_headers(request: web.Request, *, limits: CallerLimits) -> None:
+    """Check the headers' size and the connections that are open beside this one.
+
+    Raises HeadersTooLargeError or TooManyConnectionsError.
+    """
+    size = sum(len(name) + len(value) for name, value in request.raw_headers)
+    if size > limits.max_header_bytes:
+        raise HeadersTooLargeError(f"the headers are larger than {limits.max_header_bytes} bytes")
+    manager = request.protocol._manager
+    if manager is not None and len(manager.connections) > limits.max_connections:
+        # The connection that went over the limit is closed; the others are served on.
+        request.protocol.close()
+        raise TooManyConnectionsError(f"{limits.max_connections} connections are open already")
+
+
 def request_id_of(request: web.Request, *, fallback: str) -> str:
     """Return the caller's request id if it is well formed, or else the fallback."""
     given = request.headers.get("X-Request-Id", "")
