--- a/egretrouter/daemons/_call_driver.py
+++ b/egretrouter/daemons/_call_driver.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 import msgspec
+from eliot import log_message
 
 from egretrouter.core.calls import (
     AnswerData,
@@ -45,11 +46,12 @@
     CallEnded,
     CallFailed,
     CallSent,
-    Choice,
     FirstTokenSeen,
+    Refusal,
 )
 from egretrouter.daemons._call_claim import open_claim
 from egretrouter.daemons._caller_stream import CallerState, CallerStream
+from egretrouter.daemons._endpoint_choice import ChosenEndpoint, choose_endpoint
 from egretrouter.daemons._link import AgentLink
 from egretrouter.daemons._routed_call import CallServices, RoutedCall
 from egretrouter.protocol import decode_body
@@ -110,11 +112,10 @@
         self._stream = stream
         self._attempt = CallAttempt(call.call_id, rules=call.rules)
         self._lanes: dict[int, _Lane] = {}
-        self._chosen: dict[int, AgentLink] = {}
+        self._chosen: dict[int, ChosenEndpoint] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._urgent = False
         self._stale_view = False
-        self._placed: dict[int, bool] = {}
         self._started_seconds = time.monotonic()
         self.answer_bytes = 0
         self.first_token_seconds: float | None = None
@@ -269,6 +270,7 @@
         elif self._services.retry_budget.try_spend():
             self._spawn(self._choose_later(command))
         else:
+            log_message("router:retry_budget_spent", call_id=self._call.call_id)
             self.apply(NoEndpoint())
 
     async def _choose_later(self, command: ChooseEndpoint) -> None:
@@ -276,42 +278,30 @@
         await self._choose_now(command)
 
     async def _choose_now(self, command: ChooseEndpoint) -> None:
-        services = self._services
-        excluded = frozenset(EndpointId(agent) for agent in command.avoid_agents)
-        route = msgspec.structs.replace(self._call.route, excluded=excluded, urgent=self._urgent)
-        if command.version_digest is not None:
-            route = msgspec.structs.replace(route, version_digest=command.version_digest)
-        decision = services.selector.choose(route, now_seconds=time.monotonic())
-        if not isinstance(decision, Choice):
-            self.apply(NoEndpoint(retry_after_seconds=decision.retry_after_seconds))
-            return
-        link = services.links(decision.address)
-        up = await link.wait_until_up(timeout_seconds=LINK_WAIT_SECONDS)
-        digest = services.serving_digest(decision.endpoint_id, route)
-        if not up or link.epoch is None or digest is None:
-            retry = ChooseEndpoint(
-                attempt=command.attempt,
-                avoid_agents=command.avoid_agents | {InstanceId(decision.endpoint_id)},
-                version_digest=command.version_digest,
-            )
-            await self._choose_now(retry)
+        chosen = await choose_endpoint(
+            self._services, self._call.route, command, urgent=self._urgent
+        )
+        if isinstance(chosen, Refusal):
+            reason = chosen.reason.value
+            log_message("router:no_endpoint", call_id=self._call.call_id, reason=reason)
+            self.apply(NoEndpoint(retry_after_seconds=chosen.retry_after_seconds))
             return
-        self._chosen[command.attempt] = link
-        self._placed[command.attempt] = decision.placed
+        self._chosen[command.attempt] = chosen
         now = time.monotonic()
         target = Target(
-            agent_id=InstanceId(decision.endpoint_id),
-            address=decision.address,
-            epoch=link.epoch,
+            agent_id=InstanceId(chosen.choice.endpoint_id),
+            address=chosen.choice.address,
+            epoch=chosen.epoch,
             call_id=self._attempt.target_call_id(command.attempt),
-            expires_at_seconds=link.agent_clock(now) + self._call.deadline_at_seconds - now,
+            expires_at_seconds=chosen.link.agent_clock(now) + self._call.deadline_at_seconds - now,
         )
-        self.apply(EndpointChosen(target=target, version_digest=digest))
+        self.apply(EndpointChosen(target=target, version_digest=chosen.version_digest))
 
     @_carry_out.register
     def _open(self, command: SendOpen) -> None:
         target, call = command.target, self._call
-        link = self._chosen[command.attempt]
+        chosen = self._chosen[command.attempt]
+        link = chosen.link
         self._lanes[command.attempt] = _Lane(target=target, link=link)
         self._services.selector.handle(
             CallSent(
@@ -320,7 +310,7 @@
                 prompt_tokens=call.route.prompt_tokens,
                 prompt_blocks=call.route.prompt_blocks,
                 request_bytes=len(call.content),
-                placed=self._placed[command.attempt],
+                placed=chosen.choice.placed,
             ),
             now_seconds=time.monotonic(),
         )
@@ -356,7 +346,7 @@
     async def _ask_agent(self, command: SendSettle) -> None:
         if command.tries > 1:
             await asyncio.sleep(SETTLE_RETRY_SECONDS * 2**command.tries)
-        reply = await self._chosen[command.attempt].settle(command.target)
+        reply = await self._chosen[command.attempt].link.settle(command.target)
         if reply is None:
             self.apply(SettleFailed(attempt=command.attempt))
         else:
@@ -368,7 +358,7 @@
         self._spawn(self._resume_link(command))
 
     async def _resume_link(self, command: SendResume) -> None:
-        link = self._chosen[command.attempt]
+        link = self._chosen[command.attempt].link
         if not await link.wait_until_up(timeout_seconds=LINK_WAIT_SECONDS):
             self.apply(LinkLost(attempt=command.attempt))
             return
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -1,5 +1,6 @@
 """Test the whole path from published files to answers."""
 
+import asyncio
 import random
 from collections.abc import AsyncIterator
 from pathlib import Path
@@ -8,7 +9,8 @@
 import pytest
 
 from egretrouter.demo import Fleet, FleetOptions, read_parts
-from egretrouter.standins import expected_answer
+from egretrouter.standins import EngineStandin, expected_answer
+from tests.helpers import wait_until
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
 WAIT_SECONDS = 60.0
@@ -54,3 +56,38 @@
                 host = {"Host": "portal.ovo-justo.example", "X-Workspace": "socios"}
                 async with session.get(f"{url}/socio/7", headers=host) as response:
                     assert response.status == 200
+
+    async def test_another_engine_continues_an_answer(self, fleet: Fleet) -> None:
+        """Guard against a lost or doubled token where a second engine takes over."""
+        manifest = fleet.origin.add_version(
+            "cotacoes", "2026-11", random.Random(1).randbytes(200_000), chunk_bytes=65536
+        )
+        await fleet.publish()
+        await fleet.wait_for_replicas(manifest.digest, 6, timeout_seconds=WAIT_SECONDS)
+        await fleet.wait_for_routes(["llm-cotacoes"], timeout_seconds=WAIT_SECONDS)
+        router = next(iter(fleet.routers.values()))
+        engines = fleet.engines().values()
+        await wait_until(lambda: len(router.view.endpoints() & fleet.engines().keys()) > 1)
+        body = {"model": "cotacoes", "prompt": "ovos", "max_tokens": 8, "stream": True}
+        headers = {"X-Request-Id": "continued"}
+        url = f"http://127.0.0.1:{router.callers_port}/v1/completions"
+        async with aiohttp.ClientSession() as session:
+            # Idle calls earn the retry that the second engine's answer is.
+            for _ in range(12):
+                async with session.post(url, json=body, headers=headers) as response:
+                    whole = await response.read()
+            for engine in engines:
+                engine.truncate_streams = 1
+            cut = asyncio.create_task(truncate_once(list(engines)))
+            async with session.post(url, json=body, headers=headers) as response:
+                assert await response.read() == whole
+            await cut
+
+
+async def truncate_once(engines: list[EngineStandin]) -> None:
+    """Let only the first engine that gets a call cut its answer."""
+    while all(engine.truncate_streams for engine in engines):  # noqa: ASYNC110
+        # The second engine may get the call within a millisecond.
+        await asyncio.sleep(0)
+    for engine in engines:
+        engine.truncate_streams = 0
