--- a/features/1_whole_weights.feature
+++ b/features/1_whole_weights.feature
@@ -2,13 +2,13 @@
 
   Background:
     Given the deployment "ovo-justo" serves version "2026-11"
-    And 12 callers stream 40 tokens
+    And callers keep streaming 40 tokens
 
   Scenario: The origin damages and stalls answers while a version rolls out
     When the origin damages its next 4 answers and stalls 1
     And version "2026-12" is published
     Then version "2026-12" serves on every live replica
-    And every call gets the whole answer of one version or an explicit outcome
+    And every call gets its own whole answer
     And 12 more calls get the whole answer of version "2026-12"
 
   Scenario: The content changes under its name at the origin and an agent is killed
@@ -24,7 +24,7 @@
     When version "2026-12" is published
     And the engine "llm-cotacoes-serra-z1-0" dies
     And the agent "llm-cotacoes-taquari-z1-1" is killed
-    And 12 callers stream 40 tokens
+    And 12 callers stream 8 tokens
     And the engine "llm-cotacoes-serra-z1-0" starts again
     And the agent "llm-cotacoes-taquari-z1-1" starts again
     Then version "2026-12" serves on every live replica
--- /dev/null
+++ b/features/7_configuration.feature
@@ -0,0 +1,46 @@
+Feature: An accepted configuration is in force everywhere and never reverts
+
+  Background:
+    Given the deployment "ovo-justo" serves version "2026-11"
+
+  Scenario: Two operators publish at once
+    When versions "2026-12" and "2027-01" are published at once
+    Then every publication was accepted or named the generation in force
+    And the last accepted publication is in force everywhere
+    And no process went back to an earlier generation
+
+  Scenario: The answer of a publication is lost and a zone is cut off from the platform
+    When zone "taquari-z1" is cut off from the platform
+    And the object API loses its next 2 answers to writes
+    And version "2026-12" is published
+    Then the publication was accepted once
+    And generation 2 is in force everywhere
+    And no process went back to an earlier generation
+
+  Scenario: A zone that was cut off from everything catches up
+    When zone "taquari-z1" is cut off from the platform
+    And zone "taquari-z1" is cut off from the other zones
+    And version "2026-12" is published
+    Then generation 2 is in force in zone "serra-z1"
+    And generation 1 is in force in zone "taquari-z1"
+    When zone "taquari-z1" is connected again
+    Then generation 2 is in force everywhere
+    And no process went back to an earlier generation
+
+  Scenario: The store goes out right after a publication
+    When version "2026-12" is published
+    And the object API is out
+    And the agent "llm-cotacoes-serra-z1-0" is killed
+    And the agent "llm-cotacoes-serra-z1-0" starts again
+    Then generation 2 is in force everywhere
+    And no process went back to an earlier generation
+
+  Scenario: The store is restored to an earlier index while an agent restarts
+    When version "2026-12" is published
+    Then generation 2 is in force everywhere
+    When the object API goes back to the first index
+    And the agent "llm-cotacoes-serra-z1-0" is killed
+    And the agent "llm-cotacoes-serra-z1-0" starts again
+    And 5 seconds pass
+    Then generation 2 is in force everywhere
+    And no process went back to an earlier generation
--- a/features/steps/call_steps.py
+++ b/features/steps/call_steps.py
@@ -8,19 +8,25 @@
 @given("{count:d} callers stream {tokens:d} tokens")
 @when("{count:d} callers stream {tokens:d} tokens")
 async def _(world: World, count: int, tokens: int) -> None:
-    calls = await world.start_calls(count, tokens)
+    calls = world.start_calls(count, tokens)
     await world.wait(lambda: all(c.begun.is_set() for c in calls), "the first token of every call")
 
 
+@given("callers keep streaming {tokens:d} tokens")
+@when("callers keep streaming {tokens:d} tokens")
+async def _(world: World, tokens: int) -> None:
+    world.spawn("callers", world.keep_calling(tokens))
+
+
 @given("{count:d} orders are sent")
 @when("{count:d} orders are sent")
 async def _(world: World, count: int) -> None:
-    await world.start_orders(count)
+    world.start_orders(count)
 
 
 @when("{count:d} orders with keys are sent")
 async def _(world: World, count: int) -> None:
-    await world.start_orders(count, keyed=True)
+    world.start_orders(count, keyed=True)
 
 
 @when("every order runs")
@@ -54,7 +60,7 @@
 
 @then('{count:d} more calls get the whole answer of version "{version}"')
 async def _(world: World, count: int, version: str) -> None:
-    calls = await world.start_calls(count, 8)
+    calls = world.start_calls(count, 8)
     await world.calls_ended()
     for call in calls:
         assert call.outcome(world.digests) == WHOLE, f"{call.name}: {call.content[-300:]!r}"
@@ -64,7 +70,7 @@
 
 @then("{count:d} more calls get a whole answer")
 async def _(world: World, count: int) -> None:
-    calls = await world.start_calls(count, 8)
+    calls = world.start_calls(count, 8)
     await world.calls_ended()
     for call in calls:
         outcome = call.outcome(world.digests)
@@ -127,7 +133,7 @@
     """Wait for the first 12 calls that all go elsewhere; the promise allows a few seconds."""
     for _ in range(100):
         before = world.executions_at(instance_id)
-        await world.start_calls(12, 2)
+        world.start_calls(12, 2)
         await world.calls_ended()
         if world.executions_at(instance_id) == before:
             world.marks[instance_id] = before
@@ -137,7 +143,7 @@
 
 @then('{count:d} further calls don\'t reach "{instance_id}"')
 async def _(world: World, count: int, instance_id: str) -> None:
-    calls = await world.start_calls(count, 2)
+    calls = world.start_calls(count, 2)
     await world.calls_ended()
     assert world.executions_at(instance_id) == world.marks[instance_id], (
         "a leaving instance ran one"
--- a/features/steps/deployment_steps.py
+++ b/features/steps/deployment_steps.py
@@ -15,14 +15,6 @@
     await _serve(world, version)
 
 
-@given('the deployment "{deployment}" serves version "{version}" with a list {lag:d} seconds late')
-async def _(world: World, deployment: str, version: str, lag: int) -> None:
-    # A list this late would never name the processes of the scenario, so it starts up to date.
-    await world.start_fleet(deployment)
-    await _serve(world, version)
-    world.fleet.instance_list.lag_seconds = lag
-
-
 async def _serve(world: World, version: str) -> None:
     await world.publish_version(version)
     replicas = len(world.fleet.engines())
--- a/features/steps/failure_steps.py
+++ b/features/steps/failure_steps.py
@@ -107,6 +107,10 @@
 
 @when('the agent "{instance_id}" leaves')
 async def _(world: World, instance_id: str) -> None:
+    await _leave_agent(world, instance_id)
+
+
+async def _leave_agent(world: World, instance_id: str) -> None:
     agent = world.fleet.agents[instance_id]
 
     async def leave() -> None:
@@ -118,6 +122,12 @@
     await asyncio.sleep(0)
 
 
+@when("every order agent leaves")
+async def _(world: World) -> None:
+    for instance_id in _order_services(world):
+        await _leave_agent(world, instance_id)
+
+
 @when('the router "{instance_id}" leaves')
 async def _(world: World, instance_id: str) -> None:
     router = world.fleet.routers[instance_id]
@@ -154,6 +164,16 @@
     world.fleet.reconnect(zone)
 
 
+@when("the instance list is {seconds:d} seconds late")
+async def _(world: World, seconds: int) -> None:
+    world.fleet.instance_list.lag_seconds = seconds
+
+
+@when("{seconds:d} seconds pass")
+async def _(world: World, seconds: int) -> None:
+    await asyncio.sleep(seconds)
+
+
 @given("orders take {seconds:g} seconds")
 async def _(world: World, seconds: float) -> None:
     for service in _order_services(world).values():
