--- a/features/steps/failure_steps.py
+++ b/features/steps/failure_steps.py
@@ -54,6 +54,7 @@
 
 @when('the engine "{instance_id}" dies after {tokens:d} tokens')
 async def _(world: World, instance_id: str, tokens: int) -> None:
+    instance_id = await world.named(instance_id)
     engine = _engine(world, instance_id)
     await world.wait(
         lambda: any(sequence.position >= tokens for sequence in engine.batch.running),
@@ -64,17 +65,20 @@
 
 @when('the engine "{instance_id}" dies')
 async def _(world: World, instance_id: str) -> None:
+    instance_id = await world.named(instance_id)
     await _engine(world, instance_id).die()
 
 
 @when('the engine "{instance_id}" starts again')
 async def _(world: World, instance_id: str) -> None:
+    instance_id = await world.named(instance_id)
     engine = _engine(world, instance_id)
     await engine.start(port=int(engine.url.rpartition(":")[2]))
 
 
 @when('the engine "{instance_id}" ends its next {count:d} answers halfway')
 async def _(world: World, instance_id: str, count: int) -> None:
+    instance_id = await world.named(instance_id)
     _engine(world, instance_id).truncate_streams = count
 
 
@@ -86,11 +90,13 @@
 
 @when('the agent "{instance_id}" is killed')
 async def _(world: World, instance_id: str) -> None:
+    instance_id = await world.named(instance_id)
     await world.fleet.kill_agent(instance_id)
 
 
 @when('the agent "{instance_id}" starts again')
 async def _(world: World, instance_id: str) -> None:
+    instance_id = await world.named(instance_id)
     service, zone = next(
         (service.name, placement.zone)
         for service in world.fleet.services()
@@ -102,11 +108,17 @@
 
 @when('the router "{instance_id}" is killed')
 async def _(world: World, instance_id: str) -> None:
+    instance_id = await world.named(instance_id)
     await world.fleet.kill_router(instance_id)
 
 
 @when('the agent "{instance_id}" leaves')
 async def _(world: World, instance_id: str) -> None:
+    instance_id = await world.named(instance_id)
+    await _leave_agent(world, instance_id)
+
+
+async def _leave_agent(world: World, instance_id: str) -> None:
     agent = world.fleet.agents[instance_id]
 
     async def leave() -> None:
@@ -118,8 +130,15 @@
     await asyncio.sleep(0)
 
 
+@when("every order agent leaves")
+async def _(world: World) -> None:
+    for instance_id in _order_services(world):
+        await _leave_agent(world, instance_id)
+
+
 @when('the router "{instance_id}" leaves')
 async def _(world: World, instance_id: str) -> None:
+    instance_id = await world.named(instance_id)
     router = world.fleet.routers[instance_id]
 
     async def leave() -> None:
@@ -132,6 +151,7 @@
 
 @when('the drain of "{instance_id}" has ended')
 async def _(world: World, instance_id: str) -> None:
+    instance_id = await world.named(instance_id)
     job = world.jobs[f"drain of {instance_id}"]
     await world.wait(job.done, f"the end of the drain of {instance_id}")
     job.result()
@@ -154,6 +174,16 @@
     world.fleet.reconnect(zone)
 
 
+@when("the instance list is {seconds:d} seconds late")
+async def _(world: World, seconds: int) -> None:
+    world.fleet.instance_list.lag_seconds = seconds
+
+
+@when("{seconds:d} seconds pass")
+async def _(world: World, seconds: int) -> None:
+    await asyncio.sleep(seconds)
+
+
 @given("orders take {seconds:g} seconds")
 async def _(world: World, seconds: float) -> None:
     for service in _order_services(world).values():
--- a/features/support/world.py
+++ b/features/support/world.py
@@ -15,11 +15,13 @@
 from egretrouter.daemons import AgentService, RouterService
 from egretrouter.demo import Fleet, FleetOptions, read_parts
 from support.calls import Call, open_session
+from support.processes import ProcessFleet
 
 EXAMPLES = Path(__file__).parent.parent.parent / "examples"
 WAIT_SECONDS = 90.0
 POLL_SECONDS = 0.02
 TOKEN_INTERVAL_SECONDS = 0.01
+CALL_INTERVAL_SECONDS = 0.1
 WEIGHT_BYTES = 400_000
 CHUNK_BYTES = 65_536
 
@@ -30,10 +32,12 @@
     def __init__(self) -> None:
         """Start without a fleet."""
         self.fleet: Fleet
+        self.process_fleet: ProcessFleet
         self.session: aiohttp.ClientSession
         self.manifests: dict[str, Manifest] = {}
         self.calls: list[Call] = []
         self.marks: dict[str, int] = {}
+        self.busiest: str | None = None
         self.publications: list[int | BaseException] = []
         self.generations: dict[str, list[int]] = {}
         self.jobs: dict[str, asyncio.Task[Any]] = {}
@@ -121,12 +125,12 @@
         except Exception as error:
             self.publications.append(error)
 
-    async def start_calls(self, count: int, tokens: int) -> list[Call]:
+    def start_calls(self, count: int, tokens: int) -> list[Call]:
         """Stream from the model through the routers in turn."""
         calls = [self._model_call(tokens) for _ in range(count)]
         return self._send(calls)
 
-    async def start_orders(self, count: int, *, keyed: bool = False) -> list[Call]:
+    def start_orders(self, count: int, *, keyed: bool = False) -> list[Call]:
         """Send orders, which may not be repeated, through the routers in turn."""
         return self._send(
             [self._order(f"key-{next(self._numbers)}" if keyed else None) for _ in range(count)]
@@ -193,8 +197,16 @@
         routers = [r for r in self.fleet.routers.values() if not r.should_stop]
         return routers[next(self._turns) % len(routers)]
 
+    async def keep_calling(self, tokens: int) -> None:
+        """Start a call ten times a second until the calls are judged."""
+        while True:
+            self._send([self._model_call(tokens)])
+            await asyncio.sleep(CALL_INTERVAL_SECONDS)
+
     async def calls_ended(self) -> None:
-        """Wait until every call has its answer or its failure."""
+        """Send no more calls by itself and wait until every call ended."""
+        if "callers" in self.jobs:
+            self.jobs.pop("callers").cancel()
         await self.wait(lambda: all(c.ended.is_set() for c in self.calls), "the end of every call")
 
     def executions(self, call: Call) -> int:
@@ -206,6 +218,16 @@
         """Return how many calls an endpoint ran."""
         return self.fleet.endpoints[instance_id].executions.total()
 
+    async def named(self, instance_id: str) -> str:
+        """Return an instance's id; "busiest" is the engine with most calls when first named."""
+        if instance_id != "busiest":
+            return instance_id
+        engines = self.fleet.engines()
+        if self.busiest is None:
+            await self.wait(lambda: any(e.batch.running for e in engines.values()), "a busy engine")
+            self.busiest = max(engines, key=lambda name: len(engines[name].batch.running))
+        return self.busiest
+
     def processes(self) -> dict[str, RouterService | AgentService]:
         """Return the running processes of the system."""
         return {**self.fleet.routers, **self.fleet.agents}
