Let the word of a drain expire on routers

Cause: a router kept an agent out of its view by the word of a link that it then closed, so it never heard that the agent took calls again. Conclusion: gossip takes over when the link is gone.

--- a/egretrouter/daemons/_endpoint_view.py
+++ b/egretrouter/daemons/_endpoint_view.py
@@ -57,7 +57,7 @@
         self._known: dict[EndpointId, _Known] = {}
         self._loads: dict[EndpointId, LoadSample] = {}
         self._by_address: dict[str, EndpointId] = {}
-        self._draining: set[str] = set()
+        self._draining: dict[str, float] = {}
         self._linked_until: dict[EndpointId, float] = {}
         self._linked_digests: dict[EndpointId, Digest] = {}
 
@@ -100,7 +100,7 @@
         """Tell the selector what changed."""
         now = self._clock()
         found = (*self._near(now), *self._far(now))
-        self._draining &= {known.seen.address for known in found}
+        self._draining = {a: until for a, until in self._draining.items() if until > now}
         current = {
             known.seen.endpoint_id: self._as_linked(known)
             for known in found
@@ -125,15 +125,20 @@
 
     def load_arrived(self, address: str, load: pb.EndpointLoad) -> None:
         """Take a load report, or the word that an agent drains, that a link brought."""
-        if load.draining != (address in self._draining):
-            # Summaries tell the routers of other zones of a drain only after seconds. A new agent
-            # may listen on the address of one that drained.
-            self._draining ^= {address}
+        now = self._clock()
+        was_draining = address in self._draining
+        if load.draining:
+            # Summaries tell the routers of other zones of a drain only after seconds. The word
+            # expires, since the link may close before the agent takes calls again.
+            self._draining[address] = now + LINK_REPORT_SECONDS
+        else:
+            # A new agent may listen on the address of one that drained.
+            self._draining.pop(address, None)
+        if load.draining != was_draining:
             self.refresh()
         endpoint_id = self._by_address.get(address)
         if endpoint_id is None:
             return
-        now = self._clock()
         self._linked_until[endpoint_id] = now + LINK_REPORT_SECONDS
         digest = Digest(load.version_digest)
         if not load.draining and self._linked_digests.get(endpoint_id) != digest:
