Ask an engine for its report as soon as a call fails

Cause: an agent noticed a dead engine at its next poll, up to 1 s later; calls sent in that time were refused, and a router without saved retries gave them up. A replica that became ready was gossiped without haste, so a router could be left without any. Change: a failed call leads to a report at once; becoming ready spreads as fast as being withdrawn. The scenarios wait until routers see other zones before they begin.

--- a/egretrouter/core/membership/_membership.py
+++ b/egretrouter/core/membership/_membership.py
@@ -154,8 +154,10 @@
         self._view.own = msgspec.structs.replace(
             self.own, facts=message.facts, facts_version=self.own.facts_version + 1
         )
-        withdrawn = message.facts.drained or (before.ready and not message.facts.ready)
-        self._table.queue(self.own, urgent=withdrawn)
+        # Routers must stop calling an endpoint at once, and can't do without a new one when it is
+        # the only one left.
+        urgent = message.facts.drained or before.ready != message.facts.ready
+        self._table.queue(self.own, urgent=urgent)
         return []
 
     @_dispatch.register
--- a/egretrouter/daemons/_agent.py
+++ b/egretrouter/daemons/_agent.py
@@ -1,6 +1,7 @@
 """Run an agent: the process beside one endpoint."""
 
 import asyncio
+import contextlib
 import random
 import time
 from collections.abc import Coroutine
@@ -80,6 +81,7 @@
 
 TICK_SECONDS = 0.5
 REPORT_SECONDS = 1.0
+MINIMUM_REPORT_SECONDS = 0.1
 JOIN_SECONDS = 8.0
 
 
@@ -369,9 +371,15 @@
     @Service.task
     async def _poll_engine(self) -> None:
         while not self.should_stop:
-            await self.sleep(REPORT_SECONDS)
+            # A call that failed may be the first sign that the engine is gone; the sooner routers
+            # hear of it, the fewer calls are refused.
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(REPORT_SECONDS):
+                    await self.calls.endpoint_failed.wait()
+            self.calls.endpoint_failed.clear()
             if self.engine is not None:
                 await self._read_report()
+            await asyncio.sleep(MINIMUM_REPORT_SECONDS)
 
     async def _read_report(self) -> None:
         if self.engine is None:
--- a/egretrouter/daemons/_agent_calls.py
+++ b/egretrouter/daemons/_agent_calls.py
@@ -141,6 +141,8 @@
         """Take the registry; coalesce_events lets frames that wait share a message."""
         self.registry = registry
         self.drained = asyncio.Event()
+        self.endpoint_failed = asyncio.Event()
+        """Set by each call that the endpoint did not answer whole."""
         self.calls_per_version: dict[Digest, int] = {}
         self.finished_calls_total = 0
         self.coalesce_events = coalesce_events
@@ -371,6 +373,7 @@
         except CallError as error:
             log_message("agent:call_failed", call_id=call_id, error=type(error).__name__)
             self.apply(CallFailed(call_id=call_id, detail=str(error)))
+            self.endpoint_failed.set()
         finally:
             del self._running[call_id]
             self.calls_per_version[digest] -= 1
--- a/features/steps/deployment_steps.py
+++ b/features/steps/deployment_steps.py
@@ -26,6 +26,16 @@
     await world.fleet.wait_for_routes(
         [world.model_service.name, world.order_service.name], timeout_seconds=60
     )
+    # A router that just started hears of the other zones by summaries, some seconds later; until
+    # then it has no endpoint left when those of its own zone leave.
+    engines = world.fleet.engines().keys()
+    await world.wait(
+        lambda: all(
+            any(router.settings.zone not in name for name in router.view.endpoints() & engines)
+            for router in world.fleet.routers.values()
+        ),
+        "engines of other zones in view of every router",
+    )
 
 
 @when('version "{version}" is published')
