--- a/features/2_whole_answers.feature
+++ b/features/2_whole_answers.feature
@@ -4,7 +4,7 @@
     Given the deployment "ovo-justo" serves version "2026-11"
 
   Scenario: An engine dies in the middle of answers
-    When 18 callers stream 60 tokens
+    When 18 callers stream 300 tokens
     And the engine "busiest" dies after 3 tokens
     Then every call gets its own whole answer or an explicit outcome
     And 12 more calls get a whole answer
@@ -15,7 +15,7 @@
     Then every call gets its own whole answer or an explicit outcome
 
   Scenario: An agent is killed and its zone is cut off in the middle of answers
-    When 18 callers stream 60 tokens
+    When 18 callers stream 300 tokens
     And the agent "busiest" is killed
     And zone "serra-z1" is cut off from the other zones
     Then every call gets its own whole answer or an explicit outcome
--- a/features/6_graceful_stop.feature
+++ b/features/6_graceful_stop.feature
@@ -5,20 +5,20 @@
 
   Scenario: An agent leaves in the middle of its answers while the object API is out
     When the object API is out
-    And 18 callers stream 120 tokens
+    And 18 callers stream 300 tokens
     And the agent "busiest" leaves
     And the drain of "busiest" has ended
     Then every call gets its own whole answer
 
   Scenario: A router leaves in the middle of its answers
-    When 18 callers stream 120 tokens
+    When 18 callers stream 300 tokens
     And the router "entry-serra-z1-0" leaves
     And the drain of "entry-serra-z1-0" has ended
     Then every call gets its own whole answer
 
   Scenario: A router and an agent leave at once while a zone is cut off from the platform
     When zone "serra-z1" is cut off from the platform
-    And 18 callers stream 120 tokens
+    And 18 callers stream 300 tokens
     And the router "entry-serra-z1-0" leaves
     And the agent "busiest" leaves
     And the drain of "entry-serra-z1-0" has ended
