Bound the zones that take a chunk from the origin under the objective time

Cause: with 27 zones each zone took its own copy, and the origin's link needed 13.9 S/r for them (1,400 instances).

--- a/egretrouter/core/configuration/_files.py
+++ b/egretrouter/core/configuration/_files.py
@@ -52,6 +52,8 @@
     """Describe how weights are copied and what that may cost."""
 
     objective: Objective = Objective.TIME
+    origin_copies: int = Field(default=2, ge=1, le=1000)
+    """Zones that take a chunk from the origin under the objective time; its link bounds them."""
     origin_bytes_per_minute: int = Field(default=64 * 1024**2, ge=1024)
     link_share: float = Field(default=0.8, gt=0, le=1)
     inter_region_bits_per_second: int = Field(default=10_000_000, ge=1000)
--- a/egretrouter/core/weights/_claims.py
+++ b/egretrouter/core/weights/_claims.py
@@ -2,7 +2,6 @@
 
 from collections import defaultdict
 
-from egretrouter.core.configuration import Objective
 from egretrouter.core.identifiers import ChunkIndex, InstanceId, ZoneId
 from egretrouter.core.weights._messages import CopySettings, OwnerAnswered
 from egretrouter.core.weights._ownership import Ownership
@@ -176,13 +175,14 @@
         first = owners[: self._settings.fallback_depth] if stale else owners[:rank]
         if first and first != [self._instance_id]:
             groups.append(first)
-        if self._settings.objective is Objective.ORIGIN_BYTES:
-            source = self._ownership.source_zone(index, self._zone)
-            if source is not None:
-                owners = self._ownership.owners(index, source)[:SOURCE_OWNERS]
-                groups.extend([owner] for owner in owners)
-                # Asked once more, after the time that the source zone's own fallback takes.
-                groups.append(owners)
+        source = self._ownership.source_zone(
+            index, self._zone, origin_zones=self._settings.origin_zones
+        )
+        if source is not None:
+            owners = self._ownership.owners(index, source)[:SOURCE_OWNERS]
+            groups.extend([owner] for owner in owners)
+            # Asked once more, after the time that the source zone's own fallback takes.
+            groups.append(owners)
         return groups
 
     def _ask(
--- a/egretrouter/core/weights/_messages.py
+++ b/egretrouter/core/weights/_messages.py
@@ -249,6 +249,8 @@
     """Set the parameters of a copy."""
 
     objective: Objective = Objective.TIME
+    origin_copies: int = 2
+    """Copies that the origin may send at once under the objective time."""
     neighbours: int = 10
     parallel_fetches: int = 4
     parallel_fetches_per_source: int = 1
@@ -279,3 +281,8 @@
     max_upload_delay_seconds: float = 1.0
     serve_after_load_seconds: float = 120.0
     pause_seconds: float = 5.0
+
+    @property
+    def origin_zones(self) -> int:
+        """Return how many zones take one chunk from the origin."""
+        return self.origin_copies if self.objective is Objective.TIME else 1
--- a/egretrouter/core/weights/_ownership.py
+++ b/egretrouter/core/weights/_ownership.py
@@ -113,18 +113,25 @@
             order = self._zone_orders[index] = tuple(zone for _, zone in scores)
         return order
 
-    def source_zone(self, index: ChunkIndex, zone: ZoneId) -> ZoneId | None:
+    def source_zone(
+        self, index: ChunkIndex, zone: ZoneId, *, origin_zones: int = 1
+    ) -> ZoneId | None:
         """Return the zone a chunk enters this zone from, or None for the origin.
 
-        The best zone of each region takes the chunk from the best zone of all, and the other
-        zones of the region from it, so a chunk crosses the link to each region once.
+        The best zones of all take the chunk from the origin. The best zone of each other region
+        takes it from one of them, and the other zones of a region from the best one there, so a
+        chunk crosses the link to each region once.
         """
         order = self.zone_order(index)
         region = self._regions.get(zone)
         entry = next((z for z in order if self._regions[z] == region), None)
-        if not order or entry is None or order[0] == zone:
+        fed = order[:origin_zones]
+        if entry is None or zone in fed:
             return None
-        return order[0] if entry == zone else entry
+        if entry != zone:
+            return entry
+        # Spread over the zones that the origin feeds, or each would wait for the first one's link.
+        return fed[order.index(zone) % len(fed)]
 
     def rank_masks(self, zone: ZoneId, instance_id: InstanceId) -> list[int]:
         """Return one bitmap per rank of the chunks that an agent owns at that rank."""
--- a/egretrouter/daemons/_zone_copies.py
+++ b/egretrouter/daemons/_zone_copies.py
@@ -38,6 +38,7 @@
         regional_bytes_per_second=regional_bytes * distribution.inter_region_share / in_region,
         settings=CopySettings(
             objective=distribution.objective,
+            origin_copies=distribution.origin_copies,
             serve_after_load_seconds=distribution.serve_after_load_seconds,
         ),
     )
