--- a/egretrouter/daemons/_process.py
+++ b/egretrouter/daemons/_process.py
@@ -181,7 +181,10 @@
         return port
 
     async def on_stop(self) -> None:
-        """Close every socket."""
+        """Stop what uses the sockets, and close them."""
+        # Dependencies are stopped only after this, when their sockets would be gone.
+        await self.status_service.stop()
+        await self.control.stop()
         for runner in self._runners:
             if self.hurried and runner.server is not None:
                 await runner.server.shutdown(HURRIED_GRACE_SECONDS)
