Name the attempts of a call by the term of the field

Cause: a newcomer does not know what a lane of a call is. Change: Lane became EndpointCall, its module and variables follow.

--- a/egretrouter/core/calls/_attempt.py
+++ b/egretrouter/core/calls/_attempt.py
@@ -43,7 +43,7 @@
     TargetDenied,
     TargetRecorded,
 )
-from egretrouter.core.calls._lane import Lane, LaneState
+from egretrouter.core.calls._endpoint_call import EndpointCall, EndpointCallState
 from egretrouter.core.errors import Outcome
 from egretrouter.core.identifiers import CallId, Digest
 
@@ -60,10 +60,10 @@
         self.call_id = call_id
         self.ended = False
         self._rules = rules
-        self._lanes: dict[int, Lane] = {}
+        self._endpoint_calls: dict[int, EndpointCall] = {}
         self._choosing = False
         self._claimed = False
-        self._source: Lane | None = None
+        self._source: EndpointCall | None = None
         self._pinned_version: Digest | None = None
         self._forwarded_status: int | None = None
         self._forwarded_bytes = 0
@@ -84,7 +84,7 @@
 
     def has_closed(self, attempt: int) -> bool:
         """Tell whether nothing more is expected of an attempt."""
-        return self._lane(attempt, LaneState.CLOSED) is not None
+        return self._endpoint_call(attempt, EndpointCallState.CLOSED) is not None
 
     def accepts_data(self, attempt: int, sequence: int, data: bytes) -> bool:
         """Take the next data of the answer that is being forwarded; pass it on if accepted.
@@ -92,21 +92,21 @@
         Does what handle does with FrameArrived in the commonest case, without its messages and
         commands. Data that is not accepted changes nothing and must be given to handle.
         """
-        lane = self._source
+        endpoint_call = self._source
         if (
-            lane is None
+            endpoint_call is None
             or self.ended
-            or lane.attempt != attempt
-            or lane.state is not LaneState.OPEN
-            or lane.next_sequence != sequence
+            or endpoint_call.attempt != attempt
+            or endpoint_call.state is not EndpointCallState.OPEN
+            or endpoint_call.next_sequence != sequence
             or not sequence
             or not data
-            or lane.checksum.total_bytes != self._forwarded_bytes
+            or endpoint_call.checksum.total_bytes != self._forwarded_bytes
             or self._rules.repeatable_answer
         ):
             return False
-        lane.next_sequence = sequence + 1
-        lane.checksum.add_data(data)
+        endpoint_call.next_sequence = sequence + 1
+        endpoint_call.checksum.add_data(data)
         self._forwarded_bytes += len(data)
         return True
 
@@ -116,11 +116,13 @@
 
     def _choose(self) -> list[AttemptCommand]:
         self._choosing = True
-        lanes = self._lanes.values()
+        endpoint_calls = self._endpoint_calls.values()
         return [
             ChooseEndpoint(
-                attempt=len(self._lanes) + 1,
-                avoid_agents=frozenset(lane.target.agent_id for lane in lanes),
+                attempt=len(self._endpoint_calls) + 1,
+                avoid_agents=frozenset(
+                    endpoint_call.target.agent_id for endpoint_call in endpoint_calls
+                ),
                 version_digest=self._pinned_version,
             )
         ]
@@ -133,23 +135,27 @@
         pinned = self._pinned_version
         if pinned is not None and message.version_digest != pinned:
             return self._fail_if_idle("version_not_served")
-        lane = Lane(
-            attempt=len(self._lanes) + 1,
+        endpoint_call = EndpointCall(
+            attempt=len(self._endpoint_calls) + 1,
             target=message.target,
             version_digest=message.version_digest,
             checksum=AnswerChecksum(message.target.call_id),
         )
-        self._lanes[lane.attempt] = lane
+        self._endpoint_calls[endpoint_call.attempt] = endpoint_call
         if not self._rules.keyed:
-            return self._open(lane)
+            return self._open(endpoint_call)
         self._claimed = True
-        return [RecordTarget(attempt=lane.attempt, target=lane.target)]
+        return [RecordTarget(attempt=endpoint_call.attempt, target=endpoint_call.target)]
 
-    def _open(self, lane: Lane) -> list[AttemptCommand]:
-        lane.state = LaneState.OPEN
-        lane.may_have_run = True
+    def _open(self, endpoint_call: EndpointCall) -> list[AttemptCommand]:
+        endpoint_call.state = EndpointCallState.OPEN
+        endpoint_call.may_have_run = True
         return [
-            SendOpen(attempt=lane.attempt, target=lane.target, version_digest=lane.version_digest)
+            SendOpen(
+                attempt=endpoint_call.attempt,
+                target=endpoint_call.target,
+                version_digest=endpoint_call.version_digest,
+            )
         ]
 
     @_apply.register
@@ -162,65 +168,69 @@
 
     @_apply.register
     def _recorded(self, message: TargetRecorded) -> list[AttemptCommand]:
-        lane = self._lane(message.attempt, LaneState.RECORDING)
-        return [] if lane is None else self._open(lane)
+        endpoint_call = self._endpoint_call(message.attempt, EndpointCallState.RECORDING)
+        return [] if endpoint_call is None else self._open(endpoint_call)
 
     @_apply.register
     def _denied(self, message: TargetDenied) -> list[AttemptCommand]:
-        lane = self._lane(message.attempt, LaneState.RECORDING)
-        if lane is None:
+        endpoint_call = self._endpoint_call(message.attempt, EndpointCallState.RECORDING)
+        if endpoint_call is None:
             return []
-        lane.state = LaneState.CLOSED
+        endpoint_call.state = EndpointCallState.CLOSED
         if message.held_elsewhere:
             # The claim belongs to another call now, so this one must not write to it.
             self.ended = True
             return [DeferToClaim()]
         return self._fail("claim_not_recorded")
 
-    def _lane(self, attempt: int, *states: LaneState) -> Lane | None:
-        lane = self._lanes.get(attempt)
-        return lane if lane is not None and lane.state in states else None
+    def _endpoint_call(self, attempt: int, *states: EndpointCallState) -> EndpointCall | None:
+        endpoint_call = self._endpoint_calls.get(attempt)
+        return (
+            endpoint_call if endpoint_call is not None and endpoint_call.state in states else None
+        )
 
     @_apply.register
     def _frame(self, message: FrameArrived) -> list[AttemptCommand]:
-        lane = self._lane(message.attempt, LaneState.OPEN)
-        if lane is None or message.sequence < lane.next_sequence:
+        endpoint_call = self._endpoint_call(message.attempt, EndpointCallState.OPEN)
+        if endpoint_call is None or message.sequence < endpoint_call.next_sequence:
             return []
         body = message.body
         if isinstance(body, AnswerFailure):
-            return self._failure(lane, body, message.sequence)
-        if message.sequence > lane.next_sequence:
-            return self._resume(lane)
-        lane.next_sequence += 1
-        commands = self._take_source(lane)
+            return self._failure(endpoint_call, body, message.sequence)
+        if message.sequence > endpoint_call.next_sequence:
+            return self._resume(endpoint_call)
+        endpoint_call.next_sequence += 1
+        commands = self._take_source(endpoint_call)
         if isinstance(body, AnswerEnd):
-            return commands + self._end(lane, body)
+            return commands + self._end(endpoint_call, body)
         expected = AnswerHead if message.sequence == 0 else AnswerData
         if not isinstance(body, expected):
             return commands + self._fail("answer_malformed")
-        offset = lane.checksum.total_bytes
-        lane.checksum.add(body)
+        offset = endpoint_call.checksum.total_bytes
+        endpoint_call.checksum.add(body)
         if isinstance(body, AnswerHead):
             return commands + self._forward_head(body)
-        return commands + self._forward_data(lane, body, offset)
+        return commands + self._forward_data(endpoint_call, body, offset)
 
-    def _take_source(self, lane: Lane) -> list[AttemptCommand]:
-        """Make the first lane that answers the only one."""
-        if self._source is lane:
+    def _take_source(self, endpoint_call: EndpointCall) -> list[AttemptCommand]:
+        """Make the first endpoint_call that answers the only one."""
+        if self._source is endpoint_call:
             return []
-        self._source = lane
-        self._pinned_version = lane.version_digest
+        self._source = endpoint_call
+        self._pinned_version = endpoint_call.version_digest
         self._choosing = False
-        return self._cancel_lanes(keep=lane)
+        return self._cancel_endpoint_calls(keep=endpoint_call)
 
-    def _cancel_lanes(self, *, keep: Lane | None = None) -> list[AttemptCommand]:
+    def _cancel_endpoint_calls(self, *, keep: EndpointCall | None = None) -> list[AttemptCommand]:
         commands: list[AttemptCommand] = []
-        for lane in self._lanes.values():
-            if lane is keep or lane.state is LaneState.CLOSED:
+        for endpoint_call in self._endpoint_calls.values():
+            if endpoint_call is keep or endpoint_call.state is EndpointCallState.CLOSED:
                 continue
-            if lane.may_have_run:
-                commands.append(SendCancel(attempt=lane.attempt, target=lane.target))
-            lane.state = LaneState.CLOSED
+            if endpoint_call.may_have_run:
+                commands.append(
+                    SendCancel(attempt=endpoint_call.attempt, target=endpoint_call.target)
+                )
+            endpoint_call.state = EndpointCallState.CLOSED
         return commands
 
     def _forward_head(self, body: AnswerHead) -> list[AttemptCommand]:
@@ -229,15 +239,17 @@
             return [ForwardToCaller(body=body)]
         return [] if body.status == self._forwarded_status else self._fail("answers_differ")
 
-    def _forward_data(self, lane: Lane, body: AnswerData, offset: int) -> list[AttemptCommand]:
+    def _forward_data(
+        self, endpoint_call: EndpointCall, body: AnswerData, offset: int
+    ) -> list[AttemptCommand]:
         seen = self._forwarded_bytes - offset
         data = body.data
         if seen > 0:
             # The answer was begun by another replica: its start must repeat to the byte.
-            lane.prefix.update(data[:seen])
+            endpoint_call.prefix.update(data[:seen])
             data = data[seen:]
             complete = len(body.data) >= seen
-            if complete and lane.prefix.digest() != self._forwarded_prefix.digest():
+            if complete and endpoint_call.prefix.digest() != self._forwarded_prefix.digest():
                 return self._fail("answers_differ")
         if not data:
             return []
@@ -246,81 +258,94 @@
             self._forwarded_prefix.update(data)
         return [ForwardToCaller(body=body if data is body.data else AnswerData(data=data))]
 
-    def _end(self, lane: Lane, body: AnswerEnd) -> list[AttemptCommand]:
-        if body != lane.checksum.end() or lane.next_sequence < 2:
+    def _end(self, endpoint_call: EndpointCall, body: AnswerEnd) -> list[AttemptCommand]:
+        if body != endpoint_call.checksum.end() or endpoint_call.next_sequence < 2:
             return self._fail("checksum_differs")
-        if lane.checksum.total_bytes < self._forwarded_bytes:
+        if endpoint_call.checksum.total_bytes < self._forwarded_bytes:
             return self._fail("answers_differ")
         self.ended = True
         return [FinishCaller(), *self._close_claim(ClaimEnd.FINISHED)]
 
-    def _failure(self, lane: Lane, body: AnswerFailure, sequence: int) -> list[AttemptCommand]:
-        lane.state = LaneState.CLOSED
+    def _failure(
+        self, endpoint_call: EndpointCall, body: AnswerFailure, sequence: int
+    ) -> list[AttemptCommand]:
+        endpoint_call.state = EndpointCallState.CLOSED
         self._retry_after_seconds = max(self._retry_after_seconds, body.retry_after_seconds)
         # An agent that sent a frame ran the call, whatever it says later.
         if body.outcome is Outcome.NOT_RUN and sequence == 0:
-            lane.may_have_run = False
+            endpoint_call.may_have_run = False
         return self._try_elsewhere(body.reason)
 
     @_apply.register
     def _link_lost(self, message: LinkLost) -> list[AttemptCommand]:
-        lane = self._lane(message.attempt, LaneState.OPEN)
-        if lane is None:
+        endpoint_call = self._endpoint_call(message.attempt, EndpointCallState.OPEN)
+        if endpoint_call is None:
             return []
         if self._rules.idempotent and self._source is None:
-            lane.state = LaneState.CLOSED
+            endpoint_call.state = EndpointCallState.CLOSED
             return self._try_elsewhere("link_lost")
-        return self._settle(lane)
+        return self._settle(endpoint_call)
 
-    def _settle(self, lane: Lane) -> list[AttemptCommand]:
-        lane.settles += 1
-        if lane.settles > self._rules.max_settles:
-            lane.state = LaneState.CLOSED
+    def _settle(self, endpoint_call: EndpointCall) -> list[AttemptCommand]:
+        endpoint_call.settles += 1
+        if endpoint_call.settles > self._rules.max_settles:
+            endpoint_call.state = EndpointCallState.CLOSED
             return self._try_elsewhere("agent_unreachable")
-        lane.state = LaneState.SETTLING
-        return [SendSettle(attempt=lane.attempt, target=lane.target, tries=lane.settles)]
+        endpoint_call.state = EndpointCallState.SETTLING
+        return [
+            SendSettle(
+                attempt=endpoint_call.attempt,
+                target=endpoint_call.target,
+                tries=endpoint_call.settles,
+            )
+        ]
 
     @_apply.register
     def _settle_failed(self, message: SettleFailed) -> list[AttemptCommand]:
-        lane = self._lane(message.attempt, LaneState.SETTLING)
-        return [] if lane is None else self._settle(lane)
+        endpoint_call = self._endpoint_call(message.attempt, EndpointCallState.SETTLING)
+        return [] if endpoint_call is None else self._settle(endpoint_call)
 
     @_apply.register
     def _settled(self, message: SettleAnswered) -> list[AttemptCommand]:
-        lane = self._lane(message.attempt, LaneState.SETTLING)
-        if lane is None:
+        endpoint_call = self._endpoint_call(message.attempt, EndpointCallState.SETTLING)
+        if endpoint_call is None:
             return []
-        lane.settles = 0
+        endpoint_call.settles = 0
         if message.state in IN_PROGRESS_STATES or message.state is CallState.FINISHED:
-            return self._resume(lane)
-        lane.state = LaneState.CLOSED
-        if message.state in NEVER_RUN_STATES and lane.next_sequence == 0:
-            lane.may_have_run = False
+            return self._resume(endpoint_call)
+        endpoint_call.state = EndpointCallState.CLOSED
+        if message.state in NEVER_RUN_STATES and endpoint_call.next_sequence == 0:
+            endpoint_call.may_have_run = False
         return self._try_elsewhere(message.state.value)
 
-    def _resume(self, lane: Lane) -> list[AttemptCommand]:
-        lane.resumes += 1
-        if lane.resumes > self._rules.max_resumes:
-            lane.state = LaneState.CLOSED
+    def _resume(self, endpoint_call: EndpointCall) -> list[AttemptCommand]:
+        endpoint_call.resumes += 1
+        if endpoint_call.resumes > self._rules.max_resumes:
+            endpoint_call.state = EndpointCallState.CLOSED
             return self._try_elsewhere("frames_lost")
-        lane.state = LaneState.OPEN
+        endpoint_call.state = EndpointCallState.OPEN
         return [
-            SendResume(attempt=lane.attempt, target=lane.target, next_sequence=lane.next_sequence)
+            SendResume(
+                attempt=endpoint_call.attempt,
+                target=endpoint_call.target,
+                next_sequence=endpoint_call.next_sequence,
+            )
         ]
 
     def _may_retry(self) -> bool:
-        if len(self._lanes) >= self._rules.max_attempts:
+        if len(self._endpoint_calls) >= self._rules.max_attempts:
             return False
         if self._source is not None and not self._rules.repeatable_answer:
             return False
         return self._rules.idempotent or not self._may_have_run()
 
     def _may_have_run(self) -> bool:
-        return any(lane.may_have_run for lane in self._lanes.values())
+        return any(endpoint_call.may_have_run for endpoint_call in self._endpoint_calls.values())
 
     def _busy(self) -> bool:
         return self._choosing or any(
-            lane.state is not LaneState.CLOSED for lane in self._lanes.values()
+            endpoint_call.state is not EndpointCallState.CLOSED
+            for endpoint_call in self._endpoint_calls.values()
         )
 
     def _try_elsewhere(self, reason: str) -> list[AttemptCommand]:
@@ -334,7 +359,10 @@
     @_apply.register
     def _hedge(self, message: HedgeDue) -> list[AttemptCommand]:
         allowed = self._rules.hedged and self._rules.idempotent and self._source is None
-        opened = any(lane.state is LaneState.OPEN for lane in self._lanes.values())
+        opened = any(
+            endpoint_call.state is EndpointCallState.OPEN
+            for endpoint_call in self._endpoint_calls.values()
+        )
         if not allowed or not opened or self._choosing or not self._may_retry():
             return []
         return self._choose()
@@ -346,13 +374,13 @@
     @_apply.register
     def _caller_gone(self, message: CallerGone) -> list[AttemptCommand]:
         self.ended = True
-        return [*self._cancel_lanes(), *self._close_claim(self._claim_end())]
+        return [*self._cancel_endpoint_calls(), *self._close_claim(self._claim_end())]
 
     def _fail(self, reason: str) -> list[AttemptCommand]:
         outcome = Outcome.UNKNOWN if self._may_have_run() else Outcome.NOT_RUN
         self.ended = True
         return [
-            *self._cancel_lanes(),
+            *self._cancel_endpoint_calls(),
             FailCaller(
                 outcome=outcome,
                 reason=reason,
@@ -374,14 +402,14 @@
             "ended": self.ended,
             "pinned_version": self._pinned_version,
             "forwarded_bytes": self._forwarded_bytes,
-            "lanes": [
+            "endpoint_calls": [
                 {
-                    "agent_id": lane.target.agent_id,
-                    "epoch": lane.target.epoch,
-                    "state": lane.state.value,
-                    "may_have_run": lane.may_have_run,
-                    "next_sequence": lane.next_sequence,
+                    "agent_id": endpoint_call.target.agent_id,
+                    "epoch": endpoint_call.target.epoch,
+                    "state": endpoint_call.state.value,
+                    "may_have_run": endpoint_call.may_have_run,
+                    "next_sequence": endpoint_call.next_sequence,
                 }
-                for lane in self._lanes.values()
+                for endpoint_call in self._endpoint_calls.values()
             ],
         }
--- a/egretrouter/core/calls/_lane.py
+++ b/egretrouter/core/calls/_endpoint_call.py
@@ -9,7 +9,7 @@
 from egretrouter.core.identifiers import Digest
 
 
-class LaneState(Enum):
+class EndpointCallState(Enum):
     """Name the states of one attempt."""
 
     RECORDING = "recording"
@@ -18,14 +18,14 @@
     CLOSED = "closed"
 
 
-class Lane(msgspec.Struct, kw_only=True):
+class EndpointCall(msgspec.Struct, kw_only=True):
     """Hold one attempt at one endpoint."""
 
     attempt: int
     target: Target
     version_digest: Digest
     checksum: AnswerChecksum
-    state: LaneState = LaneState.RECORDING
+    state: EndpointCallState = EndpointCallState.RECORDING
     may_have_run: bool = False
     next_sequence: int = 0
     settles: int = 0
--- a/egretrouter/daemons/_call_driver.py
+++ b/egretrouter/daemons/_call_driver.py
@@ -72,7 +72,7 @@
 POLL_SECONDS = 0.25
 
 
-class _LaneSink:
+class _EndpointCallSink:
     """Pass what a link brings for one attempt to its call."""
 
     def __init__(self, driver: "CallDriver", attempt: int) -> None:
@@ -92,7 +92,7 @@
         """Do nothing: the settle request tells more than the new link."""
 
 
-class _Lane(msgspec.Struct, kw_only=True):
+class _SentCall(msgspec.Struct, kw_only=True):
     """Hold the link of one attempt and the bytes to be credited to its agent."""
 
     target: Target
@@ -111,7 +111,7 @@
         self._services = services
         self._stream = stream
         self._attempt = CallAttempt(call.call_id, rules=call.rules)
-        self._lanes: dict[int, _Lane] = {}
+        self._endpoint_calls: dict[int, _SentCall] = {}
         self._chosen: dict[int, ChosenEndpoint] = {}
         self._tasks: set[asyncio.Task[None]] = set()
         self._urgent = False
@@ -144,8 +144,10 @@
                 hedge.cancel()
             for task in self._tasks:
                 task.cancel()
-            for lane in self._lanes.values():
-                self._close_lane(lane, failed=self._stream.state is CallerState.FAILED)
+            for endpoint_call in self._endpoint_calls.values():
+                self._close_endpoint_call(
+                    endpoint_call, failed=self._stream.state is CallerState.FAILED
+                )
 
     def _schedule_hedge(self) -> asyncio.TimerHandle | None:
         if not self._call.rules.hedged:
@@ -173,23 +175,23 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(POLL_SECONDS):
                     await stream.changed.wait()
-            for lane in self._lanes.values():
-                self._give_credit(lane)
+            for endpoint_call in self._endpoint_calls.values():
+                self._give_credit(endpoint_call)
 
     def _credit_is_due(self) -> bool:
         return any(
-            lane.uncredited_bytes > CREDIT_BYTES and not lane.closed
-            for lane in self._lanes.values()
+            endpoint_call.uncredited_bytes > CREDIT_BYTES and not endpoint_call.closed
+            for endpoint_call in self._endpoint_calls.values()
         )
 
     def apply(self, message: AttemptMessage) -> None:
         """Pass a message to the call's decisions and carry out what they command."""
         commands = self._attempt.handle(message, now_seconds=time.monotonic())
         if isinstance(message, FrameArrived | LinkLost | SettleAnswered | SettleFailed):
-            lane = self._lanes.get(message.attempt)
+            endpoint_call = self._endpoint_calls.get(message.attempt)
             # The selector must know of a failure before it chooses the next endpoint.
-            if lane is not None and self._attempt.has_closed(message.attempt):
-                self._close_lane(lane, failed=_is_endpoint_fault(message))
+            if endpoint_call is not None and self._attempt.has_closed(message.attempt):
+                self._close_endpoint_call(endpoint_call, failed=_is_endpoint_fault(message))
         self._carry_out_all(commands)
 
     def frame_arrived(self, attempt: int, frame: pb.AnswerFrame) -> None:
@@ -206,37 +208,37 @@
                 self._stale_view = body.reason in STALE_VIEW_REASONS
             self.apply(FrameArrived(attempt=attempt, sequence=frame.sequence, body=body))
         if data:
-            lane = self._lanes[attempt]
-            lane.uncredited_bytes += len(data)
-            if not lane.first_token:
-                self._first_token(lane)
-            if lane.uncredited_bytes > CREDIT_BYTES:
-                self._give_credit(lane)
+            endpoint_call = self._endpoint_calls[attempt]
+            endpoint_call.uncredited_bytes += len(data)
+            if not endpoint_call.first_token:
+                self._first_token(endpoint_call)
+            if endpoint_call.uncredited_bytes > CREDIT_BYTES:
+                self._give_credit(endpoint_call)
 
     def flush(self) -> None:
         """Write to the caller what the frames so far brought."""
         self._stream.flush()
 
-    def _first_token(self, lane: _Lane) -> None:
-        lane.first_token = True
+    def _first_token(self, endpoint_call: _SentCall) -> None:
+        endpoint_call.first_token = True
         now = time.monotonic()
         if self.first_token_seconds is None:
             self.first_token_seconds = now - self._started_seconds
             self._services.hedging_budget.first_token_seen(wait_seconds=self.first_token_seconds)
             self.on_first_token(self.first_token_seconds)
-        message = FirstTokenSeen(call_id=lane.target.call_id)
+        message = FirstTokenSeen(call_id=endpoint_call.target.call_id)
         self._services.selector.handle(message, now_seconds=now)
 
-    def _give_credit(self, lane: _Lane) -> None:
-        if lane.closed or not lane.uncredited_bytes:
+    def _give_credit(self, endpoint_call: _SentCall) -> None:
+        if endpoint_call.closed or not endpoint_call.uncredited_bytes:
             return
         if self._stream.backlogged:
             # The pump gives the credit once the caller has taken more.
             self._stream.changed.set()
             return
-        credit = pb.CallCredit(bytes=lane.uncredited_bytes)
-        lane.uncredited_bytes = 0
-        lane.link.send(pb.CallFrame(call_id=lane.target.call_id, credit=credit))
+        credit = pb.CallCredit(bytes=endpoint_call.uncredited_bytes)
+        endpoint_call.uncredited_bytes = 0
+        endpoint_call.link.send(pb.CallFrame(call_id=endpoint_call.target.call_id, credit=credit))
 
     def _carry_out_all(self, commands: list[AttemptCommand]) -> None:
         for command in commands:
@@ -302,7 +304,7 @@
         target, call = command.target, self._call
         chosen = self._chosen[command.attempt]
         link = chosen.link
-        self._lanes[command.attempt] = _Lane(target=target, link=link)
+        self._endpoint_calls[command.attempt] = _SentCall(target=target, link=link)
         self._services.selector.handle(
             CallSent(
                 call_id=target.call_id,
@@ -318,7 +320,7 @@
             # Nothing was sent, but the decisions treat it as sent, which is the safe side.
             self.apply(LinkLost(attempt=command.attempt))
             return
-        link.attach(target.call_id, _LaneSink(self, command.attempt))
+        link.attach(target.call_id, _EndpointCallSink(self, command.attempt))
         link.send(pb.CallFrame(call_id=target.call_id, open=self._open_frame(command)))
 
     def _open_frame(self, command: SendOpen) -> pb.CallOpen:
@@ -368,16 +370,16 @@
     @_carry_out.register
     def _cancel(self, command: SendCancel) -> None:
         cancel = pb.CallCancel(expires_at_seconds=command.target.expires_at_seconds)
-        lane = self._lanes[command.attempt]
-        lane.link.send(pb.CallFrame(call_id=command.target.call_id, cancel=cancel))
-        self._close_lane(lane, failed=False)
+        endpoint_call = self._endpoint_calls[command.attempt]
+        endpoint_call.link.send(pb.CallFrame(call_id=command.target.call_id, cancel=cancel))
+        self._close_endpoint_call(endpoint_call, failed=False)
 
-    def _close_lane(self, lane: _Lane, *, failed: bool) -> None:
-        if lane.closed:
+    def _close_endpoint_call(self, endpoint_call: _SentCall, *, failed: bool) -> None:
+        if endpoint_call.closed:
             return
-        lane.closed = True
-        lane.link.detach(lane.target.call_id)
-        message = (CallFailed if failed else CallEnded)(call_id=lane.target.call_id)
+        endpoint_call.closed = True
+        endpoint_call.link.detach(endpoint_call.target.call_id)
+        message = (CallFailed if failed else CallEnded)(call_id=endpoint_call.target.call_id)
         self._services.selector.handle(message, now_seconds=time.monotonic())
 
     @_carry_out.register
--- a/tests/test_calls_world.py
+++ b/tests/test_calls_world.py
@@ -11,7 +11,7 @@
 from egretrouter.core import calls
 from egretrouter.core.calls import CallAttempt, CallRegistry, CallState, ClaimBook, SettledClaim
 from egretrouter.core.calls._claim_batch import ClaimBatch
-from egretrouter.core.calls._lane import LaneState
+from egretrouter.core.calls._endpoint_call import EndpointCallState
 
 SEEDS = 10_000
 MUTANTS: list[Any] = []
@@ -89,7 +89,7 @@
 
 @mutant(CallAttempt, "_may_retry")
 def any_call_is_retried(original: Any, self: Any) -> bool:
-    return len(self._lanes) < 3
+    return len(self._endpoint_calls) < 3
 
 
 @mutant(CallAttempt, "_may_have_run")
@@ -107,36 +107,36 @@
 @mutant(CallAttempt, "handle")
 def ended_calls_are_sent(original: Any, self: Any, message: Any, **time: Any) -> Any:
     if isinstance(message, calls.TargetRecorded) and self.ended:
-        return self._open(self._lanes[message.attempt])
+        return self._open(self._endpoint_calls[message.attempt])
     return original(self, message, **time)
 
 
 @mutant(CallAttempt, "handle")
 def later_targets_are_not_recorded(original: Any, self: Any, message: Any, **time: Any) -> Any:
     commands = original(self, message, **time)
-    if isinstance(message, calls.EndpointChosen) and len(self._lanes) > 1 and commands:
-        return self._open(self._lanes[len(self._lanes)])
+    if isinstance(message, calls.EndpointChosen) and len(self._endpoint_calls) > 1 and commands:
+        return self._open(self._endpoint_calls[len(self._endpoint_calls)])
     return commands
 
 
 @mutant(CallAttempt, "_end")
-def checksum_is_not_compared(original: Any, self: Any, lane: Any, body: Any) -> Any:
-    return original(self, lane, lane.checksum.end())
+def checksum_is_not_compared(original: Any, self: Any, endpoint_call: Any, body: Any) -> Any:
+    return original(self, endpoint_call, endpoint_call.checksum.end())
 
 
 @mutant(CallAttempt, "handle")
 def sequence_is_not_checked(original: Any, self: Any, message: Any, **time: Any) -> Any:
     if isinstance(message, calls.FrameArrived) and isinstance(message.body, calls.AnswerEnd):
-        lane = self._lane(message.attempt, LaneState.OPEN)
-        if lane is not None:
-            lane.next_sequence = message.sequence
-            message = replace(message, body=lane.checksum.end())
+        endpoint_call = self._endpoint_call(message.attempt, EndpointCallState.OPEN)
+        if endpoint_call is not None:
+            endpoint_call.next_sequence = message.sequence
+            message = replace(message, body=endpoint_call.checksum.end())
     return original(self, message, **time)
 
 
 @mutant(CallAttempt, "_take_source")
-def hedged_answers_are_mixed(original: Any, self: Any, lane: Any) -> Any:
-    self._forwarded_bytes = lane.checksum.total_bytes
+def hedged_answers_are_mixed(original: Any, self: Any, endpoint_call: Any) -> Any:
+    self._forwarded_bytes = endpoint_call.checksum.total_bytes
     return []
 
 
