Let the distribution benchmark start again

Cause: a merge kept the older name of a function that two benchmarks share, so 'python -m benchmarks.distribution' ended with an ImportError.

--- a/benchmarks/stream_processes.py
+++ b/benchmarks/stream_processes.py
@@ -66,7 +66,7 @@
     }
 
 
-async def _serve(pipe: Connection, commands: dict[str, Command]) -> None:
+async def serve_commands(pipe: Connection, commands: dict[str, Command]) -> None:
     """Answer commands until the parent closes the pipe or ends this process."""
     loop = asyncio.get_running_loop()
     requests: asyncio.Queue[tuple[str, Any]] = asyncio.Queue()
@@ -177,7 +177,7 @@
         "coalesce": coalesce,
         "holds": holds.take,
     }
-    await _serve(pipe, commands)
+    await serve_commands(pipe, commands)
 
 
 def _note_agent_holds(link_class: Any, holds: Holds) -> None:
@@ -252,7 +252,7 @@
         for link in router._links.values():
             link.coalesce_events = enabled
 
-    await _serve(pipe, {"port": port, "coalesce": coalesce, "holds": holds.take})
+    await serve_commands(pipe, {"port": port, "coalesce": coalesce, "holds": holds.take})
 
 
 def pass_through_main(pipe: Connection, upstreams: list[str]) -> None:
@@ -272,7 +272,7 @@
     async def none(_: Any) -> dict[str, float]:
         return {}
 
-    await _serve(pipe, {"port": port, "holds": none})
+    await serve_commands(pipe, {"port": port, "holds": none})
 
 
 def callers_main(pipe: Connection, sizes: StreamSizes, digest: str) -> None:
@@ -287,7 +287,7 @@
         "count": callers.count,
         "finish": callers.finish,
     }
-    await _serve(pipe, commands)
+    await serve_commands(pipe, commands)
 
 
 class _Callers:
