Name the model to the engine as the engine knows it

Cause: a trial with the openai client library found that 'cotacoes@2026-11' and service names, which /v1/models lists, were passed on to the engine, which answered 404. Change: the router replaces the name in the body by the engine's model or adapter. Figures: the whole-path test fails for two of three names before and passes after ('python -m pytest tests/test_whole_path.py'). Conclusion: every listed name can be called.

--- a/egretrouter/daemons/_callers.py
+++ b/egretrouter/daemons/_callers.py
@@ -55,6 +55,7 @@
     prompt_blocks,
     read_body,
     request_id_of,
+    with_model,
 )
 from egretrouter.daemons._routed_call import CallServices, RoutedCall
 
@@ -211,6 +212,7 @@
             known = ", ".join(sorted(self._catalog.model_names()))
             raise NotFoundError(f"model {body.model[:80]!r} is unknown; known are: {known}")
         _check_allowed(target.service, workspace)
+        content = with_model(content, body, name=target.adapter or target.service.model)
         prompt = body.prompt_bytes()
         prompt_tokens = len(prompt) // CHARACTERS_PER_TOKEN
         route = RouteRequest(
--- a/egretrouter/daemons/_requests.py
+++ b/egretrouter/daemons/_requests.py
@@ -114,6 +114,14 @@
         raise RequestError(f"the body is no model request: {error}") from error
 
 
+def with_model(content: bytes, body: ModelBody, *, name: str) -> bytes:
+    """Name the model as its engine knows it; callers may name a version or a service."""
+    if body.model == name:
+        return content
+    fields = msgspec.json.decode(content, type=dict[str, object])
+    return msgspec.json.encode({**fields, "model": name})
+
+
 def check_json_depth(content: bytes, *, limit: int) -> None:
     """Check how deeply a JSON text is nested.
 
--- a/tests/test_whole_path.py
+++ b/tests/test_whole_path.py
@@ -44,10 +44,12 @@
             for router in fleet.routers.values():
                 url = f"http://127.0.0.1:{router.callers_port}"
                 body = {"model": "cotacoes", "prompt": "ovos", "max_tokens": 8}
-                async with session.post(f"{url}/v1/completions", json=body) as response:
-                    answer = await response.json()
                 text = expected_answer(manifest.digest, "ovos", count=8)
-                assert answer["choices"][0]["text"] == text
+                for name in ("cotacoes", "cotacoes@2026-11", "llm-cotacoes"):
+                    named = {**body, "model": name}
+                    async with session.post(f"{url}/v1/completions", json=named) as response:
+                        answer = await response.json()
+                    assert answer["choices"][0]["text"] == text
                 async with session.post(
                     f"{url}/v1/completions", json={**body, "stream": True}
                 ) as response:
