Do not take a store's rate limit for an outage

A refusal by 429 counted as a failure, so a burst of them could open the circuit breaker, which then refused calls that a short wait would have served. Change: a 429 counts as an answer of a working store.

--- a/egretrouter/backends/_guarded_store.py
+++ b/egretrouter/backends/_guarded_store.py
@@ -249,6 +249,10 @@
             breaker.failed(now_seconds=self._budgets.clock())
             seconds = self._policy.timeout_seconds
             raise _AnswerTimeoutError(f"the store did not answer within {seconds} s") from None
+        except RateLimitedError:
+            # A store that limits its rate works; holding all calls back would refuse keyed ones.
+            breaker.succeeded()
+            raise
         except (BackendUnavailableError, LostAnswerError):
             breaker.failed(now_seconds=self._budgets.clock())
             raise
--- a/tests/test_guarded_store.py
+++ b/tests/test_guarded_store.py
@@ -181,6 +181,18 @@
         assert harness.now > 60
 
 
+class TestRateLimit:
+    """Guard against a rate limit that is taken for an outage."""
+
+    async def test_many_refusals_do_not_hold_calls_back(self) -> None:
+        refusals = [RateLimitedError("slow down", retry_after_seconds=0.1) for _ in range(20)]
+        harness = Harness(*refusals, 7)
+        for _ in refusals:
+            with pytest.raises(RateLimitedError):
+                await harness.guarded.put(KEY, b"", expected_version=6)
+        assert await harness.guarded.put(KEY, b"", expected_version=6) == 7
+
+
 class TestLimits:
     """Guard against limits that leak or stay shut."""
 
