--- a/egretrouter/core/direct/_fleet.py
+++ b/egretrouter/core/direct/_fleet.py
@@ -11,9 +11,11 @@
 """A member whose counter stands still this long is left out."""
 
 FORGET_SECONDS = 60.0
-RELAYED_MEMBERS = 8
-FANOUT = 3
-NEWS_FANOUT = 6
+RELAYED_MEMBERS = 4
+FANOUT = 2
+NEWS_FANOUT = 5
+# Links between regions are narrow, so most greetings stay in the zone.
+REMOTE_SHARE = 0.3
 
 
 class FleetRole(Enum):
@@ -23,7 +25,7 @@
     AGENT = "agent"
 
 
-class FleetMember(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+class FleetMember(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Describe one process."""
 
     instance_id: InstanceId
@@ -43,7 +45,7 @@
     """The model and version that an agent's engine serves, as MODEL/VERSION."""
 
 
-class Revisions(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+class Revisions(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """State how new a process's view of each kind of shared state is."""
 
     configuration: int = 0
@@ -51,7 +53,7 @@
     weights: int = 0
 
 
-class Greeting(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
+class Greeting(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Carry a process's heartbeat, some others' and its revisions."""
 
     sender: FleetMember
@@ -125,12 +127,28 @@
     def targets(self, *, now_seconds: float, news: bool = False) -> list[FleetMember]:
         """Return the processes to greet now; news goes to more of them."""
         live = self.live(now_seconds=now_seconds)
-        chosen = self._rng.sample(live, min(NEWS_FANOUT if news else FANOUT, len(live)))
+        near = [member for member in live if member.zone == self.own.zone]
+        far = [member for member in live if member.zone != self.own.zone]
+        chosen = self._rng.sample(near, min(NEWS_FANOUT if news else FANOUT, len(near)))
+        if far and (news or not near or self._rng.random() < REMOTE_SHARE):
+            chosen += self._one_of_each_zone(far) if news else [self._rng.choice(far)]
         silent = [e.member for e in self._entries.values() if e.member not in live]
         if silent and self._rng.random() < 0.2:
             chosen.append(self._rng.choice(silent))
         return chosen
 
+    def _one_of_each_zone(self, members: list[FleetMember]) -> list[FleetMember]:
+        zones: dict[ZoneId, list[FleetMember]] = {}
+        for member in members:
+            zones.setdefault(member.zone, []).append(member)
+        return [self._rng.choice(found) for found in zones.values()]
+
+    def spread(self, *, now_seconds: float, role: FleetRole) -> list[FleetMember]:
+        """Return every member of a role in the own zone and one in each other zone."""
+        live = self.live(now_seconds=now_seconds, role=role)
+        near = [member for member in live if member.zone == self.own.zone]
+        return near + self._one_of_each_zone([m for m in live if m.zone != self.own.zone])
+
     def watches(self, *, now_seconds: float, watchers: int) -> bool:
         """Tell whether this process is among its zone's watchers of the store."""
         rivals = [
--- a/egretrouter/core/direct/_placement.py
+++ b/egretrouter/core/direct/_placement.py
@@ -15,8 +15,8 @@
 EJECTION_SECONDS = 0.4
 EJECTION_LIMIT_SECONDS = 6.0
 # In units of a full batch: calls stay in their zone or region unless another is emptier by this.
-OTHER_ZONE_PENALTY = 0.05
-OTHER_REGION_PENALTY = 0.12
+OTHER_ZONE_PENALTY = 0.1
+OTHER_REGION_PENALTY = 0.35
 # Routers that see the same reports must not all choose the same endpoint.
 SPREAD = 0.15
 # Endpoints that tell no slots are taken to have few.
@@ -25,7 +25,7 @@
 PLAIN_QUEUE_FACTOR = 2.0
 
 
-class LoadReport(msgspec.Struct, frozen=True, kw_only=True):
+class LoadReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Hold what an endpoint or its agent told of its load."""
 
     running: int
--- a/egretrouter/core/direct/_switch.py
+++ b/egretrouter/core/direct/_switch.py
@@ -1,7 +1,6 @@
-"""Decide when an agent loads staged weights into its engine."""
+"""Decide which version an agent copies and when its engine loads it."""
 
-from collections.abc import Iterable
-from enum import Enum
+from collections.abc import Iterable, Mapping
 
 import msgspec
 
@@ -9,18 +8,11 @@
 
 # Engines of the second half wait at most this share of the time that the switch may take.
 SECOND_HALF_SHARE = 0.75
-
-
-class SwitchStep(Enum):
-    """Name what an agent does next about its engine's weights."""
-
-    REST = "rest"
-    """The engine serves the version that is to serve, or is loading it."""
-    OBTAIN = "obtain"
-    """The chunks are not at hand yet."""
-    WAIT = "wait"
-    """Other engines load first, so that some go on serving."""
-    LOAD = "load"
+# A copy that has come this far is finished before one of a newer version begins: engines would
+# otherwise reach the end of the older version's time without either.
+FINISH_SHARE = 0.5
+# An engine does not load a version when a newer one is about to be complete.
+SKIP_SHARE = 0.85
 
 
 class Replica(msgspec.Struct, frozen=True, kw_only=True):
@@ -32,47 +24,57 @@
 
 
 class WeightSwitch:
-    """Follow one engine from one version to the next."""
+    """Follow one engine from one version of a model to the next."""
 
     def __init__(self, *, own: InstanceId, model: ModelName, switch_seconds: float) -> None:
         self._own = own
         self._switch_seconds = switch_seconds
         self.model = model
-        self.target = 0
-        self._named_seconds = 0.0
+        self._named: dict[int, float] = {}
+        """The versions named, and when."""
+
+    @property
+    def target(self) -> int:
+        """Return the version that is to serve."""
+        return max(self._named, default=0)
 
     def name(self, version: int, *, now_seconds: float) -> bool:
         """Learn the version that is to serve, and tell whether it is newer."""
         if version <= self.target:
             return False
-        self.target = version
-        self._named_seconds = now_seconds
+        self._named[version] = now_seconds
         return True
 
-    def next_step(
+    def version_to_copy(self, shares: Mapping[int, float]) -> int:
+        """Choose the version to copy from the shares of each that are at hand."""
+        begun = [v for v in self._named if FINISH_SHARE <= shares.get(v, 0.0) < 1.0]
+        return max(begun, default=self.target)
+
+    def version_to_load(
         self,
         *,
         serving: int,
         busy: bool,
-        complete: bool,
+        shares: Mapping[int, float],
         replicas: Iterable[Replica],
         now_seconds: float,
-    ) -> SwitchStep:
-        """Decide what follows from the states of the own and the other engines."""
-        if busy or serving >= self.target:
-            return SwitchStep.REST
-        if not complete:
-            return SwitchStep.OBTAIN
-        if serving == 0 or self._is_due(replicas, now_seconds):
-            return SwitchStep.LOAD
-        return SwitchStep.WAIT
-
-    def _is_due(self, replicas: Iterable[Replica], now_seconds: float) -> bool:
-        if now_seconds >= self._named_seconds + SECOND_HALF_SHARE * self._switch_seconds:
+    ) -> int | None:
+        """Return the version that the engine is to load now, if any."""
+        complete = [v for v, share in shares.items() if share >= 1.0 and v in self._named]
+        version = max(complete, default=0)
+        if busy or version <= serving:
+            return None
+        if serving == 0:
+            return version
+        if version < self.target and shares.get(self.target, 0.0) >= SKIP_SHARE:
+            return None
+        return version if self._is_due(version, replicas, now_seconds) else None
+
+    def _is_due(self, version: int, replicas: Iterable[Replica], now_seconds: float) -> bool:
+        """Tell whether enough other engines go on serving while this one loads."""
+        if now_seconds >= self._named[version] + SECOND_HALF_SHARE * self._switch_seconds:
             return True
         others = {r.instance_id: r.version for r in replicas if r.version}
         ranked = sorted([*others, self._own])
         first = ranked[: (len(ranked) + 1) // 2]
-        if self._own in first:
-            return True
-        return all(others[instance_id] >= self.target for instance_id in first)
+        return self._own in first or all(others[other] >= version for other in first)
--- a/egretrouter/daemons/_copies.py
+++ b/egretrouter/daemons/_copies.py
@@ -60,6 +60,8 @@
     instance_bytes_per_second: float
     regional_bytes_per_second: float
     settings: CopySettings
+    burst_bytes: int | None = None
+    """What a link's share may carry at once; None for a part of a second."""
 
 
 class CopyService(Service):
@@ -97,8 +99,8 @@
         self.on_ready: Callable[[Digest], None] = lambda _: None
         self.on_failed: Callable[[Digest, str], None] = lambda _, __: None
         self._links = LinkShares(
-            instance=link_bucket(limits.instance_bytes_per_second),
-            between_regions=link_bucket(limits.regional_bytes_per_second),
+            instance=link_bucket(limits.instance_bytes_per_second, limits.burst_bytes),
+            between_regions=link_bucket(limits.regional_bytes_per_second, limits.burst_bytes),
         )
         self._transfers = transfers
         self._metrics = metrics
@@ -126,7 +128,7 @@
             (self._links.instance, limits.instance_bytes_per_second),
             (self._links.between_regions, limits.regional_bytes_per_second),
         ):
-            bucket.set_rate(rate, burst_bytes=link_burst_bytes(rate))
+            bucket.set_rate(rate, burst_bytes=limits.burst_bytes or link_burst_bytes(rate))
 
     def set_peers(
         self, peers: Iterable[CopyPeer], *, zone_agents: Iterable[InstanceId] = ()
@@ -174,6 +176,10 @@
         self._manifests.setdefault(digest, manifest.to_json())
         return digest
 
+    def held_share(self, manifest: Manifest) -> float:
+        """Return the share of a version's chunks that memory holds."""
+        return self.memory.held(manifest.digest).bit_count() / max(1, len(manifest.chunks))
+
     async def obtain(self, version: VersionReference) -> Manifest:
         """Return the manifest of a version once memory holds the whole of it.
 
@@ -395,7 +401,7 @@
     return max(MINIMUM_BURST_BYTES, int(bytes_per_second * LINK_BURST_SECONDS))
 
 
-def link_bucket(bytes_per_second: float) -> TokenBucket:
+def link_bucket(bytes_per_second: float, burst_bytes: int | None = None) -> TokenBucket:
     """Build the bucket for a share of a link."""
-    burst_bytes = link_burst_bytes(bytes_per_second)
+    burst_bytes = burst_bytes or link_burst_bytes(bytes_per_second)
     return TokenBucket(bytes_per_second=bytes_per_second, burst_bytes=burst_bytes)
--- a/egretrouter/daemons/_running_copy.py
+++ b/egretrouter/daemons/_running_copy.py
@@ -128,6 +128,9 @@
         peer, index = InstanceId(request.sender), ChunkIndex(request.index)
         if index >= len(self.manifest.chunks):
             return pb.ChunkReply(status=pb.ChunkReply.MISSING)
+        if request.offset:
+            # The first part was granted, so the rest is not refused.
+            return await self._part(request)
         decision: asyncio.Future[CopyCommand] = asyncio.get_running_loop().create_future()
         self._uploads[peer, index] = decision
         self.tell(ChunkRequested(peer=peer, index=index))
@@ -139,9 +142,15 @@
         ended = UploadEnded(peer=peer, index=index)
         context.add_done_callback(lambda _: self.tell(ended))
         await asyncio.sleep(command.delay_seconds)
-        content = self._memory.get(self.digest, index)
+        return await self._part(request)
+
+    async def _part(self, request: pb.ChunkRequest) -> pb.ChunkReply:
+        content = self._memory.get(self.digest, ChunkIndex(request.index))
         if content is None:
             return pb.ChunkReply(status=pb.ChunkReply.MISSING)
+        if request.part_bytes:
+            content = content[request.offset : request.offset + request.part_bytes]
+        await self._transfers.wait_to_send(len(content))
         return pb.ChunkReply(status=pb.ChunkReply.CONTENT, content=content)
 
     @singledispatchmethod
@@ -255,7 +264,13 @@
                 on_progress=lambda: self.tell(ChunkProgressed(source=source, index=index)),
             )
         elif address is not None:
-            message = await self._transfers.chunk_from_peer(source, address, self.digest, index)
+            message = await self._transfers.chunk_from_peer(
+                source,
+                address,
+                self.digest,
+                index,
+                length=self.manifest.chunks[index].length_bytes,
+            )
         else:
             message = ChunkFailed(source=source, index=index, reason=Unavailable())
         self.tell(message)
--- a/egretrouter/daemons/_weight_transfers.py
+++ b/egretrouter/daemons/_weight_transfers.py
@@ -28,6 +28,7 @@
     FailureReason,
     Manifest,
     Peer,
+    TokenBucket,
     Unavailable,
 )
 from egretrouter.daemons._metrics import AgentMetrics
@@ -46,6 +47,7 @@
 # The best-ranked agent reads the manifest from the origin at once, each later rank after this.
 MANIFEST_FALLBACK_SECONDS = 2.0
 PROGRESS_SECONDS = 1.0
+PACE_LIMIT_SECONDS = 10.0
 
 
 class CopyPeer(msgspec.Struct, frozen=True, kw_only=True):
@@ -59,6 +61,22 @@
     seen_seconds: float | None = None
 
 
+class NarrowLink(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold the shares of a link that is narrow enough for copies to delay live calls."""
+
+    downloads: TokenBucket
+    uploads: TokenBucket
+    part_bytes: int
+    """How much of a chunk is sent at once; what is behind it on the link waits that long."""
+
+
+async def _keep_pace(bucket: TokenBucket, length: int) -> None:
+    delay_seconds = bucket.reserve(
+        length, now_seconds=time.monotonic(), max_delay_seconds=PACE_LIMIT_SECONDS
+    )
+    await asyncio.sleep(max(0.0, delay_seconds))
+
+
 class WeightTransfers:
     """Carry the requests of one agent's copies to other agents, the weight store and the origin."""
 
@@ -71,7 +89,10 @@
         channels: ChannelPool,
         metrics: AgentMetrics,
         rng: random.Random,
+        link: NarrowLink | None = None,
     ) -> None:
+        """Keep transfers within the shares of a narrow link, if it is one."""
+        self._link = link
         self._own = own
         self._origin = origin
         self._weight_store = weight_store
@@ -102,6 +123,7 @@
                 on_progress()
 
         reason: FailureReason = Unavailable()
+        await self._wait_for_pace(length)
         for backend in (self._weight_store, self._origin):
             if backend is None:
                 continue
@@ -125,21 +147,55 @@
         return ChunkFailed(source=ORIGIN, index=index, reason=reason)
 
     async def chunk_from_peer(
-        self, source: InstanceId, address: str, digest: Digest, index: ChunkIndex
+        self,
+        source: InstanceId,
+        address: str,
+        digest: Digest,
+        index: ChunkIndex,
+        *,
+        length: int = 0,
     ) -> CopyMessage:
-        """Ask a peer for a chunk."""
-        stub = pb_grpc.PeersStub(self._channels.channel(address))
-        request = pb.ChunkRequest(sender=self._own.instance_id, manifest_digest=digest, index=index)
+        """Ask a peer for a chunk, on a narrow link part by part."""
+        await self._wait_for_pace(length)
+        part_bytes = self._link.part_bytes if self._link is not None else 0
+        request = pb.ChunkRequest(
+            sender=self._own.instance_id,
+            manifest_digest=digest,
+            index=index,
+            part_bytes=part_bytes,
+        )
         try:
-            reply = await stub.FetchChunk(
-                request, metadata=self._channels.metadata, timeout=CHUNK_TIMEOUT_SECONDS
-            )
+            reply = await self._request_chunk(address, request)
+            while part_bytes and reply.status == pb.ChunkReply.CONTENT:
+                request.offset = len(reply.content)
+                if request.offset >= length:
+                    break
+                part = await self._request_chunk(address, request)
+                if part.status != pb.ChunkReply.CONTENT or not part.content:
+                    return ChunkFailed(source=source, index=index, reason=Unavailable())
+                reply.content += part.content
         except grpc.aio.AioRpcError:
             return ChunkFailed(source=source, index=index, reason=Unavailable())
         if reply.status == pb.ChunkReply.CONTENT:
             self._metrics.peer_bytes.add({}, len(reply.content))
         return decode_chunk(reply, source=source, index=index)
 
+    async def _request_chunk(self, address: str, request: pb.ChunkRequest) -> pb.ChunkReply:
+        stub = pb_grpc.PeersStub(self._channels.channel(address))
+        reply: pb.ChunkReply = await stub.FetchChunk(
+            request, metadata=self._channels.metadata, timeout=CHUNK_TIMEOUT_SECONDS
+        )
+        return reply
+
+    async def _wait_for_pace(self, length: int) -> None:
+        if self._link is not None:
+            await _keep_pace(self._link.downloads, length)
+
+    async def wait_to_send(self, length: int) -> None:
+        """Wait until the own link may carry so many bytes to a peer."""
+        if self._link is not None:
+            await _keep_pace(self._link.uploads, length)
+
     async def send_notice(self, address: str, digest: Digest, notice: pb.CopyNotice) -> None:
         """Send a message to another agent's copy; a lost one is repaired by later ones."""
         notice.sender, notice.manifest_digest = self._own.instance_id, digest
--- a/egretrouter/direct/_agent.py
+++ b/egretrouter/direct/_agent.py
@@ -16,8 +16,8 @@
     WeightSource,
 )
 from egretrouter.core.configuration import Objective
-from egretrouter.core.direct import FleetRole, WeightVersion
-from egretrouter.core.direct._switch import Replica, SwitchStep, WeightSwitch
+from egretrouter.core.direct import FleetRole, RoutingTable, WeightVersion
+from egretrouter.core.direct._switch import Replica, WeightSwitch
 from egretrouter.core.errors import (
     BackendError,
     CorruptedChunkError,
@@ -27,11 +27,10 @@
 from egretrouter.core.identifiers import ChunkIndex, Digest, ModelName, VersionName
 from egretrouter.core.rollout import VersionReference
 from egretrouter.core.weights import ChunkMemory, CopySettings, Manifest, Peer
-from egretrouter.daemons._copies import CopyLimits, CopyService
+from egretrouter.daemons._copies import CopyLimits, CopyService, link_bucket
 from egretrouter.daemons._metrics import AgentMetrics
 from egretrouter.daemons._peers import PeersServicer
-from egretrouter.daemons._weight_transfers import CopyPeer, WeightTransfers
-from egretrouter.direct._fleet_service import LoadNote
+from egretrouter.daemons._weight_transfers import CopyPeer, NarrowLink, WeightTransfers
 from egretrouter.direct._logs import log_event
 from egretrouter.direct._process import DirectProcess
 from egretrouter.direct._settings import DirectSettings
@@ -42,8 +41,15 @@
 """Routers of other zones get every second report."""
 STEP_SECONDS = 0.1
 MANIFEST_RETRY_SECONDS = 0.3
+FIRST_VERSION = 1
 CHUNK_MEMORY_BYTES = 48 * 1024 * 1024
 UNLIMITED_BYTES = 1 << 40
+# The rest of the link carries the calls of the engine on the same instance. Events of its streams
+# leave by the same link as uploads and are late sooner than its requests, which are small.
+UPLOAD_LINK_SHARE = 0.8
+DOWNLOAD_LINK_SHARE = 0.9
+PART_BYTES = 8 * 1024
+COPY_BURST_BYTES = 40 * 1024
 
 
 class AgentPeers(PeersServicer):
@@ -91,6 +97,7 @@
                 channels=self.channels,
                 metrics=self.metrics,
                 rng=rng,
+                link=_narrow_link(settings),
             ),
             metrics=self.metrics,
             rng=rng,
@@ -104,6 +111,7 @@
         self._obtaining: set[tuple[ModelName, int]] = set()
         self._engine_state: EngineState | None = None
         self.shared_state.on_weights.append(self._named)
+        self.shared_state.on_configuration.append(self._configured)
 
     async def on_start(self) -> None:
         """Listen for peers and follow the versions that are to serve."""
@@ -132,12 +140,7 @@
             await self.sleep(REPORT_SECONDS)
 
     def _send_report(self, state: EngineState, *, far: bool) -> None:
-        routers = [
-            router
-            for router in self.fleet.live(FleetRole.ROUTER)
-            if far or router.zone == self.settings.zone
-        ]
-        self.fleet.send_load(LoadNote(address=self.settings.engine, report=state.load), routers)
+        self.fleet.send_load(self.settings.engine, state.load, far=far)
 
     @Service.task
     async def _show_peers(self) -> None:
@@ -154,6 +157,13 @@
             )
             await self.sleep(0.5)
 
+    def _configured(self, table: RoutingTable) -> None:
+        """Expect the first version of each model that no one has named a version of."""
+        for service in table.services:
+            if service.name == self.settings.engine_service and service.engine is not None:
+                for model in service.engine.models:
+                    self._named(WeightVersion(model=model, version=FIRST_VERSION))
+
     def _named(self, target: WeightVersion) -> None:
         switch = self._switches.get(target.model)
         if switch is None:
@@ -162,12 +172,7 @@
                 model=target.model,
                 switch_seconds=self.settings.bounds.weights_ms / 1000,
             )
-        older = (target.model, switch.target)
-        if switch.name(target.version, now_seconds=time.monotonic()) and older in self._manifests:
-            # The older version is still served to agents that ask, unless it was incomplete.
-            digest = self._manifests[older].digest
-            if digest not in self._complete:
-                self.copies.abandon(digest)
+        switch.name(target.version, now_seconds=time.monotonic())
 
     @Service.task
     async def _switch(self) -> None:
@@ -184,20 +189,32 @@
         if state is None:
             return
         serving = (state.load.versions or {}).get(switch.model, 0)
-        manifest = self._manifests.get((switch.model, switch.target))
-        complete = manifest is not None and manifest.digest in self._complete
-        step = switch.next_step(
+        self._tell_version(switch.model, serving)
+        shares = {
+            version: self.copies.held_share(manifest)
+            for (model, version), manifest in self._manifests.items()
+            if model == switch.model
+        }
+        goal = switch.version_to_copy(shares)
+        self._abandon_others(switch.model, goal)
+        self._obtain(switch.model, goal)
+        version = switch.version_to_load(
             serving=serving,
             busy=state.busy,
-            complete=complete,
+            shares=shares,
             replicas=self._replicas(switch.model),
             now_seconds=time.monotonic(),
         )
-        self._tell_version(switch.model, serving)
-        if step is SwitchStep.OBTAIN or (step is SwitchStep.REST and manifest is None):
-            self._obtain(switch.model, switch.target)
-        elif step is SwitchStep.LOAD and manifest is not None:
-            await self._load(switch, manifest, state)
+        if version is not None:
+            await self._load(switch.model, version, state)
+
+    def _abandon_others(self, model: ModelName, goal: int) -> None:
+        """Stop incomplete copies of other versions, which would take the link's room."""
+        for key in [k for k in self._obtaining if k[0] == model and k[1] != goal]:
+            manifest = self._manifests.get(key)
+            if manifest is not None and manifest.digest not in self._complete:
+                self.copies.abandon(manifest.digest)
+                self._obtaining.discard(key)
 
     def _replicas(self, model: ModelName) -> list[Replica]:
         replicas = []
@@ -260,7 +277,7 @@
     async def _find_manifest(self, model: ModelName, version: int) -> Manifest | None:
         """Read the manifest from the origin, or from an agent that has it."""
         name = f"{model}/{version}"
-        while not self.should_stop and self._switches[model].target == version:
+        while not self.should_stop and (model, version) in self._obtaining:
             try:
                 return await self._origin_manifest(model, version)
             except (BackendError, ManifestMismatchError) as error:
@@ -296,9 +313,11 @@
     def _copied(self, digest: Digest) -> None:
         self._complete.add(digest)
 
-    async def _load(self, switch: WeightSwitch, manifest: Manifest, state: EngineState) -> None:
+    async def _load(self, model: ModelName, version: int, state: EngineState) -> None:
         """Stage the chunks, read them back and order the engine to load them."""
-        model, version = switch.model, switch.target
+        manifest = self._manifests[model, version]
+        if manifest.digest not in self._complete:
+            return
         began = time.monotonic()
         for number, content in enumerate(self.copies.memory.contents(manifest.digest)):
             index = ChunkIndex(number)
@@ -308,8 +327,6 @@
             if not await self._is_staged(model, manifest, ChunkIndex(number)):
                 log_event("weights:staging_spoilt", model=model, chunk=number)
                 return
-        if switch.target != version:
-            return
         try:
             answer = await self._engine.load(model, version, orders=state.orders, interrupt=False)
         except LostAnswerError as error:
@@ -345,6 +362,15 @@
         }
 
 
+def _narrow_link(settings: DirectSettings) -> NarrowLink:
+    bytes_per_second = settings.link_bits_per_second / 8
+    return NarrowLink(
+        downloads=link_bucket(DOWNLOAD_LINK_SHARE * bytes_per_second, COPY_BURST_BYTES),
+        uploads=link_bucket(UPLOAD_LINK_SHARE * bytes_per_second, PART_BYTES),
+        part_bytes=PART_BYTES,
+    )
+
+
 def _copy_limits(settings: DirectSettings) -> CopyLimits:
     """Derive the parameters of copies from the link and the time for a switch."""
     link_bytes_per_second = settings.link_bits_per_second / 8
@@ -352,11 +378,17 @@
     return CopyLimits(
         zone_bytes_per_minute=UNLIMITED_BYTES,
         expected_members=1,
-        instance_bytes_per_second=link_bytes_per_second,
-        regional_bytes_per_second=link_bytes_per_second,
+        instance_bytes_per_second=UPLOAD_LINK_SHARE * link_bytes_per_second,
+        regional_bytes_per_second=UPLOAD_LINK_SHARE * link_bytes_per_second,
+        burst_bytes=COPY_BURST_BYTES,
         settings=CopySettings(
             objective=Objective.TIME,
             origin_copies=1,
+            parallel_fetches=3,
+            parallel_origin_fetches=1,
+            parallel_remote_fetches=2,
+            parallel_uploads=2,
+            max_upload_delay_seconds=switch_seconds / 32,
             discovery_seconds=switch_seconds / 40,
             fallback_seconds=switch_seconds / 10,
             ask_timeout_seconds=switch_seconds / 16,
--- a/egretrouter/direct/_fleet_service.py
+++ b/egretrouter/direct/_fleet_service.py
@@ -23,20 +23,22 @@
 from egretrouter.direct._logs import log_event
 from egretrouter.direct._settings import DirectSettings
 
-GREETING_SECONDS = 0.5
+GREETING_SECONDS = 0.7
 JOIN_GREETING_SECONDS = 0.1
 JOIN_SECONDS = 1.0
 REGISTER_RETRY_SECONDS = 2.0
 
 
-class LoadNote(msgspec.Struct, frozen=True, kw_only=True, tag="load", omit_defaults=True):
+class LoadNote(msgspec.Struct, frozen=True, kw_only=True, tag="load", array_like=True):
     """Carry an agent's report of its engine."""
 
     address: str
     report: LoadReport
+    relay: bool = False
+    """Whether the receiver passes the note on within its zone."""
 
 
-class GreetingNote(msgspec.Struct, frozen=True, kw_only=True, tag="greeting"):
+class GreetingNote(msgspec.Struct, frozen=True, kw_only=True, tag="greeting", array_like=True):
     """Carry a greeting."""
 
     greeting: Greeting
@@ -117,11 +119,21 @@
         self.fleet.renew(**changes)
         self.spread_news()
 
-    def send_load(self, note: LoadNote, members: list[FleetMember]) -> None:
-        """Send a report of the own engine's load to other processes."""
-        data = _encode(note)
-        for member in members:
-            self._send(data, member.address)
+    def send_load(self, address: str, report: LoadReport, *, far: bool) -> None:
+        """Send a report of the own engine's load to routers, outside the zone through one each."""
+        near_data = _encode(LoadNote(address=address, report=report))
+        far_data = _encode(LoadNote(address=address, report=report, relay=True))
+        for member in self.fleet.spread(now_seconds=time.monotonic(), role=FleetRole.ROUTER):
+            if member.zone == self.fleet.own.zone:
+                self._send(near_data, member.address)
+            elif far:
+                self._send(far_data, member.address)
+
+    def _relay(self, note: LoadNote) -> None:
+        data = _encode(msgspec.structs.replace(note, relay=False))
+        for member in self.live(FleetRole.ROUTER):
+            if member.zone == self.fleet.own.zone:
+                self._send(data, member.address)
 
     def _send(self, data: bytes, address: str) -> None:
         self._transport.sendto(data, (address, self._settings.gossip_port))
@@ -153,6 +165,8 @@
         if isinstance(note, LoadNote):
             for on_load in self.on_load:
                 on_load(note.address, note.report)
+            if note.relay:
+                self._relay(note)
         else:
             self._greeted(note.greeting)
 
--- a/egretrouter/direct/_settings.py
+++ b/egretrouter/direct/_settings.py
@@ -45,6 +45,8 @@
     seeds: tuple[str, ...] = ()
     """Addresses of some instances that run processes of the system; a port is ignored."""
     store: str
+    store_history_seconds: float
+    """How long the store keeps the changes that a watch starts from."""
     engine: str = ""
     """The address of the engine on an agent's instance."""
     engine_service: ServiceName = ServiceName("")
--- a/egretrouter/direct/_shared_state.py
+++ b/egretrouter/direct/_shared_state.py
@@ -37,14 +37,16 @@
 from egretrouter.protocol import egretrouter_pb2_grpc as pb_grpc
 from egretrouter.transport._rpc import ChannelPool
 
-WATCH_SECONDS = 20.0
+# A watch that lasts as long as the store's history would find that history gone.
+WATCH_HISTORY_SHARE = 0.6
+WATCH_LIMIT_SECONDS = 25.0
 RETRY_FIRST_SECONDS = 0.1
 RETRY_LIMIT_SECONDS = 1.6
 # A watch of one's own usually brings a change within this time after a peer has it.
 PEER_LEAD_SECONDS = 0.3
 PEER_TIMEOUT_SECONDS = 1.5
 # A call sent this long before an older version is ruled out still begins in time.
-SWITCH_MARGIN_SECONDS = 1.2
+SWITCH_MARGIN_SECONDS = 0.9
 EXPIRY_TICK_SECONDS = 0.25
 
 
@@ -81,6 +83,9 @@
         self.on_configuration: list[Callable[[RoutingTable], None]] = []
         self.on_endpoints: list[Callable[[], None]] = []
         self.on_weights: list[Callable[[WeightVersion], None]] = []
+        self._watch_seconds = min(
+            WATCH_LIMIT_SECONDS, WATCH_HISTORY_SHARE * settings.store_history_seconds
+        )
         self._settings = settings
         self._store = store
         self._fleet = fleet
@@ -125,7 +130,7 @@
                     revision = listing.revision
                     outage = False
                 changes = await self._store.watch_state(
-                    kind, after_revision=revision, wait_seconds=WATCH_SECONDS
+                    kind, after_revision=revision, wait_seconds=self._watch_seconds
                 )
                 if failures:
                     log_event("store:regained", kind=kind.value, failures=failures)
