--- a/egretrouter/core/direct/_switch.py
+++ b/egretrouter/core/direct/_switch.py
@@ -32,6 +32,8 @@
         self.model = model
         self._named: dict[int, float] = {}
         """The versions named, and when."""
+        self._begun: dict[int, tuple[float, float]] = {}
+        """When a copy was first seen incomplete, and the share it had."""
 
     @property
     def target(self) -> int:
@@ -50,6 +52,28 @@
         begun = [v for v in self._named if FINISH_SHARE <= shares.get(v, 0.0) < 1.0]
         return max(begun, default=self.target)
 
+    def should_drain(
+        self,
+        *,
+        serving: int,
+        shares: Mapping[int, float],
+        replicas: Iterable[Replica],
+        drain_seconds: float,
+        now_seconds: float,
+    ) -> bool:
+        """Tell whether the engine should take no new calls, so that it is empty when it loads."""
+        version = max((v for v in shares if v in self._named), default=0)
+        if serving == 0 or version <= serving or not self._is_due(version, replicas, now_seconds):
+            return False
+        share = shares[version]
+        began_seconds, began_share = self._begun.setdefault(version, (now_seconds, share))
+        if share >= 1.0:
+            return True
+        gained, elapsed = share - began_share, now_seconds - began_seconds
+        if gained < 0.2:
+            return False
+        return (1.0 - share) * elapsed / gained <= drain_seconds
+
     def version_to_load(
         self,
         *,
--- a/egretrouter/core/weights/_copy.py
+++ b/egretrouter/core/weights/_copy.py
@@ -115,6 +115,11 @@
         """Return the state of the copy."""
         return self._state
 
+    @property
+    def counts(self) -> dict[str, int]:
+        """Return how many chunks came from where, and how many failed."""
+        return dict(self._counts)
+
     def handle(self, message: CopyMessage, *, now_seconds: float) -> list[CopyCommand]:
         """Take over a message and return what is to be done."""
         if self._state in STOPPED_STATES:
@@ -253,6 +258,7 @@
         if self._transfers.end(index, source) is None:
             return []
         self._far_due = True
+        self._counts[f"failed_{type(reason).__name__.lower()}"] += 1
         if isinstance(reason, Busy) and source != ORIGIN:
             seconds = max(reason.retry_after_seconds, self._settings.busy_seconds)
             self._sources.delay(source, seconds, now_seconds=now_seconds)
--- a/egretrouter/daemons/_running_copy.py
+++ b/egretrouter/daemons/_running_copy.py
@@ -79,6 +79,7 @@
         self._on_failed = on_failed
         self._on_stopped = on_stopped
         self._closed = False
+        self._started_seconds = time.monotonic()
         self._fetches: dict[tuple[InstanceId, ChunkIndex], asyncio.Task[None]] = {}
         self._uploads: dict[tuple[InstanceId, ChunkIndex], asyncio.Future[CopyCommand]] = {}
         self._jobs: set[asyncio.Task[None]] = set()
@@ -234,7 +235,12 @@
 
     @_obey.register
     def _completed(self, command: CopyCompleted) -> None:
-        log_message("agent:copy_completed", digest=self.digest)
+        log_message(
+            "agent:copy_completed",
+            digest=self.digest,
+            seconds=round(time.monotonic() - self._started_seconds, 2),
+            **self._copy.counts,
+        )
         self._metrics.copies.inc({"result": "completed"})
         self._on_ready()
 
--- a/egretrouter/direct/_agent.py
+++ b/egretrouter/direct/_agent.py
@@ -16,7 +16,7 @@
     WeightSource,
 )
 from egretrouter.core.configuration import Objective
-from egretrouter.core.direct import FleetRole, RoutingTable, WeightVersion
+from egretrouter.core.direct import FleetRole, RoutingTable, WeightVersion, service_seconds
 from egretrouter.core.direct._switch import Replica, WeightSwitch
 from egretrouter.core.errors import (
     BackendError,
@@ -46,8 +46,8 @@
 UNLIMITED_BYTES = 1 << 40
 # The rest of the link carries the calls of the engine on the same instance. Events of its streams
 # leave by the same link as uploads and are late sooner than its requests, which are small.
-UPLOAD_LINK_SHARE = 0.8
-DOWNLOAD_LINK_SHARE = 0.9
+UPLOAD_LINK_SHARE = 0.85
+DOWNLOAD_LINK_SHARE = 0.97
 PART_BYTES = 8 * 1024
 COPY_BURST_BYTES = 40 * 1024
 
@@ -110,6 +110,10 @@
         self._complete: set[Digest] = set()
         self._obtaining: set[tuple[ModelName, int]] = set()
         self._engine_state: EngineState | None = None
+        self._draining = False
+        """Whether the engine is to be empty soon so that it can load."""
+        self._drain_seconds = 0.0
+        """How long the calls of a full engine usually last."""
         self.shared_state.on_weights.append(self._named)
         self.shared_state.on_configuration.append(self._configured)
 
@@ -140,7 +144,10 @@
             await self.sleep(REPORT_SECONDS)
 
     def _send_report(self, state: EngineState, *, far: bool) -> None:
-        self.fleet.send_load(self.settings.engine, state.load, far=far)
+        report = state.load
+        if self._draining and not report.loading:
+            report = msgspec.structs.replace(report, loading=True)
+        self.fleet.send_load(self.settings.engine, report, far=far)
 
     @Service.task
     async def _show_peers(self) -> None:
@@ -161,6 +168,7 @@
         """Expect the first version of each model that no one has named a version of."""
         for service in table.services:
             if service.name == self.settings.engine_service and service.engine is not None:
+                self._drain_seconds = service_seconds(service.engine)
                 for model in service.engine.models:
                     self._named(WeightVersion(model=model, version=FIRST_VERSION))
 
@@ -198,12 +206,21 @@
         goal = switch.version_to_copy(shares)
         self._abandon_others(switch.model, goal)
         self._obtain(switch.model, goal)
+        replicas = self._replicas(switch.model)
+        now = time.monotonic()
+        self._draining = switch.should_drain(
+            serving=serving,
+            shares=shares,
+            replicas=replicas,
+            drain_seconds=self._drain_seconds,
+            now_seconds=now,
+        )
         version = switch.version_to_load(
             serving=serving,
             busy=state.busy,
             shares=shares,
-            replicas=self._replicas(switch.model),
-            now_seconds=time.monotonic(),
+            replicas=replicas,
+            now_seconds=now,
         )
         if version is not None:
             await self._load(switch.model, version, state)
@@ -384,10 +401,10 @@
         settings=CopySettings(
             objective=Objective.TIME,
             origin_copies=1,
-            parallel_fetches=3,
-            parallel_origin_fetches=1,
+            parallel_fetches=4,
+            parallel_origin_fetches=2,
             parallel_remote_fetches=2,
-            parallel_uploads=2,
+            parallel_uploads=3,
             max_upload_delay_seconds=switch_seconds / 32,
             discovery_seconds=switch_seconds / 40,
             fallback_seconds=switch_seconds / 10,
