--- a/egretrouter/core/direct/_call.py
+++ b/egretrouter/core/direct/_call.py
@@ -57,6 +57,7 @@
         self._sends = 0
         self._connect_failures = 0
         self._may_have_run = False
+        self._in_flight = False
         self.answer_begun = False
 
     @property
@@ -67,11 +68,12 @@
     @property
     def may_have_run(self) -> bool:
         """Tell whether an endpoint may have worked on the call."""
-        return self._may_have_run
+        return self._may_have_run or self._in_flight
 
     def sent(self) -> None:
         """Learn that the call's bytes are on their way to an endpoint."""
         self._sends += 1
+        self._in_flight = True
 
     def wants_repeat(self, outcome: SendOutcome) -> bool:
         """Tell whether another send would be possible if the budget allows it."""
@@ -84,7 +86,9 @@
     def ended(self, message: SendEnded) -> NextStep:
         """Decide what follows the end of a send."""
         outcome = message.outcome
+        self._in_flight = False
         if outcome is SendOutcome.NOT_SENT:
+            self._sends -= 1
             self._connect_failures += 1
             if self._connect_failures < MAX_CONNECT_FAILURES:
                 return NextStep.SEND
@@ -101,4 +105,4 @@
         """Decide how to end a call that no endpoint can take."""
         if self.answer_begun:
             return NextStep.BREAK_OFF
-        return NextStep.FAIL if self._may_have_run else NextStep.REFUSE
+        return NextStep.FAIL if self.may_have_run else NextStep.REFUSE
--- a/egretrouter/core/direct/_fleet.py
+++ b/egretrouter/core/direct/_fleet.py
@@ -7,7 +7,7 @@
 
 from egretrouter.core.identifiers import InstanceId, RegionId, ZoneId
 
-EXPIRY_SECONDS = 4.0
+EXPIRY_SECONDS = 3.0
 """A member whose counter stands still this long is left out."""
 
 FORGET_SECONDS = 60.0
@@ -149,14 +149,18 @@
         near = [member for member in live if member.zone == self.own.zone]
         return near + self._one_of_each_zone([m for m in live if m.zone != self.own.zone])
 
-    def watches(self, *, now_seconds: float, watchers: int) -> bool:
-        """Tell whether this process is among its zone's watchers of the store."""
-        rivals = [
-            m.instance_id
-            for m in self.live(now_seconds=now_seconds, role=self.own.role)
-            if m.zone == self.own.zone and not m.leaving
+    def watch_rank(self, *, now_seconds: float) -> int:
+        """Return this process's place among those of its zone that may watch the store.
+
+        Agents leave the store to routers, which need more of it.
+        """
+        near = [
+            member
+            for member in self.live(now_seconds=now_seconds)
+            if member.zone == self.own.zone and not member.leaving
         ]
-        return sum(1 for rival in rivals if rival < self.own.instance_id) < watchers
+        own = (self.own.role is FleetRole.AGENT, self.own.instance_id)
+        return sum(1 for m in near if (m.role is FleetRole.AGENT, m.instance_id) < own)
 
 
 def _age(member: FleetMember) -> tuple[int, int]:
--- a/egretrouter/direct/_shared_state.py
+++ b/egretrouter/direct/_shared_state.py
@@ -42,6 +42,9 @@
 WATCH_LIMIT_SECONDS = 25.0
 RETRY_FIRST_SECONDS = 0.1
 RETRY_LIMIT_SECONDS = 1.6
+WATCHERS_PER_ZONE = 2
+RANK_SECONDS = 0.3
+POLL_SECONDS = 1.0
 # A watch of one's own usually brings a change within this time after a peer has it.
 PEER_LEAD_SECONDS = 0.3
 PEER_TIMEOUT_SECONDS = 1.5
@@ -99,6 +102,7 @@
         """The store's revision up to which the view is complete."""
         self._asking: set[StateKind] = set()
         self._jobs: set[asyncio.Task[None]] = set()
+        self._outage = False
         fleet.revisions = self._revisions
         fleet.on_revisions.append(self._peer_revisions)
 
@@ -111,6 +115,7 @@
         """Watch each kind."""
         for kind in self._kinds:
             self.add_future(self._follow(kind))
+        self.add_future(self._poll())
         self.add_future(self._expire())
 
     async def on_stop(self) -> None:
@@ -119,29 +124,25 @@
             job.cancel()
 
     async def _follow(self, kind: StateKind) -> None:
+        """Watch a kind while this process is one of its zone's watchers."""
         failures = 0
         revision: int | None = None
         outage = False
         while not self.should_stop:
+            if kind in self._known and self._rank() >= WATCHERS_PER_ZONE:
+                revision = None
+                await self.sleep(RANK_SECONDS)
+                continue
             try:
                 if revision is None:
-                    listing = await self._store.list_state(kind)
-                    self._listed(kind, listing, after_outage=outage)
-                    revision = listing.revision
+                    revision = await self._list(kind, after_outage=outage)
                     outage = False
                 changes = await self._store.watch_state(
                     kind, after_revision=revision, wait_seconds=self._watch_seconds
                 )
-                if failures:
-                    log_event("store:regained", kind=kind.value, failures=failures)
-                failures = 0
-                revision = changes.revision
-                self._changed(kind, changes)
-                continue
             except HistoryGoneError:
                 log_event("store:history_gone", kind=kind.value, revision=revision)
                 revision = None
-                continue
             except BackendError as error:
                 failures += 1
                 log_event("store:lost", kind=kind.value, failures=failures, error=str(error))
@@ -149,8 +150,45 @@
                 # been away and entries may have lapsed.
                 if failures > 1:
                     revision, outage = None, True
-            delay = min(RETRY_FIRST_SECONDS * 2.0 ** (failures - 1), RETRY_LIMIT_SECONDS)
-            await self.sleep(delay * (0.5 + self._rng.random()))
+                delay = min(RETRY_FIRST_SECONDS * 2.0 ** (failures - 1), RETRY_LIMIT_SECONDS)
+                await self.sleep(delay * (0.5 + self._rng.random()))
+            else:
+                if failures:
+                    log_event("store:regained", kind=kind.value, failures=failures)
+                failures = 0
+                revision = changes.revision
+                self._changed(kind, changes)
+
+    async def _poll(self) -> None:
+        """Read the store again and again in one process of each zone.
+
+        A watch can be silent while changes are made, and ends only long after them.
+        """
+        turn = 0
+        while not self.should_stop:
+            await self.sleep(POLL_SECONDS * (0.9 + 0.2 * self._rng.random()))
+            if self._rank() > 0:
+                continue
+            turn += 1
+            for kind in self._kinds:
+                if kind in self._known and (kind is not StateKind.WEIGHTS or turn % 4 == 0):
+                    try:
+                        await self._list(kind, after_outage=self._outage)
+                    except BackendError as error:
+                        self._outage = True
+                        log_event("store:poll_failed", kind=kind.value, error=str(error))
+                        await self.sleep(RETRY_LIMIT_SECONDS * self._rng.random())
+                        break
+            else:
+                self._outage = False
+
+    def _rank(self) -> int:
+        return self._fleet.fleet.watch_rank(now_seconds=time.monotonic())
+
+    async def _list(self, kind: StateKind, *, after_outage: bool) -> int:
+        listing = await self._store.list_state(kind)
+        self._listed(kind, listing, after_outage=after_outage)
+        return listing.revision
 
     async def _expire(self) -> None:
         while not self.should_stop:
@@ -164,8 +202,13 @@
         if listing.revision < self._seen[kind]:
             return
         at_start = kind not in self._known
+        known = self._content[kind]
         self._seen[kind] = listing.revision
-        self._content[kind] = max(self._content[kind], listing.content_revision)
+        if kind is StateKind.ENDPOINTS and self._names(listing) != self._known_names():
+            # A removal leaves no newer object behind, so the list's own revision stands for it.
+            self._content[kind] = listing.revision
+        else:
+            self._content[kind] = max(known, listing.content_revision)
         if kind is StateKind.ENDPOINTS:
             self.directory.replace(
                 (item for item in listing.items if isinstance(item, Endpoint)),
@@ -178,7 +221,14 @@
             for item in listing.items:
                 self._take(item, at_start=at_start, revision=listing.revision)
         self._known.add(kind)
-        self._fleet.spread_news()
+        if self._content[kind] > known:
+            self._fleet.spread_news()
+
+    def _names(self, listing: StateListing) -> set[EndpointId]:
+        return {item.endpoint_id for item in listing.items if isinstance(item, Endpoint)}
+
+    def _known_names(self) -> set[EndpointId]:
+        return {endpoint.endpoint_id for endpoint in self.directory.all()}
 
     def _changed(self, kind: StateKind, changes: StateChanges) -> None:
         if not changes.events or changes.revision <= self._seen[kind]:
@@ -264,7 +314,9 @@
 
     async def _catch_up(self, kind: StateKind, peer: FleetMember, theirs: Revisions) -> None:
         try:
-            if kind in self._known:
+            # Processes of the same zone are nearer, and a watcher hears from the store itself.
+            far = peer.zone != self._settings.zone
+            if kind in self._known and (far or self._rank() < WATCHERS_PER_ZONE):
                 await asyncio.sleep(PEER_LEAD_SECONDS)
             if self._is_behind(kind, theirs):
                 await self._ask_peer(kind, peer)
