Test what callers of the platform's router see; never let the client resend

Found by the tests: aiohttp sends an idempotent request a second time to the same endpoint when the connection breaks, outside the budget of sends. 31 tests against stand-ins of store and engines.

--- a/egretrouter/core/direct/_directory.py
+++ b/egretrouter/core/direct/_directory.py
@@ -28,11 +28,11 @@
     ) -> None:
         """Take over a whole list; after an outage, missing endpoints stay for a grace time."""
         found = {endpoint.endpoint_id: endpoint for endpoint in endpoints}
-        kept: dict[EndpointId, Endpoint] = {}
-        if after_outage:
-            for endpoint_id, endpoint in self._endpoints.items():
-                if endpoint_id not in found and endpoint.state is EndpointState.READY:
-                    kept[endpoint_id] = endpoint
+        kept = {
+            endpoint_id: endpoint
+            for endpoint_id, endpoint in self._endpoints.items()
+            if after_outage and endpoint_id not in found and endpoint.state is EndpointState.READY
+        }
         self._lapsing = {
             endpoint_id: self._lapsing.get(endpoint_id, now_seconds + LAPSE_GRACE_SECONDS)
             for endpoint_id in kept
--- a/egretrouter/daemons/_orders.py
+++ b/egretrouter/daemons/_orders.py
@@ -11,6 +11,7 @@
     BackendError,
     EgretrouterError,
     LostAnswerError,
+    OrderError,
     StaleFencingNumberError,
 )
 from egretrouter.core.identifiers import Digest
@@ -80,6 +81,8 @@
         version = command.version
         # An order may come after the time for which peers were served, so memory is filled again.
         manifest = await self._copies.obtain(version)
+        if manifest.weights_digest is None:
+            raise OrderError(f"manifest of {version.model}/{version.version} has no whole digest")
         await self._engine.load(
             model=version.model,
             version=version.version,
--- a/egretrouter/direct/_callers.py
+++ b/egretrouter/direct/_callers.py
@@ -28,6 +28,7 @@
     choose_service,
 )
 from egretrouter.core.errors import Outcome
+from egretrouter.core.identifiers import EndpointId
 from egretrouter.direct._logs import log_event
 from egretrouter.direct._metrics import CallMetrics
 from egretrouter.direct._sends import OpenAnswer, OutgoingCall, Sender, SendError, WholeAnswer
@@ -79,7 +80,7 @@
     deadline_seconds: float
     plan: DirectCall
     cutter: EventCutter
-    tried: set[str] = msgspec.field(default_factory=set)
+    tried: set[EndpointId] = msgspec.field(default_factory=set)
     response: web.StreamResponse | None = None
     version: int | None = None
     """The version of the weights that the answer's beginning came from."""
--- a/egretrouter/direct/_metrics.py
+++ b/egretrouter/direct/_metrics.py
@@ -1,11 +1,20 @@
 """Define the metrics of processes that reach endpoints directly."""
 
+from typing import Protocol
+
 from aioprometheus import Counter, Histogram, Registry
 from aioprometheus.renderer import render
 
 SECONDS_BUCKETS = [0.01, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0]
 
 
+class RenderedMetrics(Protocol):
+    """Render a process's metrics."""
+
+    def rendered(self, accept: str) -> tuple[bytes, dict[str, str]]:
+        """Return the metrics in the format that the client accepts."""
+
+
 class Metrics:
     """Hold one process's metrics."""
 
--- a/egretrouter/direct/_process.py
+++ b/egretrouter/direct/_process.py
@@ -13,7 +13,7 @@
 from egretrouter.core.direct import FleetRole
 from egretrouter.direct._fleet_service import FleetService
 from egretrouter.direct._logs import log_event
-from egretrouter.direct._metrics import Metrics
+from egretrouter.direct._metrics import RenderedMetrics
 from egretrouter.direct._settings import DirectSettings
 from egretrouter.direct._shared_state import SharedStateService
 from egretrouter.protocol import egretrouter_pb2 as pb
@@ -61,7 +61,9 @@
         self._peer_server: Any = None
         self._servers: list[asyncio.Server] = []
 
-    async def start_process(self, servicer: pb_grpc.PeersServicer, metrics: Metrics) -> None:
+    async def start_process(
+        self, servicer: pb_grpc.PeersServicer, metrics: RenderedMetrics
+    ) -> None:
         """Listen for peers and operators, and follow the shared state."""
         self._peer_server = build_server(PeerSecurity(secrets=None, tls=None))
         pb_grpc.add_PeersServicer_to_server(servicer, self._peer_server)
@@ -74,15 +76,18 @@
             f"{self.settings.address}:{self.settings.metrics_port}",
         )
 
-    async def listen(self, server: web.Server, address: str) -> None:
-        """Serve HTTP at ADDRESS:PORT."""
+    async def listen(self, server: web.Server, address: str) -> int:
+        """Serve HTTP at ADDRESS:PORT and return the port."""
         host, _, port = address.rpartition(":")
         loop = asyncio.get_running_loop()
-        self._servers.append(
-            await loop.create_server(server, host, int(port), backlog=LISTEN_BACKLOG)
-        )
-
-    async def _operators(self, request: web.BaseRequest, metrics: Metrics) -> web.StreamResponse:
+        listener = await loop.create_server(server, host, int(port), backlog=LISTEN_BACKLOG)
+        self._servers.append(listener)
+        bound: int = listener.sockets[0].getsockname()[1]
+        return bound
+
+    async def _operators(
+        self, request: web.BaseRequest, metrics: RenderedMetrics
+    ) -> web.StreamResponse:
         if request.path == "/metrics":
             content, headers = metrics.rendered(request.headers.get("Accept", ""))
             return web.Response(body=content, headers=headers)
--- a/egretrouter/direct/_router.py
+++ b/egretrouter/direct/_router.py
@@ -70,6 +70,8 @@
             metrics=self.metrics,
             rng=rng,
         )
+        self.callers_port = 0
+        self.readiness_port = 0
         self._readiness_path = readiness_path
         self._read_settings = read_settings
         self.fleet.on_load.append(self._load_told)
@@ -78,7 +80,7 @@
     async def on_start(self) -> None:
         """Listen for callers, and for the load balancer's checks."""
         await self.start_process(StatePeers(self.shared_state), self.metrics)
-        await self.listen(
+        self.callers_port = await self.listen(
             web.Server(
                 self.callers.handle,
                 handler_cancellation=True,
@@ -90,7 +92,9 @@
             ),
             self.settings.callers,
         )
-        await self.listen(web.Server(self._check, access_log=None), self.settings.readiness)
+        self.readiness_port = await self.listen(
+            web.Server(self._check, access_log=None), self.settings.readiness
+        )
         self.add_future(self._count_routers())
 
     @property
--- a/egretrouter/direct/_sends.py
+++ b/egretrouter/direct/_sends.py
@@ -7,7 +7,7 @@
 from multidict import CIMultiDict
 from yarl import URL
 
-from egretrouter.backends import AnswerHeaders, CallDialect
+from egretrouter.backends import AnswerHeaders, CallDialect, send_once
 from egretrouter.core.direct import SendOutcome
 from egretrouter.core.errors import EgretrouterError
 
@@ -115,6 +115,7 @@
                 headers=call.headers,
                 data=call.content or None,
                 allow_redirects=False,
+                middlewares=(send_once(),),
             )
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise SendError(SendOutcome.NOT_SENT, describe(error)) from error
--- a/egretrouter/direct/_sockets.py
+++ b/egretrouter/direct/_sockets.py
@@ -54,7 +54,6 @@
         use_dns_cache=False,
         socket_factory=_open_socket,
         happy_eyeballs_delay=None,
-        **({"keepalive_timeout": 30.0} if reuse_connections else {}),
     )
     connector._factory = functools.partial(  # type: ignore[assignment]
         _StrictResponseHandler, loop=connector._loop
--- /dev/null
+++ b/tests/platform_standins.py
@@ -0,0 +1,229 @@
+"""Stand in for the platform's store, engines and origin on loopback."""
+
+import asyncio
+import hashlib
+import json
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from aiohttp import web
+
+Respond = Callable[[web.BaseRequest, bytes], Awaitable[web.StreamResponse | None]]
+
+
+class StandinServer:
+    """Serve HTTP on a port that the kernel chooses."""
+
+    def __init__(self) -> None:
+        self.address = ""
+        self._server: asyncio.Server | None = None
+
+    async def start(self) -> "StandinServer":
+        loop = asyncio.get_running_loop()
+        handler = web.Server(self.handle, access_log=None, handler_cancellation=True)
+        self._server = await loop.create_server(handler, "127.0.0.1", 0)
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
+        return self
+
+    async def stop(self) -> None:
+        if self._server is not None:
+            self._server.close()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        raise NotImplementedError
+
+
+class StoreStandin(StandinServer):
+    """Hold objects by kind, with revisions, watches and a history that can be dropped."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.revision = 1
+        self.objects: dict[str, dict[str, dict[str, Any]]] = {}
+        self.history: list[tuple[int, str, bool, dict[str, Any]]] = []
+        self.oldest = 0
+        self.failing = 0
+        """Status with which every call is turned away, or 0."""
+        self.silent_watches = False
+        self.calls: list[str] = []
+        self._changed = asyncio.Event()
+
+    def put(self, kind: str, name: str, spec: Any) -> int:
+        self.revision += 1
+        stored = {"meta": {"name": name, "rev": self.revision}, "spec": spec, "status": None}
+        self.objects.setdefault(kind, {})[name] = stored
+        self._note(kind, deleted=False, stored=stored)
+        return self.revision
+
+    def delete(self, kind: str, name: str) -> None:
+        self.revision += 1
+        stored = self.objects[kind].pop(name)
+        self._note(kind, deleted=True, stored=stored)
+
+    def compact(self) -> None:
+        self.oldest = self.revision
+        self._wake()
+
+    def _note(self, kind: str, *, deleted: bool, stored: dict[str, Any]) -> None:
+        self.history.append((self.revision, kind, deleted, stored))
+        self._wake()
+
+    def _wake(self) -> None:
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        self.calls.append(f"{request.method} {request.path}")
+        if self.failing:
+            return web.Response(status=self.failing)
+        parts = request.path.split("/")[3:]
+        if request.method == "GET" and "watch" in request.query:
+            return await self._watch(request, parts[0])
+        if request.method == "GET":
+            items = [
+                self.objects.get(parts[0], {})[n] for n in sorted(self.objects.get(parts[0], {}))
+            ]
+            after = request.query.get("after", "")
+            items = [item for item in items if item["meta"]["name"] > after]
+            page = {"items": items[:2], "more": len(items) > 2, "store_revision": self.revision}
+            return web.json_response(page)
+        body = json.loads(await request.read())
+        name = body["meta"]["name"]
+        if request.method == "POST" and name in self.objects.get(parts[0], {}):
+            return web.json_response(self.objects[parts[0]][name], status=409)
+        self.put(parts[0], name, body["spec"])
+        return web.json_response(self.objects[parts[0]][name])
+
+    async def _watch(self, request: web.BaseRequest, kind: str) -> web.StreamResponse:
+        after = int(request.query["watch"])
+        deadline = asyncio.get_running_loop().time() + int(request.query["wait_ms"]) / 1000
+        while True:
+            if after < self.oldest:
+                return web.Response(status=410)
+            found = [h for h in self.history if h[0] > after and h[1] == kind]
+            left = deadline - asyncio.get_running_loop().time()
+            if (found and not self.silent_watches) or left <= 0:
+                events = [{"deleted": deleted, "object": stored} for _, _, deleted, stored in found]
+                return web.json_response({"events": events, "store_revision": self.revision})
+            try:
+                await asyncio.wait_for(self._changed.wait(), left)
+            except TimeoutError:
+                continue
+
+
+class EngineStandin(StandinServer):
+    """Answer calls as a test scripts it, and count what ran."""
+
+    def __init__(self, endpoint_id: str) -> None:
+        super().__init__()
+        self.endpoint_id = endpoint_id
+        self.requests: list[tuple[web.BaseRequest, bytes]] = []
+        self.ran: list[str] = []
+        self.respond: Respond | None = None
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        content = await request.read()
+        self.requests.append((request, content))
+        if request.headers.get("X-Expect-Instance") not in (None, self.endpoint_id):
+            return web.Response(status=421)
+        if self.respond is not None:
+            response = await self.respond(request, content)
+            if response is not None:
+                return response
+        self.ran.append(request.headers["X-Attempt-Id"])
+        return web.Response(body=b"done " + content, headers=self.receipt(request))
+
+    def receipt(self, request: web.BaseRequest) -> dict[str, str]:
+        return {
+            "X-Attempt-Id": request.headers["X-Attempt-Id"],
+            "X-Engine-Stamp": f"stamp-{self.endpoint_id}",
+        }
+
+    async def events(
+        self, request: web.BaseRequest, ids: range, *, whole: bool = True
+    ) -> web.StreamResponse:
+        """Send events; break off inside the next one if the stream is not whole."""
+        self.ran.append(request.headers["X-Attempt-Id"])
+        response = web.StreamResponse(
+            headers={"Content-Type": "text/event-stream", **self.receipt(request)}
+        )
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        for number in ids:
+            await response.write(b"id: %d\ndata: event %d\n\n" % (number, number))
+        if whole:
+            await response.write_eof()
+        else:
+            await response.write(b"id: %d\nda" % ids.stop)
+            await asyncio.sleep(0.02)
+            assert request.transport is not None
+            request.transport.abort()
+        return response
+
+
+class OriginStandin(StandinServer):
+    """Hand out a manifest and chunks, some of them spoilt."""
+
+    def __init__(self, chunks: list[bytes]) -> None:
+        super().__init__()
+        self.chunks = chunks
+        self.spoil_manifests = 0
+        self.sent: list[int] = []
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        what, model = request.path.split("/")[2:4]
+        version = int(request.query["version"])
+        if what == "manifest":
+            digests = [hashlib.sha256(chunk).hexdigest() for chunk in self.chunks]
+            if self.spoil_manifests:
+                self.spoil_manifests -= 1
+                digests[0] = "0" * 64
+            return web.json_response(
+                {
+                    "model": model,
+                    "version": version,
+                    "chunk_bytes": len(self.chunks[0]),
+                    "digests": digests,
+                }
+            )
+        number = int(request.query["num"])
+        self.sent.append(number)
+        return web.Response(body=self.chunks[number])
+
+
+def configuration(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """Return a configuration with one route of each kind."""
+    base = {"target_latency_ms": 100, "timeout_ms": 800, "host": "a.example"}
+    spec: dict[str, Any] = {
+        "version": version,
+        "routes": [
+            {**base, "name": "sale", "path_prefix": "/sale/", "kind": "non_idempotent",
+             "service": "plain", "attempts": 1},
+            {**base, "name": "read", "path_prefix": "/read/", "kind": "retryable",
+             "service": "plain", "attempts": 2},
+            {**base, "name": "open", "path_prefix": "/open/", "kind": "retryable",
+             "service": "plain", "attempts": 2, "public": True},
+            {**base, "name": "text", "path_prefix": "/text/", "kind": "stream",
+             "service": "plain", "attempts": 2, "resumable": True, "max_gap_ms": 300,
+             "timeout_ms": 3000},
+        ],
+        "services": [{"name": "plain", "health_path": "/healthz", "max_conns": 100}],
+        "limits": {"header_bytes": 4096, "body_bytes": 10_000, "header_timeout_ms": 3000,
+                   "idle_timeout_ms": 15000},
+        "tenants": [{"name": "coop", "api_keys": ["key-1", "key-2"]}],
+    }  # fmt: skip
+    return {**spec, **changes}
+
+
+def registration(address: str, *, service: str = "plain", state: str = "ready") -> dict[str, Any]:
+    """Return what an engine registers."""
+    return {
+        "service": service,
+        "addr": address,
+        "zone": "z1",
+        "version": "v1",
+        "slots": 4,
+        "state": state,
+        "seq": 1,
+        "cold_left_ms": 0,
+    }
--- /dev/null
+++ b/tests/platform_world.py
@@ -0,0 +1,125 @@
+"""Run a router of the platform against stand-ins."""
+
+import asyncio
+import random
+import socket
+from typing import Any
+
+import aiohttp
+from egretrouter_platform._dialect import PlatformDialect
+from egretrouter_platform._store import PlatformStore
+from yarl import URL
+
+from egretrouter.core.identifiers import InstanceId, RegionId, ZoneId
+from egretrouter.direct import Bounds, DirectSettings
+from egretrouter.direct._router import DirectRouter
+from tests.platform_standins import EngineStandin, StoreStandin, configuration, registration
+
+
+def free_ports() -> tuple[int, int]:
+    """Return two neighbouring ports that are free now."""
+    while True:
+        with socket.socket() as first, socket.socket() as second:
+            first.bind(("127.0.0.1", 0))
+            port = first.getsockname()[1]
+            try:
+                second.bind(("127.0.0.1", port + 1))
+            except OSError:
+                continue
+            return port, port + 1
+
+
+def settings(store: str, ports: tuple[int, int], **changes: Any) -> DirectSettings:
+    """Return the settings of a process on loopback."""
+    values: dict[str, Any] = {
+        "instance_id": InstanceId("front-1"),
+        "zone": ZoneId("z1"),
+        "regions": {ZoneId("z1"): RegionId("r1")},
+        "address": "127.0.0.1",
+        "callers": "127.0.0.1:0",
+        "readiness": "127.0.0.1:0",
+        "peer_ports": ports,
+        "store": store,
+        "store_history_seconds": 20.0,
+        "link_bits_per_second": 1e9,
+        "bounds": Bounds(
+            drain_ms=2000,
+            configuration_ms=2000,
+            weights_ms=8000,
+            grace_seconds=8.0,
+            touch_ms=3000,
+            repeat_ratio=0.2,
+            repeat_extra=200,
+            repeat_window_seconds=10.0,
+        ),
+    }
+    return DirectSettings(**{**values, **changes})
+
+
+class PlatformWorld:
+    """Hold one router, its store and its engines."""
+
+    def __init__(self) -> None:
+        self.store = StoreStandin()
+        self.engines: list[EngineStandin] = []
+        self.router: DirectRouter
+        self._session: aiohttp.ClientSession
+
+    async def start(self, *, engines: int = 2, **changes: Any) -> None:
+        await self.store.start()
+        self.store.put("config", "main", configuration(**changes))
+        for number in range(engines):
+            await self.add_engine(f"i-{number}")
+        self._session = aiohttp.ClientSession()
+        self.router = DirectRouter(
+            settings(self.store.address, free_ports()),
+            store=PlatformStore(self._session, address=self.store.address),
+            dialect=PlatformDialect(),
+            rng=random.Random(1),
+        )
+        await self.router.start()
+        await self.until(lambda: self.router.shared_state.complete)
+
+    async def add_engine(self, endpoint_id: str) -> EngineStandin:
+        engine = EngineStandin(endpoint_id)
+        await engine.start()
+        self.engines.append(engine)
+        self.store.put("servers", endpoint_id, registration(engine.address))
+        return engine
+
+    async def until(self, condition: Any) -> None:
+        """Wait until something holds; the test's own timeout ends a wait that is in vain."""
+        while not condition():  # noqa: ASYNC110
+            await asyncio.sleep(0.01)
+
+    @property
+    def url(self) -> str:
+        port = self.router.callers_port
+        return f"http://127.0.0.1:{port}"
+
+    async def call(
+        self, path: str, *, call_id: str = "c-1", **options: Any
+    ) -> tuple[int, bytes, Any]:
+        """Make one call and return its status, body and headers."""
+        headers = {
+            "Host": "a.example",
+            "X-Attempt-Id": call_id,
+            "X-Deadline-Ms": "3000",
+            "X-Api-Key": "key-1",
+            **options.pop("headers", {}),
+        }
+        method = options.pop("method", "POST")
+        async with (
+            aiohttp.ClientSession() as session,
+            session.request(
+                method, URL(self.url + path, encoded=True), headers=headers, **options
+            ) as response,
+        ):
+            return response.status, await response.read(), response.headers
+
+    async def stop(self) -> None:
+        await self.router.stop()
+        await self._session.close()
+        await self.store.stop()
+        for engine in self.engines:
+            await engine.stop()
--- /dev/null
+++ b/tests/test_platform_calls.py
@@ -0,0 +1,348 @@
+"""Check what callers of the platform's router see, against scripted endpoints."""
+
+import asyncio
+import json
+import socket
+import struct
+from collections.abc import AsyncIterator
+
+import aiohttp
+import pytest
+from aiohttp import web
+
+from tests.platform_standins import configuration
+from tests.platform_world import PlatformWorld
+
+
+@pytest.fixture
+async def world() -> AsyncIterator[PlatformWorld]:
+    opened = PlatformWorld()
+    await opened.start()
+    yield opened
+    await opened.stop()
+
+
+async def raw_answer(request: web.BaseRequest, data: bytes, *, reset: bool) -> web.StreamResponse:
+    """Send bytes as they are and close or reset the connection."""
+    transport = request.transport
+    assert transport is not None
+    transport.write(data)
+    if reset:
+        await asyncio.sleep(0.05)
+        # Without a time to linger, closing resets the connection.
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        transport.abort()
+    else:
+        transport.close()
+    return web.Response()
+
+
+class TestWholeAnswers:
+    """Guard against answers that are cut, crossed or not the endpoint's."""
+
+    async def test_answer_is_passed_on_unchanged(self, world: PlatformWorld) -> None:
+        status, body, headers = await world.call("/sale/x?a=%2f&b", data=b"contract")
+        assert (status, body) == (200, b"done contract")
+        assert headers["X-Engine-Stamp"].startswith("stamp-i-")
+        request, _ = next(r for e in world.engines for r in e.requests)
+        assert request.raw_path == "/sale/x?a=%2f&b"
+
+    async def test_unframed_answer_that_is_reset_is_not_whole(self, world: PlatformWorld) -> None:
+        async def respond(request: web.BaseRequest, _: bytes) -> web.StreamResponse:
+            head = "HTTP/1.1 200 OK\r\nX-Engine-Stamp: s\r\nX-Attempt-Id: c-1\r\n\r\npart"
+            return await raw_answer(request, head.encode(), reset=True)
+
+        for engine in world.engines:
+            engine.respond = respond
+        status, _, headers = await world.call("/sale/x")
+        assert status == 502
+        assert "X-Engine-Stamp" not in headers
+
+    @pytest.mark.parametrize(
+        ("status", "headers"),
+        [
+            (200, {"X-Engine-Stamp": "s", "X-Attempt-Id": "another"}),
+            (200, {"X-Attempt-Id": "c-1"}),
+            (200, {"X-Engine-Stamp": "s", "X-Attempt-Id": "c-1", "Content-Encoding": "gzip"}),
+        ],
+        ids=["another call's", "without receipt", "encoded"],
+    )
+    async def test_answer_that_is_not_the_endpoints_own_is_not_passed_on(
+        self, world: PlatformWorld, status: int, headers: dict[str, str]
+    ) -> None:
+        async def respond(request: web.BaseRequest, _: bytes) -> web.StreamResponse:
+            return web.Response(status=status, body=b"x", headers=headers)
+
+        for engine in world.engines:
+            engine.respond = respond
+        found, body, answered = await world.call("/sale/x")
+        assert found == 502
+        assert json.loads(body)["outcome"] == "unknown"
+        assert "X-Engine-Stamp" not in answered
+
+    async def test_endpoints_failure_is_passed_on_with_its_receipt(
+        self, world: PlatformWorld
+    ) -> None:
+        async def respond(request: web.BaseRequest, _: bytes) -> web.StreamResponse:
+            headers = {"X-Engine-Stamp": "s", "X-Attempt-Id": "c-1"}
+            return web.Response(status=500, body=b"no", headers=headers)
+
+        for engine in world.engines:
+            engine.respond = respond
+        status, body, headers = await world.call("/sale/x")
+        assert (status, body, headers["X-Engine-Stamp"]) == (500, b"no", "s")
+
+
+class TestRuns:
+    """Guard against calls that run twice, and refusals that are not true."""
+
+    async def test_non_idempotent_call_is_sent_once(self, world: PlatformWorld) -> None:
+        async def respond(request: web.BaseRequest, _: bytes) -> web.StreamResponse:
+            return await raw_answer(request, b"", reset=True)
+
+        for engine in world.engines:
+            engine.respond = respond
+        status, _, _ = await world.call("/sale/x")
+        assert status == 502
+        assert sum(len(e.requests) for e in world.engines) == 1
+
+    async def test_call_whose_time_ends_in_flight_is_not_refused_as_not_run(
+        self, world: PlatformWorld
+    ) -> None:
+        async def respond(request: web.BaseRequest, _: bytes) -> web.StreamResponse:
+            await asyncio.sleep(5)
+            return web.Response()
+
+        for engine in world.engines:
+            engine.respond = respond
+        status, body, _ = await world.call("/sale/x", headers={"X-Deadline-Ms": "150"})
+        assert (status, json.loads(body)["outcome"]) == (504, "unknown")
+
+    async def test_rejected_call_is_refused_as_not_run(self, world: PlatformWorld) -> None:
+        async def respond(request: web.BaseRequest, _: bytes) -> web.StreamResponse:
+            return web.Response(status=503, headers={"X-Not-Run": "1"})
+
+        for engine in world.engines:
+            engine.respond = respond
+        status, body, headers = await world.call("/sale/x")
+        assert (status, json.loads(body)["outcome"]) == (503, "not_run")
+        assert "X-Engine-Stamp" not in headers
+
+    async def test_endpoints_503_without_a_promise_is_not_passed_on(
+        self, world: PlatformWorld
+    ) -> None:
+        async def respond(request: web.BaseRequest, _: bytes) -> web.StreamResponse:
+            headers = {"X-Engine-Stamp": "s", "X-Attempt-Id": "c-1"}
+            return web.Response(status=503, headers=headers)
+
+        for engine in world.engines:
+            engine.respond = respond
+        status, _, headers = await world.call("/sale/x")
+        assert status == 502
+        assert "X-Engine-Stamp" not in headers
+
+    async def test_idempotent_call_goes_to_another_endpoint(self, world: PlatformWorld) -> None:
+        first: list[str] = []
+
+        async def respond(request: web.BaseRequest, _: bytes) -> web.StreamResponse | None:
+            if first:
+                return None
+            first.append("failed")
+            return await raw_answer(request, b"", reset=True)
+
+        for engine in world.engines:
+            engine.respond = respond
+        status, _, _ = await world.call("/read/x", method="GET")
+        assert status == 200
+        assert sorted(len(e.requests) for e in world.engines) == [1, 1]
+
+    async def test_address_of_another_endpoint_runs_nothing(self, world: PlatformWorld) -> None:
+        for engine in world.engines:
+            engine.endpoint_id = "i-new"
+        status, _, _ = await world.call("/sale/x")
+        assert status == 503
+        assert not any(engine.ran for engine in world.engines)
+
+    async def test_endpoint_that_refuses_connections_costs_no_send(
+        self, world: PlatformWorld
+    ) -> None:
+        await world.engines[0].stop()
+        for number in range(6):
+            status, _, _ = await world.call("/sale/x", call_id=f"c-{number}")
+            assert status == 200
+        assert len(world.engines[1].ran) == 6
+
+
+class TestStreams:
+    """Guard against streams with missing, double or joined events."""
+
+    async def test_broken_stream_goes_on_at_the_next_event(self, world: PlatformWorld) -> None:
+        async def respond(request: web.BaseRequest, _: bytes) -> web.StreamResponse:
+            engine = next(e for e in world.engines if any(r is request for r, _ in e.requests))
+            last = request.headers.get("Last-Event-Id")
+            if last is None:
+                return await engine.events(request, range(1, 4), whole=False)
+            # One event is sent again, as an engine may that resumes too early.
+            return await engine.events(request, range(int(last), 6))
+
+        for engine in world.engines:
+            engine.respond = respond
+        status, body, headers = await world.call("/text/x")
+        assert status == 200
+        assert body == b"".join(b"id: %d\ndata: event %d\n\n" % (n, n) for n in range(1, 6))
+        first = next(e for e in world.engines if "Last-Event-Id" not in e.requests[0][0].headers)
+        assert headers["X-Engine-Stamp"] == f"stamp-{first.endpoint_id}"
+
+    async def test_stream_that_can_not_go_on_does_not_look_whole(
+        self, world: PlatformWorld
+    ) -> None:
+        async def respond(request: web.BaseRequest, _: bytes) -> web.StreamResponse:
+            engine = next(e for e in world.engines if any(r is request for r, _ in e.requests))
+            last = int(request.headers.get("Last-Event-Id", "0"))
+            return await engine.events(request, range(last + 1, last + 3), whole=False)
+
+        for engine in world.engines:
+            engine.respond = respond
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await world.call("/text/x")
+        assert sum(len(e.requests) for e in world.engines) == 2
+
+
+class TestRequests:
+    """Guard against requests that carry what the caller did not send, or may not."""
+
+    async def test_system_headers_replace_those_of_the_caller(self, world: PlatformWorld) -> None:
+        forged = {
+            "X-Tenant": "other",
+            "X-Expect-Instance": "i-9",
+            "X-Expect-Version": "7",
+            "X-Request-Priority": "0",
+            "Path": "10.0.0.1:1=0-4",
+            "X-Model": "m",
+            "Connection": "X-Model, X-Private",
+            "X-Private": "secret",
+            "X-Custom": "kept",
+        }
+        status, _, _ = await world.call("/sale/x", headers=forged)
+        assert status == 200
+        request, _ = next(r for e in world.engines for r in e.requests)
+        headers = request.headers
+        assert headers["X-Tenant"] == "coop"
+        assert headers["X-Expect-Instance"].startswith("i-")
+        assert headers["X-Expect-Instance"] != "i-9"
+        assert headers["X-Model"] == "m"
+        assert headers["X-Custom"] == "kept"
+        for name in ("X-Api-Key", "X-Expect-Version", "X-Request-Priority", "Path", "X-Private"):
+            assert name not in headers
+        assert int(headers["X-Deadline-Ms"]) <= 800
+
+    @pytest.mark.parametrize(
+        ("path", "headers", "expected"),
+        [
+            ("/none/x", {}, 404),
+            ("/sale/x", {"X-Api-Key": "stolen"}, 401),
+            ("/open/x", {"X-Api-Key": "stolen"}, 200),
+            ("/sale/x", {"X-Deadline-Ms": "soon"}, 400),
+            ("/sale/x", {"X-Token-Count": "many"}, 400),
+            ("/sale/x", {"X-Padding": "x" * 5000}, 431),
+        ],
+    )
+    async def test_request_is_judged_by_the_configuration(
+        self, world: PlatformWorld, path: str, headers: dict[str, str], expected: int
+    ) -> None:
+        status, _, _ = await world.call(path, headers=headers)
+        assert status == expected
+
+    async def test_body_over_the_limit_is_refused(self, world: PlatformWorld) -> None:
+        status, _, _ = await world.call("/sale/x", data=b"x" * 20_000)
+        assert status == 413
+        assert not any(engine.requests for engine in world.engines)
+
+    async def test_caller_who_leaves_ends_the_work(self, world: PlatformWorld) -> None:
+        left = asyncio.Event()
+
+        async def respond(request: web.BaseRequest, _: bytes) -> web.StreamResponse:
+            try:
+                await asyncio.sleep(5)
+            except asyncio.CancelledError:
+                left.set()
+                raise
+            return web.Response()
+
+        for engine in world.engines:
+            engine.respond = respond
+        with pytest.raises(TimeoutError):
+            await world.call("/text/x", timeout=aiohttp.ClientTimeout(total=0.2))
+        async with asyncio.timeout(2):
+            await left.wait()
+
+
+class TestConfiguration:
+    """Guard against changes that are missed, and against older versions."""
+
+    async def test_change_is_in_force_and_never_reverts(self, world: PlatformWorld) -> None:
+        tenants = [{"name": "coop", "api_keys": ["key-2"]}]
+        world.store.put("config", "main", configuration(5, tenants=tenants))
+        await world.until(lambda: world.router.shared_state.routes.table.version == 5)
+        world.store.put("config", "main", configuration(4))
+        await asyncio.sleep(0.1)
+        status, _, _ = await world.call("/sale/x")
+        assert status == 401
+
+    async def test_change_behind_a_silent_watch_is_found(self, world: PlatformWorld) -> None:
+        """A watch that heard nothing for seconds left a revoked key in force."""
+        world.store.silent_watches = True
+        world.store.put("config", "main", configuration(6))
+        async with asyncio.timeout(2.0):
+            await world.until(lambda: world.router.shared_state.routes.table.version == 6)
+
+    async def test_lost_history_is_made_good_by_a_list(self, world: PlatformWorld) -> None:
+        world.store.put("servers", "i-9", {"service": "plain"})
+        world.store.put("config", "main", configuration(7))
+        world.store.compact()
+        await world.until(lambda: world.router.shared_state.routes.table.version == 7)
+
+    async def test_router_without_configuration_is_not_ready_and_refuses(self) -> None:
+        world = PlatformWorld()
+        world.store.failing = 503
+        start = asyncio.create_task(world.start())
+        await world.until(lambda: hasattr(world, "router") and world.router.callers_port)
+        status, body, headers = await world.call("/sale/x")
+        assert (status, json.loads(body)["outcome"]) == (503, "not_run")
+        assert float(headers["Retry-After"]) > 0
+        assert not world.router.ready
+        world.store.failing = 0
+        await start
+        assert world.router.ready
+        await world.stop()
+
+
+class TestEndpoints:
+    """Guard against work for endpoints that leave."""
+
+    async def test_leaving_endpoint_gets_no_new_calls(self, world: PlatformWorld) -> None:
+        leaving, staying = world.engines
+        world.store.delete("servers", leaving.endpoint_id)
+        directory = world.router.shared_state.directory
+        await world.until(lambda: len(directory.all()) == 1)
+        for number in range(8):
+            await world.call("/sale/x", call_id=f"c-{number}")
+        assert not leaving.requests
+        assert len(staying.ran) == 8
+
+    async def test_malformed_entry_names_no_endpoint_and_harms_no_other(
+        self, world: PlatformWorld
+    ) -> None:
+        world.store.put("servers", "i-0", {"service": 3, "addr": None})
+        directory = world.router.shared_state.directory
+        await world.until(lambda: len(directory.all()) == 1)
+        status, _, _ = await world.call("/sale/x")
+        assert status == 200
+
+    async def test_entries_stay_while_the_store_is_away(self, world: PlatformWorld) -> None:
+        world.store.failing = 503
+        world.store.compact()
+        await asyncio.sleep(0.3)
+        status, _, _ = await world.call("/sale/x")
+        assert status == 200
