--- a/egretrouter/core/direct/_switch.py
+++ b/egretrouter/core/direct/_switch.py
@@ -98,7 +98,9 @@
         """Tell whether enough other engines go on serving while this one loads."""
         if now_seconds >= self._named[version] + SECOND_HALF_SHARE * self._switch_seconds:
             return True
-        others = {r.instance_id: r.version for r in replicas if r.version}
+        others = {
+            r.instance_id: r.version for r in replicas if r.version and r.instance_id != self._own
+        }
         ranked = sorted([*others, self._own])
         first = ranked[: (len(ranked) + 1) // 2]
         return self._own in first or all(others[other] >= version for other in first)
