--- a/egretrouter/core/direct/_fleet.py
+++ b/egretrouter/core/direct/_fleet.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from egretrouter.core.identifiers import InstanceId, RegionId, ZoneId
+from egretrouter.core.identifiers import Digest, InstanceId, RegionId, ZoneId
 
 EXPIRY_SECONDS = 3.0
 """A member whose counter stands still this long is left out."""
@@ -37,10 +37,8 @@
     started_ms: int
     heartbeat: int = 0
     leaving: bool = False
-    copy: str = ""
-    """The manifest digest of the weights that an agent has or copies."""
-    copy_version: str = ""
-    """The model and version of that copy, as MODEL/VERSION."""
+    copies: tuple[tuple[str, Digest], ...] = ()
+    """The versions that an agent has or copies, as MODEL/VERSION, and their manifests' digests."""
     serving: str = ""
     """The model and version that an agent's engine serves, as MODEL/VERSION."""
 
--- a/egretrouter/core/direct/_placement.py
+++ b/egretrouter/core/direct/_placement.py
@@ -1,6 +1,7 @@
 """Choose the endpoint of a call from what is known of each endpoint's load and health."""
 
 import random
+from collections import deque
 from collections.abc import Collection
 
 import msgspec
@@ -19,6 +20,11 @@
 OTHER_REGION_PENALTY = 0.35
 # Routers that see the same reports must not all choose the same endpoint.
 SPREAD = 0.15
+# Agents report about this often, and routers act on the same reports until the next.
+REPORT_INTERVAL_SECONDS = 0.15
+ARRIVAL_WINDOW_SECONDS = 1.0
+# A call that is late already gets a place only where none waits.
+LATE_SLOT_SHARE = 0.85
 # Endpoints that tell no slots are taken to have few.
 DEFAULT_SLOTS = 4
 # A queue of plain calls is short-lived; it may hold this many times the slots.
@@ -75,6 +81,8 @@
     exact_version: int | None = None
     """Set to go on with a stream whose beginning came from this version."""
     latency_target_seconds: float = 0.4
+    late: bool = False
+    """Whether the call can no longer be answered within its target."""
     tried: Collection[EndpointId] = ()
 
 
@@ -104,6 +112,21 @@
         self._regions = regions
         self._rng = rng
         self._standings: dict[EndpointId, _Standing] = {}
+        self._arrivals: deque[float] = deque()
+        self._waiting = 0
+        self._routers = 1
+
+    def set_routers(self, routers: int) -> None:
+        """Learn how many routers place calls on the same endpoints."""
+        self._routers = max(1, routers)
+
+    def arrived(self, *, now_seconds: float) -> None:
+        """Learn that a call for a model engine came."""
+        self._arrivals.append(now_seconds)
+
+    def waiting(self, change: int) -> None:
+        """Learn that calls began or ceased to wait for room."""
+        self._waiting += change
 
     def _standing(self, endpoint_id: EndpointId) -> _Standing:
         standing = self._standings.get(endpoint_id)
@@ -176,9 +199,35 @@
                 endpoints=len(sound),
                 retry_after_seconds=self._retry_after(len(sound), profile),
             )
+        if profile is not None and not self._has_turn(free, need, profile, now_seconds):
+            return NoChoice(
+                endpoints=len(free), retry_after_seconds=self._retry_after(len(free), profile)
+            )
         endpoint, version = min(free, key=lambda e: self._score(e[0], now_seconds))
         return Choice(endpoint=endpoint, version=version or None)
 
+    def _has_turn(
+        self,
+        free: Collection[tuple[Endpoint, int]],
+        need: Need,
+        profile: EngineProfile,
+        now_seconds: float,
+    ) -> bool:
+        """Share scarce room among routers that act on the same reports, by chance."""
+        while self._arrivals and self._arrivals[0] < now_seconds - ARRIVAL_WINDOW_SECONDS:
+            self._arrivals.popleft()
+        rate = len(self._arrivals) / ARRIVAL_WINDOW_SECONDS
+        demand = self._routers * (rate * REPORT_INTERVAL_SECONDS + self._waiting)
+        room = sum(
+            self._limit(endpoint, need, profile) - self._load(endpoint, now_seconds)
+            for endpoint, _ in free
+        )
+        return room >= demand or self._rng.random() * demand < room
+
+    def _load(self, endpoint: Endpoint, now_seconds: float) -> float:
+        standing = self._standings.get(endpoint.endpoint_id)
+        return standing.expected_load(now_seconds) if standing is not None else 0.0
+
     def _ejected(self, endpoint: Endpoint, now_seconds: float) -> bool:
         standing = self._standings.get(endpoint.endpoint_id)
         return standing is not None and standing.ejected_until_seconds > now_seconds
@@ -204,6 +253,16 @@
     def _slots(self, endpoint: Endpoint) -> int:
         return endpoint.slots or DEFAULT_SLOTS
 
+    def _limit(self, endpoint: Endpoint, need: Need, profile: EngineProfile | None) -> float:
+        """Return the calls that an endpoint may hold so that another is answered in time."""
+        slots = self._slots(endpoint)
+        if need.late:
+            return LATE_SLOT_SHARE * slots
+        if profile is None:
+            return slots + PLAIN_QUEUE_FACTOR * slots
+        spare = max(0.0, need.latency_target_seconds - first_event_seconds(profile))
+        return slots + spare * slots / service_seconds(profile)
+
     def _is_full(
         self,
         endpoint: Endpoint,
@@ -211,16 +270,7 @@
         profile: EngineProfile | None,
         now_seconds: float,
     ) -> bool:
-        standing = self._standings.get(endpoint.endpoint_id)
-        if standing is None:
-            return False
-        slots = self._slots(endpoint)
-        if profile is None:
-            queue = PLAIN_QUEUE_FACTOR * slots
-        else:
-            spare = max(0.0, need.latency_target_seconds - first_event_seconds(profile))
-            queue = spare * slots / service_seconds(profile)
-        return standing.expected_load(now_seconds) >= slots + queue
+        return self._load(endpoint, now_seconds) >= self._limit(endpoint, need, profile)
 
     def _score(self, endpoint: Endpoint, now_seconds: float) -> float:
         standing = self._standings.get(endpoint.endpoint_id)
@@ -237,9 +287,7 @@
     def _retry_after(self, endpoints: int, profile: EngineProfile | None) -> float:
         """Return when room is likely, spread so that callers do not return together."""
         turnover = service_seconds(profile) if profile is not None else 0.2
-        if endpoints == 0:
-            turnover *= 2
-        return turnover * (0.4 + 0.8 * self._rng.random())
+        return turnover * (1.0 + self._rng.random())
 
     def snapshot(self) -> dict[str, object]:
         """Return the state for the state dump."""
--- a/egretrouter/core/direct/_switch.py
+++ b/egretrouter/core/direct/_switch.py
@@ -10,7 +10,12 @@
 SECOND_HALF_SHARE = 0.75
 # A copy that has come this far is finished before one of a newer version begins: engines would
 # otherwise reach the end of the older version's time without either.
-FINISH_SHARE = 0.5
+FINISH_SHARE = 0.3
+# A version that will be in use for less than this is not worth the load of an engine.
+LEAST_USE_SECONDS = 1.0
+# A copy of the newest version that gains nothing for this long is helped by one of an older: its
+# origin may be away for longer than the older version may serve.
+STALL_SECONDS = 0.8
 # An engine does not load a version when a newer one is about to be complete.
 SKIP_SHARE = 0.85
 
@@ -26,7 +31,18 @@
 class WeightSwitch:
     """Follow one engine from one version of a model to the next."""
 
-    def __init__(self, *, own: InstanceId, model: ModelName, switch_seconds: float) -> None:
+    def __init__(
+        self,
+        *,
+        own: InstanceId,
+        model: ModelName,
+        switch_seconds: float,
+        copy_seconds: float = 0.0,
+    ) -> None:
+        """Expect an older version to serve for switch_seconds and a copy to take copy_seconds."""
+        self.copy_seconds = copy_seconds
+        self._helped: int | None = None
+        """An older version that is copied beside the newest, because that one stalled."""
         self._own = own
         self._switch_seconds = switch_seconds
         self.model = model
@@ -34,6 +50,8 @@
         """The versions named, and when."""
         self._begun: dict[int, tuple[float, float]] = {}
         """When a copy was first seen incomplete, and the share it had."""
+        self._gained: dict[int, tuple[float, float]] = {}
+        """When a copy last gained a chunk, and the share it has since."""
 
     @property
     def target(self) -> int:
@@ -47,10 +65,44 @@
         self._named[version] = now_seconds
         return True
 
-    def version_to_copy(self, shares: Mapping[int, float]) -> int:
-        """Choose the version to copy from the shares of each that are at hand."""
-        begun = [v for v in self._named if FINISH_SHARE <= shares.get(v, 0.0) < 1.0]
-        return max(begun, default=self.target)
+    def versions_to_copy(
+        self, *, serving: int, shares: Mapping[int, float], now_seconds: float
+    ) -> tuple[int, ...]:
+        """Choose the versions to copy from the shares of each that are at hand."""
+        target = self.target
+        stalled = self._is_stalled(target, shares, now_seconds)
+        useful = [
+            version
+            for version in self._named
+            if serving < version < target
+            and shares.get(version, 0.0) < 1.0
+            and self._is_useful(version, shares.get(version, 0.0), now_seconds)
+        ]
+        if not useful:
+            return (target,)
+        older = max(useful)
+        if shares.get(older, 0.0) >= FINISH_SHARE and self._helped != older:
+            return (older,)
+        if stalled:
+            self._helped = older
+        return (target, older) if self._helped == older else (target,)
+
+    def _is_useful(self, version: int, share: float, now_seconds: float) -> bool:
+        """Tell whether a version would be in use for long enough after its copy is complete."""
+        complete_seconds = now_seconds + (1.0 - share) * self.copy_seconds
+        return complete_seconds + LEAST_USE_SECONDS < self._ends_seconds(version)
+
+    def _ends_seconds(self, version: int) -> float:
+        """Return when calls may no longer begin on a version."""
+        newer = [named for other, named in self._named.items() if other > version]
+        return min(newer, default=float("inf")) + self._switch_seconds
+
+    def _is_stalled(self, version: int, shares: Mapping[int, float], now_seconds: float) -> bool:
+        share = shares.get(version, 0.0)
+        gained = self._gained.get(version)
+        if gained is None or share > gained[1]:
+            gained = self._gained[version] = (now_seconds, share)
+        return share < 1.0 and now_seconds - gained[0] >= STALL_SECONDS
 
     def should_drain(
         self,
@@ -84,7 +136,11 @@
         now_seconds: float,
     ) -> int | None:
         """Return the version that the engine is to load now, if any."""
-        complete = [v for v, share in shares.items() if share >= 1.0 and v in self._named]
+        complete = [
+            v
+            for v, share in shares.items()
+            if share >= 1.0 and v in self._named and self._is_useful(v, share, now_seconds)
+        ]
         version = max(complete, default=0)
         if busy or version <= serving:
             return None
--- a/egretrouter/core/weights/__init__.py
+++ b/egretrouter/core/weights/__init__.py
@@ -51,6 +51,7 @@
     WholeVerified,
 )
 from egretrouter.core.weights._ownership import Ownership, Peer
+from egretrouter.core.weights._part_window import PartWindow
 from egretrouter.core.weights._serving import LinkShares
 
 __all__ = [
@@ -91,6 +92,7 @@
     "OwnerAnswered",
     "OwnerAsked",
     "Ownership",
+    "PartWindow",
     "Peer",
     "PeerAnnounced",
     "PeersChanged",
--- a/egretrouter/core/weights/_messages.py
+++ b/egretrouter/core/weights/_messages.py
@@ -253,6 +253,11 @@
     """Copies that the origin may send at once under the objective time."""
     neighbours: int = 10
     parallel_fetches: int = 4
+    parallel_fetches_beside_origin: int | None = None
+    """Fetches from the zone while one from the origin lasts; None for as many as without.
+
+    Few fetches leave a narrow link to the origin, which may be gone before the copy is complete.
+    """
     parallel_fetches_per_source: int = 1
     parallel_origin_fetches: int = 2
     parallel_remote_fetches: int = 4
--- a/egretrouter/core/weights/_planner.py
+++ b/egretrouter/core/weights/_planner.py
@@ -154,7 +154,7 @@
     def fetch_near(self, missing: int, *, now_seconds: float) -> list[CopyCommand]:
         """Fetch the rarest missing chunks from neighbours while slots are free."""
         commands: list[CopyCommand] = []
-        free = self._settings.parallel_fetches - self.transfers.per_kind[SourceKind.ZONE]
+        free = self._parallel_near() - self.transfers.per_kind[SourceKind.ZONE]
         if free <= 0:
             return commands
         usable = {s: h for s, h in self.sources.holding() if self._free(s, now_seconds)}
@@ -171,6 +171,12 @@
                 del usable[source]
         return commands
 
+    def _parallel_near(self) -> int:
+        beside = self._settings.parallel_fetches_beside_origin
+        if beside is not None and self.transfers.per_kind[SourceKind.ORIGIN]:
+            return beside
+        return self._settings.parallel_fetches
+
     def fetch_far(
         self, missing: int, *, due_since_seconds: float, now_seconds: float
     ) -> list[CopyCommand]:
--- a/egretrouter/daemons/_weight_transfers.py
+++ b/egretrouter/daemons/_weight_transfers.py
@@ -1,9 +1,10 @@
 """Move manifests and chunks of weights to one agent from its peers and the origin."""
 
 import asyncio
+import contextlib
 import random
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable
 
 import grpc
 import msgspec
@@ -27,6 +28,7 @@
     CopyMessage,
     FailureReason,
     Manifest,
+    PartWindow,
     Peer,
     TokenBucket,
     Unavailable,
@@ -48,6 +50,7 @@
 MANIFEST_FALLBACK_SECONDS = 2.0
 PROGRESS_SECONDS = 1.0
 PACE_LIMIT_SECONDS = 10.0
+PLACE_POLL_SECONDS = 0.01
 
 
 class CopyPeer(msgspec.Struct, frozen=True, kw_only=True):
@@ -68,6 +71,7 @@
     uploads: TokenBucket
     part_bytes: int
     """How much of a chunk is sent at once; what is behind it on the link waits that long."""
+    window: PartWindow
 
 
 async def _keep_pace(bucket: TokenBucket, length: int) -> None:
@@ -128,14 +132,15 @@
             if backend is None:
                 continue
             try:
-                content = await backend.chunk(
-                    version.model,
-                    version.version,
-                    index,
-                    offset=offset,
-                    length=length,
-                    on_bytes=on_bytes,
-                )
+                async with self._place_on_link():
+                    content = await backend.chunk(
+                        version.model,
+                        version.version,
+                        index,
+                        offset=offset,
+                        length=length,
+                        on_bytes=on_bytes,
+                    )
             except RateLimitedError as error:
                 reason = Busy(retry_after_seconds=error.retry_after_seconds)
             except BackendError:
@@ -182,11 +187,29 @@
 
     async def _request_chunk(self, address: str, request: pb.ChunkRequest) -> pb.ChunkReply:
         stub = pb_grpc.PeersStub(self._channels.channel(address))
-        reply: pb.ChunkReply = await stub.FetchChunk(
-            request, metadata=self._channels.metadata, timeout=CHUNK_TIMEOUT_SECONDS
-        )
+        async with self._place_on_link():
+            reply: pb.ChunkReply = await stub.FetchChunk(
+                request, metadata=self._channels.metadata, timeout=CHUNK_TIMEOUT_SECONDS
+            )
         return reply
 
+    @contextlib.asynccontextmanager
+    async def _place_on_link(self) -> AsyncIterator[None]:
+        """Wait until a part may be on its way, and learn how long it takes."""
+        if self._link is None:
+            yield
+            return
+        window = self._link.window
+        while not window.has_room:  # noqa: ASYNC110
+            await asyncio.sleep(PLACE_POLL_SECONDS)
+        window.begun()
+        began = time.monotonic()
+        try:
+            yield
+        finally:
+            now = time.monotonic()
+            window.ended(seconds=now - began, now_seconds=now)
+
     async def _wait_for_pace(self, length: int) -> None:
         if self._link is not None:
             await _keep_pace(self._link.downloads, length)
--- a/egretrouter/direct/_agent.py
+++ b/egretrouter/direct/_agent.py
@@ -2,6 +2,7 @@
 
 import random
 import time
+from collections.abc import Collection
 from typing import Any
 
 import msgspec
@@ -26,7 +27,7 @@
 )
 from egretrouter.core.identifiers import ChunkIndex, Digest, ModelName, VersionName
 from egretrouter.core.rollout import VersionReference
-from egretrouter.core.weights import ChunkMemory, CopySettings, Manifest, Peer
+from egretrouter.core.weights import ChunkMemory, CopySettings, Manifest, PartWindow, Peer
 from egretrouter.daemons._copies import CopyLimits, CopyService, link_bucket
 from egretrouter.daemons._metrics import AgentMetrics
 from egretrouter.daemons._peers import PeersServicer
@@ -39,6 +40,7 @@
 REPORT_SECONDS = 0.1
 FAR_REPORTS_EVERY = 2
 """Routers of other zones get every second report."""
+ANNOUNCED_COPIES = 3
 STEP_SECONDS = 0.1
 MANIFEST_RETRY_SECONDS = 0.3
 FIRST_VERSION = 1
@@ -49,6 +51,8 @@
 UPLOAD_LINK_SHARE = 0.85
 DOWNLOAD_LINK_SHARE = 0.97
 PART_BYTES = 8 * 1024
+# Parts wait their turn at the sender; beyond this there is a queue on the way.
+SLOW_PART_SECONDS = 0.25
 COPY_BURST_BYTES = 40 * 1024
 
 
@@ -198,16 +202,17 @@
             return
         serving = (state.load.versions or {}).get(switch.model, 0)
         self._tell_version(switch.model, serving)
+        now = time.monotonic()
         shares = {
             version: self.copies.held_share(manifest)
             for (model, version), manifest in self._manifests.items()
             if model == switch.model
         }
-        goal = switch.version_to_copy(shares)
-        self._abandon_others(switch.model, goal)
-        self._obtain(switch.model, goal)
+        goals = switch.versions_to_copy(serving=serving, shares=shares, now_seconds=now)
+        self._abandon_others(switch.model, goals)
+        for goal in goals:
+            self._obtain(switch.model, goal)
         replicas = self._replicas(switch.model)
-        now = time.monotonic()
         self._draining = switch.should_drain(
             serving=serving,
             shares=shares,
@@ -225,9 +230,9 @@
         if version is not None:
             await self._load(switch.model, version, state)
 
-    def _abandon_others(self, model: ModelName, goal: int) -> None:
+    def _abandon_others(self, model: ModelName, goals: Collection[int]) -> None:
         """Stop incomplete copies of other versions, which would take the link's room."""
-        for key in [k for k in self._obtaining if k[0] == model and k[1] != goal]:
+        for key in [k for k in self._obtaining if k[0] == model and k[1] not in goals]:
             manifest = self._manifests.get(key)
             if manifest is not None and manifest.digest not in self._complete:
                 self.copies.abandon(manifest.digest)
@@ -253,19 +258,34 @@
 
     async def _copy(self, model: ModelName, version: int) -> None:
         """Find the manifest, take over what is staged already, and copy the rest."""
-        manifest = await self._find_manifest(model, version)
+        manifest = self._manifests.get((model, version))
+        known = manifest is not None
+        if manifest is None:
+            manifest = await self._find_manifest(model, version)
         if manifest is None:
             self._obtaining.discard((model, version))
             return
         digest = self.copies.offer_manifest(manifest)
-        self._manifests[model, version] = manifest
-        self.fleet.announce(copy=digest, copy_version=f"{model}/{version}")
-        await self._take_staged(model, manifest, digest)
+        if not known:
+            self._manifests[model, version] = manifest
+            link_bits = DOWNLOAD_LINK_SHARE * self.settings.link_bits_per_second
+            self._switches[model].copy_seconds = 8 * manifest.weight_bytes / link_bits
+            self._announce_copies()
+            await self._take_staged(model, manifest, digest)
         log_event("weights:copying", model=model, version=version)
         self.copies.start_copy(
             VersionReference(model=model, version=VersionName(str(version)), manifest_digest=digest)
         )
 
+    def _announce_copies(self) -> None:
+        newest = sorted(self._manifests, key=lambda key: key[1])[-ANNOUNCED_COPIES:]
+        self.fleet.announce(
+            copies=tuple(
+                (f"{model}/{version}", self._manifests[model, version].digest)
+                for model, version in newest
+            )
+        )
+
     async def _take_staged(self, model: ModelName, manifest: Manifest, digest: Digest) -> None:
         """Keep the chunks of a version that its engine's instance holds from before."""
         memory = self.copies.memory
@@ -300,8 +320,9 @@
             except (BackendError, ManifestMismatchError) as error:
                 log_event("weights:manifest_failed", version=name, error=str(error))
             for member in self.fleet.live(FleetRole.AGENT):
-                if member.copy_version == name and member.copy:
-                    content = await self._peer_manifest(member.address, Digest(member.copy))
+                digest = dict(member.copies).get(name)
+                if digest is not None:
+                    content = await self._peer_manifest(member.address, digest)
                     if content is not None:
                         return content
             await self.sleep(MANIFEST_RETRY_SECONDS * (0.5 + self.rng.random()))
@@ -312,9 +333,10 @@
         name = VersionName(str(version))
         first = await self._origin.manifest(model, name)
         digests = {
-            m.copy
+            digest
             for m in self.fleet.live(FleetRole.AGENT)
-            if m.copy_version == f"{model}/{version}"
+            for found, digest in m.copies
+            if found == f"{model}/{version}"
         }
         manifest = Manifest.from_json(first)
         if manifest.digest not in digests and await self._origin.manifest(model, name) != first:
@@ -385,6 +407,7 @@
         downloads=link_bucket(DOWNLOAD_LINK_SHARE * bytes_per_second, COPY_BURST_BYTES),
         uploads=link_bucket(UPLOAD_LINK_SHARE * bytes_per_second, PART_BYTES),
         part_bytes=PART_BYTES,
+        window=PartWindow(slow_seconds=SLOW_PART_SECONDS),
     )
 
 
@@ -402,6 +425,7 @@
             objective=Objective.TIME,
             origin_copies=1,
             parallel_fetches=4,
+            parallel_fetches_beside_origin=1,
             parallel_origin_fetches=2,
             parallel_remote_fetches=2,
             parallel_uploads=3,
--- a/egretrouter/direct/_callers.py
+++ b/egretrouter/direct/_callers.py
@@ -39,9 +39,12 @@
 ANSWER_SLACK_SECONDS = 0.1
 # A call with less time left is not worth an endpoint's work.
 LEAST_SEND_SECONDS = 0.02
-ROOM_POLL_SECONDS = 0.02
+# Agents report room about this often.
+ROOM_POLL_SECONDS = 0.1
 # Share of its latency target that a call may wait for room before it is refused.
-WAIT_SHARE = 0.4
+WAIT_SHARE = 0.5
+# A call that is late in any case may wait this share of its time; it is not likely to come again.
+LATE_WAIT_SHARE = 0.25
 # An event stream is taken elsewhere when its endpoint was silent for this many allowed gaps.
 STALL_GAPS = 4.0
 STALL_LEAST_SECONDS = 1.0
@@ -81,6 +84,8 @@
     plan: DirectCall
     cutter: EventCutter
     tried: set[EndpointId] = msgspec.field(default_factory=set)
+    late: bool = False
+    """Whether the caller waited for more than the latency target before this attempt."""
     response: web.StreamResponse | None = None
     version: int | None = None
     """The version of the weights that the answer's beginning came from."""
@@ -109,6 +114,8 @@
         self._dialect = dialect
         self._metrics = metrics
         self._rng = rng
+        self._longest_deadlines: dict[str, float] = {}
+        """The longest time that callers gave a call, by route."""
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Answer one request."""
@@ -147,12 +154,16 @@
         limit = headers.deadline_seconds
         timeout = route.timeout_seconds if limit is None else min(limit, route.timeout_seconds)
         content = await _read_body(request, routes.table.limits.body_bytes)
+        late = self._is_late(route, headers)
         service_name = choose_service(route, self._rng)
         service = next(
             (s for s in routes.table.services if s.name == service_name),
             Service(name=service_name),
         )
+        if service.engine is not None:
+            self._placement.arrived(now_seconds=arrived)
         return _Call(
+            late=late,
             request=request,
             headers=headers,
             route=route,
@@ -165,6 +176,15 @@
             cutter=EventCutter(last_id=headers.resume_after),
         )
 
+    def _is_late(self, route: Route, headers: CallHeaders) -> bool:
+        """Tell by the time left, against the most that calls have, whether this is a return."""
+        left = headers.deadline_seconds
+        if left is None:
+            return False
+        most = max(left, self._longest_deadlines.get(route.name, 0.0))
+        self._longest_deadlines[route.name] = most
+        return most - left > route.latency_target_seconds
+
     def _authenticate(
         self, routes: RouteIndex, route: Route, headers: CallHeaders
     ) -> Workspace | None:
@@ -229,7 +249,11 @@
 
     async def _choose(self, call: _Call) -> Choice | NoChoice:
         """Choose an endpoint, waiting a part of the latency target for room."""
-        wait_until = call.arrived_seconds + WAIT_SHARE * call.route.latency_target_seconds
+        wait_until = call.arrived_seconds + (
+            LATE_WAIT_SHARE * (call.deadline_seconds - call.arrived_seconds)
+            if call.late
+            else WAIT_SHARE * call.route.latency_target_seconds
+        )
         while True:
             now = time.monotonic()
             model = call.headers.model if call.service.engine is not None else None
@@ -240,6 +264,7 @@
                 ),
                 exact_version=call.version if call.plan.answer_begun else None,
                 latency_target_seconds=call.route.latency_target_seconds,
+                late=call.late,
                 tried=call.tried,
             )
             choice = self._placement.choose(
@@ -248,9 +273,14 @@
                 profile=call.service.engine,
                 now_seconds=now,
             )
-            if isinstance(choice, Choice) or now >= wait_until:
+            poll = ROOM_POLL_SECONDS * (0.8 + 0.4 * self._rng.random())
+            if isinstance(choice, Choice) or now + poll > wait_until:
                 return choice
-            await asyncio.sleep(ROOM_POLL_SECONDS)
+            self._placement.waiting(1)
+            try:
+                await asyncio.sleep(poll)
+            finally:
+                self._placement.waiting(-1)
 
     async def _send(self, call: _Call, choice: Choice) -> web.StreamResponse:
         now = time.monotonic()
--- a/egretrouter/direct/_router.py
+++ b/egretrouter/direct/_router.py
@@ -70,6 +70,7 @@
             metrics=self.metrics,
             rng=rng,
         )
+        self._callers_server: web.Server
         self.callers_port = 0
         self.readiness_port = 0
         self._readiness_path = readiness_path
@@ -80,18 +81,16 @@
     async def on_start(self) -> None:
         """Listen for callers, and for the load balancer's checks."""
         await self.start_process(StatePeers(self.shared_state), self.metrics)
-        self.callers_port = await self.listen(
-            web.Server(
-                self.callers.handle,
-                handler_cancellation=True,
-                keepalive_timeout=CALLER_IDLE_SECONDS,
-                access_log=None,
-                max_line_size=MAX_HEADER_FIELD_BYTES,
-                max_field_size=MAX_HEADER_FIELD_BYTES,
-                auto_decompress=False,
-            ),
-            self.settings.callers,
+        self._callers_server = web.Server(
+            self.callers.handle,
+            handler_cancellation=True,
+            keepalive_timeout=CALLER_IDLE_SECONDS,
+            access_log=None,
+            max_line_size=MAX_HEADER_FIELD_BYTES,
+            max_field_size=MAX_HEADER_FIELD_BYTES,
+            auto_decompress=False,
         )
+        self.callers_port = await self.listen(self._callers_server, self.settings.callers)
         self.readiness_port = await self.listen(
             web.Server(self._check, access_log=None), self.settings.readiness
         )
@@ -119,7 +118,9 @@
 
     async def _count_routers(self) -> None:
         while not self.should_stop:
-            self.budget.set_routers(1 + len(self.fleet.live(FleetRole.ROUTER)))
+            routers = 1 + len(self.fleet.live(FleetRole.ROUTER))
+            self.budget.set_routers(routers)
+            self.placement.set_routers(routers)
             await self.sleep(ROUTER_COUNT_SECONDS)
 
     def reload(self) -> None:
@@ -136,14 +137,27 @@
         started = time.monotonic()
         self.callers.draining = True
         self.fleet.announce(leaving=True)
+        # Idle connections are closed now and the others after their answer, or callers would go on
+        # to use them until the process ends.
+        self._close_callers_connections()
+        await asyncio.sleep(LEAVE_ROTATION_SECONDS)
+        self._close_callers_connections()
         last = started + self.settings.bounds.grace_seconds - STOP_MARGIN_SECONDS
         while time.monotonic() < last:
-            out_of_rotation = time.monotonic() - started >= LEAVE_ROTATION_SECONDS
-            if out_of_rotation and self.callers.in_progress == 0:
+            if self.callers.in_progress == 0:
                 return
             await asyncio.sleep(DRAIN_POLL_SECONDS)
         log_event("process:drain_cut_short", calls=self.callers.in_progress)
 
+    def _close_callers_connections(self) -> None:
+        for connection in self._callers_server.connections:
+            # aiohttp has no public word for a connection that waits for its next request; its
+            # close() leaves such a connection open.
+            if connection._waiter is not None:
+                connection.force_close()
+            else:
+                connection.close()
+
     async def on_stop(self) -> None:
         """Close the client and the sockets."""
         await super().on_stop()
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -346,3 +346,36 @@
         await asyncio.sleep(0.3)
         status, _, _ = await world.call("/sale/x")
         assert status == 200
+
+
+class TestPlannedStop:
+    """Guard against calls that a stopping router takes and then cuts off."""
+
+    async def test_idle_connections_are_closed_and_calls_end(self, world: PlatformWorld) -> None:
+        """Callers once used a kept connection seven seconds after SIGTERM."""
+
+        async def respond(request: web.BaseRequest, _: bytes) -> web.StreamResponse | None:
+            if request.headers["X-Attempt-Id"] == "slow":
+                await asyncio.sleep(0.5)
+            return None
+
+        for engine in world.engines:
+            engine.respond = respond
+        host, port = "127.0.0.1", world.router.callers_port
+        idle_reader, idle_writer = await asyncio.open_connection(host, port)
+        head = b"POST /sale/x HTTP/1.1\r\nHost: a.example\r\nX-Attempt-Id: %b\r\n"
+        rest = b"X-Api-Key: key-1\r\nContent-Length: 0\r\n\r\n"
+        idle_writer.write(head % b"quick" + rest)
+        assert b"200 OK" in await idle_reader.readuntil(b"\r\n")
+        slow = asyncio.create_task(world.call("/sale/x", call_id="slow"))
+        await asyncio.sleep(0.1)
+        drain = asyncio.create_task(world.router.drain())
+        await asyncio.sleep(0)
+        assert not world.router.ready
+        async with asyncio.timeout(1):
+            await idle_reader.read()
+        status, _, headers = await slow
+        assert status == 200
+        assert headers["Connection"] == "close"
+        await drain
+        idle_writer.close()
