--- a/egretrouter/direct/_agent.py
+++ b/egretrouter/direct/_agent.py
@@ -413,14 +413,13 @@
 
 def _copy_limits(settings: DirectSettings) -> CopyLimits:
     """Derive the parameters of copies from the link and the time for a switch."""
-    link_bytes_per_second = settings.link_bits_per_second / 8
     switch_seconds = settings.bounds.weights_ms / 1000
     return CopyLimits(
         zone_bytes_per_minute=UNLIMITED_BYTES,
         expected_members=1,
-        instance_bytes_per_second=UPLOAD_LINK_SHARE * link_bytes_per_second,
-        regional_bytes_per_second=UPLOAD_LINK_SHARE * link_bytes_per_second,
-        burst_bytes=COPY_BURST_BYTES,
+        # Parts are paced one by one, so whole chunks need not be.
+        instance_bytes_per_second=UNLIMITED_BYTES,
+        regional_bytes_per_second=UNLIMITED_BYTES,
         settings=CopySettings(
             objective=Objective.TIME,
             origin_copies=1,
@@ -428,7 +427,8 @@
             parallel_fetches_beside_origin=1,
             parallel_origin_fetches=2,
             parallel_remote_fetches=2,
-            parallel_uploads=3,
+            parallel_fetches_per_source=2,
+            parallel_uploads=4,
             max_upload_delay_seconds=switch_seconds / 32,
             discovery_seconds=switch_seconds / 40,
             fallback_seconds=switch_seconds / 10,
