--- a/egretrouter/core/direct/_directory.py
+++ b/egretrouter/core/direct/_directory.py
@@ -81,10 +81,16 @@
 class WeightTargets:
     """Know which version of each model is to serve, and until when an older one may."""
 
-    def __init__(self, *, switch_seconds: float, margin_seconds: float) -> None:
-        """Allow an older version for switch_seconds, less a margin for calls on their way."""
+    def __init__(
+        self, *, switch_seconds: float, margin_seconds: float, queue_seconds: float
+    ) -> None:
+        """Allow an older version for switch_seconds, less a margin for calls on their way.
+
+        Calls that may queue at their endpoint are ruled out queue_seconds sooner.
+        """
         self.revision = 0
         self._allowed_seconds = switch_seconds - margin_seconds
+        self._queue_seconds = queue_seconds
         self._strict_from: dict[ModelName, dict[int, float]] = {}
         """For each model, the versions named and when only these and newer ones may serve."""
 
@@ -115,7 +121,8 @@
             for model, versions in self._strict_from.items()
         ]
 
-    def oldest_allowed(self, model: ModelName, *, now_seconds: float) -> int:
-        """Return the oldest version that a call may begin on."""
+    def oldest_allowed(self, model: ModelName, *, now_seconds: float, queued: bool = False) -> int:
+        """Return the oldest version that a call may begin on, at once or after a queue."""
         versions = self._strict_from.get(model, {})
-        return max((v for v, strict in versions.items() if strict <= now_seconds), default=0)
+        at = now_seconds + (self._queue_seconds if queued else 0.0)
+        return max((v for v, strict in versions.items() if strict <= at), default=0)
--- a/egretrouter/core/direct/_placement.py
+++ b/egretrouter/core/direct/_placement.py
@@ -78,6 +78,8 @@
 
     model: ModelName | None = None
     oldest_version: int = 0
+    oldest_queued_version: int = 0
+    """The oldest version for a call that may queue at its endpoint."""
     exact_version: int | None = None
     """Set to go on with a stream whose beginning came from this version."""
     latency_target_seconds: float = 0.4
@@ -193,7 +195,7 @@
             if version is not None
         ]
         sound = [e for e in able if not self._ejected(e[0], now_seconds)] or able
-        free = [e for e in sound if not self._is_full(e[0], need, profile, now_seconds)]
+        free = [e for e in sound if not self._is_full(*e, need, profile, now_seconds)]
         if not free:
             return NoChoice(
                 endpoints=len(sound),
@@ -219,8 +221,8 @@
         rate = len(self._arrivals) / ARRIVAL_WINDOW_SECONDS
         demand = self._routers * (rate * REPORT_INTERVAL_SECONDS + self._waiting)
         room = sum(
-            self._limit(endpoint, need, profile) - self._load(endpoint, now_seconds)
-            for endpoint, _ in free
+            self._limit(endpoint, version, need, profile) - self._load(endpoint, now_seconds)
+            for endpoint, version in free
         )
         return room >= demand or self._rng.random() * demand < room
 
@@ -253,10 +255,12 @@
     def _slots(self, endpoint: Endpoint) -> int:
         return endpoint.slots or DEFAULT_SLOTS
 
-    def _limit(self, endpoint: Endpoint, need: Need, profile: EngineProfile | None) -> float:
+    def _limit(
+        self, endpoint: Endpoint, version: int, need: Need, profile: EngineProfile | None
+    ) -> float:
         """Return the calls that an endpoint may hold so that another is answered in time."""
         slots = self._slots(endpoint)
-        if need.late:
+        if need.late or version < need.oldest_queued_version:
             return LATE_SLOT_SHARE * slots
         if profile is None:
             return slots + PLAIN_QUEUE_FACTOR * slots
@@ -266,11 +270,12 @@
     def _is_full(
         self,
         endpoint: Endpoint,
+        version: int,
         need: Need,
         profile: EngineProfile | None,
         now_seconds: float,
     ) -> bool:
-        return self._load(endpoint, now_seconds) >= self._limit(endpoint, need, profile)
+        return self._load(endpoint, now_seconds) >= self._limit(endpoint, version, need, profile)
 
     def _score(self, endpoint: Endpoint, now_seconds: float) -> float:
         standing = self._standings.get(endpoint.endpoint_id)
--- a/egretrouter/direct/_callers.py
+++ b/egretrouter/direct/_callers.py
@@ -257,10 +257,12 @@
         while True:
             now = time.monotonic()
             model = call.headers.model if call.service.engine is not None else None
+            weights = self._state.weights
             need = Need(
                 model=model,
-                oldest_version=(
-                    self._state.weights.oldest_allowed(model, now_seconds=now) if model else 0
+                oldest_version=weights.oldest_allowed(model, now_seconds=now) if model else 0,
+                oldest_queued_version=(
+                    weights.oldest_allowed(model, now_seconds=now, queued=True) if model else 0
                 ),
                 exact_version=call.version if call.plan.answer_begun else None,
                 latency_target_seconds=call.route.latency_target_seconds,
--- a/egretrouter/direct/_shared_state.py
+++ b/egretrouter/direct/_shared_state.py
@@ -48,8 +48,10 @@
 # A watch of one's own usually brings a change within this time after a peer has it.
 PEER_LEAD_SECONDS = 0.3
 PEER_TIMEOUT_SECONDS = 1.5
-# A call sent this long before an older version is ruled out still begins in time.
-SWITCH_MARGIN_SECONDS = 0.9
+# A call sent this long before an older version is ruled out begins in time on an engine with a free
+# slot, and one that queues needs more.
+SWITCH_MARGIN_SECONDS = 0.45
+SWITCH_QUEUE_SECONDS = 0.55
 EXPIRY_TICK_SECONDS = 0.25
 
 
@@ -81,7 +83,9 @@
         self.routes: RouteIndex | None = None
         self.directory = EndpointDirectory()
         self.weights = WeightTargets(
-            switch_seconds=settings.bounds.weights_ms / 1000, margin_seconds=SWITCH_MARGIN_SECONDS
+            switch_seconds=settings.bounds.weights_ms / 1000,
+            margin_seconds=SWITCH_MARGIN_SECONDS,
+            queue_seconds=SWITCH_QUEUE_SECONDS,
         )
         self.on_configuration: list[Callable[[RoutingTable], None]] = []
         self.on_endpoints: list[Callable[[], None]] = []
--- a/tests/test_direct_core.py
+++ b/tests/test_direct_core.py
@@ -251,15 +251,16 @@
     """Guard against calls that begin on an older version after its time."""
 
     def test_older_versions_are_ruled_out_one_after_the_other(self) -> None:
-        targets = WeightTargets(switch_seconds=8, margin_seconds=1)
+        targets = WeightTargets(switch_seconds=8, margin_seconds=1, queue_seconds=0.5)
         targets.name(WeightVersion(model=MODEL, version=2), revision=1, now_seconds=0)
         targets.name(WeightVersion(model=MODEL, version=3), revision=2, now_seconds=4)
         assert targets.oldest_allowed(MODEL, now_seconds=6.9) == 0
         assert targets.oldest_allowed(MODEL, now_seconds=7) == 2
         assert targets.oldest_allowed(MODEL, now_seconds=11) == 3
+        assert targets.oldest_allowed(MODEL, now_seconds=6.6, queued=True) == 2
 
     def test_version_found_at_the_start_is_strict(self) -> None:
-        targets = WeightTargets(switch_seconds=8, margin_seconds=1)
+        targets = WeightTargets(switch_seconds=8, margin_seconds=1, queue_seconds=0.5)
         version = WeightVersion(model=MODEL, version=2)
         targets.name(version, revision=1, now_seconds=0, at_start=True)
         assert targets.oldest_allowed(MODEL, now_seconds=0) == 2
@@ -400,6 +401,14 @@
         placement.reported(EndpointId("i-1"), report, by_agent=True, now_seconds=0.0)
         assert isinstance(self.choose(placement, [endpoint("i-1")]), NoChoice)
 
+    def test_older_version_gets_only_calls_that_do_not_queue(self) -> None:
+        placement = self.placement()
+        for running, expected in ((5, Choice), (15, NoChoice)):
+            report = LoadReport(running=running, queued=0)
+            placement.reported(EndpointId("i-1"), report, by_agent=True, now_seconds=0.0)
+            choice = self.choose(placement, [endpoint("i-1")], oldest_queued_version=2)
+            assert isinstance(choice, expected)
+
     def test_full_endpoints_get_no_call(self) -> None:
         placement = self.placement()
         report = LoadReport(running=16, queued=12)
