--- /dev/null
+++ b/tests/test_platform_weights.py
@@ -0,0 +1,191 @@
+"""Check how an agent of the platform stages weights and orders its engine."""
+
+import asyncio
+import json
+import random
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+import pytest
+from aiohttp import web
+from egretrouter_platform._engine import PlatformEngine, PlatformOrigin
+from egretrouter_platform._store import PlatformStore
+
+from egretrouter.core.identifiers import InstanceId, ServiceName
+from egretrouter.direct._agent import DirectAgent
+from tests.platform_standins import OriginStandin, StandinServer, StoreStandin, configuration
+from tests.platform_world import free_ports, settings
+
+CHUNKS = [bytes([number]) * 4096 for number in range(16)]
+ENGINE = {
+    "slots": 16,
+    "step_ms": 6.73,
+    "read_per_s": 30600.0,
+    "models": [{"name": "m"}],
+}
+
+
+class ModelEngineStandin(StandinServer):
+    """Hold staged chunks and take orders; staged chunks can turn bad."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.staged: dict[int, bytes] = {}
+        self.version = 0
+        self.orders: list[dict[str, Any]] = []
+        self.loaded_chunks: dict[int, bytes] = {}
+        self.lose_answers = 0
+        self.spoil_next_put: int | None = None
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        what = request.path.split("/")[2]
+        if what == "report":
+            models = [{"name": "m", "version": self.version}] if self.version else []
+            return web.json_response(
+                {"running": 0, "queued": 0, "busy": False, "seq": len(self.orders),
+                 "models": models, "born": 1}
+            )  # fmt: skip
+        if what == "order":
+            return await self._order(request)
+        number = int(request.query["num"])
+        if what == "stage-put":
+            content = await request.read()
+            if self.spoil_next_put == number:
+                self.spoil_next_put = None
+                content = b"spoilt"
+            self.staged[number] = content
+            return web.Response()
+        if number not in self.staged:
+            return web.Response(status=404)
+        return web.Response(body=self.staged[number])
+
+    async def _order(self, request: web.BaseRequest) -> web.StreamResponse:
+        order = json.loads(await request.read())
+        if order["expected"] != len(self.orders):
+            return web.Response(status=409)
+        self.orders.append(order)
+        self.loaded_chunks = dict(self.staged)
+        self.version = order["version"]
+        if self.lose_answers:
+            self.lose_answers -= 1
+            assert request.transport is not None
+            request.transport.abort()
+        return web.Response(status=202)
+
+
+class WeightsWorld:
+    """Hold one agent, its engine, the store and the origin."""
+
+    def __init__(self) -> None:
+        self.store = StoreStandin()
+        self.engine = ModelEngineStandin()
+        self.origin = OriginStandin(CHUNKS)
+        self.agent: DirectAgent
+        self._session: aiohttp.ClientSession
+
+    async def start(self) -> None:
+        for server in (self.store, self.engine, self.origin):
+            await server.start()
+        services = [
+            {"name": "llm", "engine": ENGINE},
+            {"name": "origin", "origin": self.origin.address, "zone": "z1", "link_mbps": 10.0},
+        ]
+        self.store.put("config", "main", configuration(services=services))
+        self._session = aiohttp.ClientSession()
+        self.agent = DirectAgent(
+            settings(
+                self.store.address,
+                free_ports(),
+                instance_id=InstanceId("side-1"),
+                engine=self.engine.address,
+                engine_service=ServiceName("llm"),
+            ),
+            store=PlatformStore(self._session, address=self.store.address),
+            engine=PlatformEngine(self._session, address=self.engine.address),
+            origin=PlatformOrigin(self._session, address=self._origin_address),
+            rng=random.Random(1),
+        )
+        await self.agent.start()
+
+    def _origin_address(self) -> str | None:
+        routes = self.agent.shared_state.routes
+        origin = routes.table.origin if routes is not None else None
+        return origin.address if origin is not None else None
+
+    async def until_served(self, version: int) -> None:
+        async with asyncio.timeout(20):
+            while self.engine.version != version:  # noqa: ASYNC110
+                await asyncio.sleep(0.02)
+
+    async def stop(self) -> None:
+        await self.agent.stop()
+        await self._session.close()
+        for server in (self.store, self.engine, self.origin):
+            await server.stop()
+
+
+@pytest.fixture
+async def world() -> AsyncIterator[WeightsWorld]:
+    opened = WeightsWorld()
+    yield opened
+    await opened.stop()
+
+
+class TestStaging:
+    """Guard against engines that stay empty, or load chunks that are missing or spoilt."""
+
+    async def test_empty_engine_gets_the_first_version_unasked(self, world: WeightsWorld) -> None:
+        """Engines that were added once stayed empty until a version was named."""
+        await world.start()
+        await world.until_served(1)
+        assert world.engine.loaded_chunks == dict(enumerate(CHUNKS))
+        order = world.engine.orders[0]
+        assert order == {
+            "op": "start",
+            "model": "m",
+            "version": 1,
+            "mode": "queue",
+            "expected": 0,
+        }
+        assert sorted(world.origin.sent) == list(range(len(CHUNKS)))
+
+    async def test_newer_version_replaces_what_is_staged(self, world: WeightsWorld) -> None:
+        await world.start()
+        await world.until_served(1)
+        newer = [bytes([200 - number]) * 4096 for number in range(16)]
+        world.origin.chunks = newer
+        world.store.put("versions", "m", {"model": "m", "version": 2})
+        await world.until_served(2)
+        assert world.engine.loaded_chunks == dict(enumerate(newer))
+
+    async def test_staged_chunks_are_not_copied_again(self, world: WeightsWorld) -> None:
+        """An engine that crashed keeps what was staged for it."""
+        world.engine.staged = dict(enumerate(CHUNKS))
+        await world.start()
+        await world.until_served(1)
+        assert world.origin.sent == []
+
+    async def test_chunk_that_turned_bad_is_staged_again(self, world: WeightsWorld) -> None:
+        world.engine.staged = dict(enumerate(CHUNKS))
+        world.engine.staged[5] = b"rotten"
+        world.engine.spoil_next_put = 7
+        del world.engine.staged[7]
+        await world.start()
+        await world.until_served(1)
+        assert world.engine.loaded_chunks == dict(enumerate(CHUNKS))
+
+    async def test_spoilt_manifest_is_not_believed(self, world: WeightsWorld) -> None:
+        world.origin.spoil_manifests = 1
+        await world.start()
+        await world.until_served(1)
+        assert world.engine.loaded_chunks == dict(enumerate(CHUNKS))
+
+    async def test_lost_answer_of_an_order_is_settled_by_the_report(
+        self, world: WeightsWorld
+    ) -> None:
+        world.engine.lose_answers = 1
+        await world.start()
+        await world.until_served(1)
+        await asyncio.sleep(0.5)
+        assert len(world.engine.orders) == 1
