Ship the example deployments in the package, and answer 503 before there is a configuration

Causes: the examples lay outside the package, so an installed demo ended in StopIteration; a router that had just started answered 401, workspace '' is not in the configuration, which failed two tests beside busy processes.

--- a/benchmarks/capacity.py
+++ b/benchmarks/capacity.py
@@ -48,7 +48,7 @@
 ENDPOINTS = 400
 LINKS = 100
 CALLS = 2000
-EXAMPLE = Path(__file__).parent.parent / "examples" / "ovo-justo"
+EXAMPLE = Path(__file__).parent.parent / "egretrouter" / "examples" / "ovo-justo"
 WAIT_SECONDS = 60.0
 
 
--- a/egretrouter/cli/_demo.py
+++ b/egretrouter/cli/_demo.py
@@ -13,7 +13,14 @@
 
 from egretrouter.cli._exit import EXIT_CODES_HELP, ExitCode, reported_errors
 from egretrouter.core.configuration import Objective
-from egretrouter.demo import DemoOptions, DemoReport, print_progress, read_parts, run_demo
+from egretrouter.demo import (
+    DemoError,
+    DemoOptions,
+    DemoReport,
+    print_progress,
+    read_parts,
+    run_demo,
+)
 
 MAXIMUM_WEIGHT_BYTES = 1024**3
 MAXIMUM_INSTANCES = 200
@@ -88,8 +95,11 @@
             raise cappa.Exit(code=int(ExitCode.MISTAKES))
 
     def _run(self) -> DemoReport:
+        directory = examples_directory() / self.deployment
+        if not directory.is_dir():
+            raise DemoError(f"the example files {str(directory)!r} are not installed")
         options = DemoOptions(
-            parts=read_parts(examples_directory() / self.deployment),
+            parts=read_parts(directory),
             weights=self.weights,
             instances=self.instances,
             objective=None if self.objective is None else Objective(self.objective),
@@ -104,7 +114,7 @@
 
 def examples_directory() -> Path:
     """Return the directory of the example deployments."""
-    return Path(str(importlib.resources.files("egretrouter"))).parent / "examples"
+    return Path(str(importlib.resources.files("egretrouter"))) / "examples"
 
 
 def _print_table(report: DemoReport) -> None:
--- a/egretrouter/daemons/_requests.py
+++ b/egretrouter/daemons/_requests.py
@@ -65,6 +65,13 @@
     name = "headers-too-large"
 
 
+class NoConfigurationError(RequestError):
+    """The router has no configuration yet, so it knows no workspace."""
+
+    status = 503
+    name = "no-configuration"
+
+
 class TooManyConnectionsError(RequestError):
     """As many connections as the limit allows are open."""
 
@@ -209,6 +216,7 @@
         With needs_tokens, callers are refused while no workspace has a token.
         """
         self._needs_tokens = needs_tokens
+        self._configured = configuration is not None
         workspaces = configuration.deployment.workspaces if configuration else ()
         self._names = [WorkspaceId(workspace.name) for workspace in workspaces]
         self._by_digest = {
@@ -226,8 +234,10 @@
         """Return the caller's workspace.
 
         Without any token in the configuration the X-Workspace header names it, and the first
-        workspace is the default. Raises UnauthorizedError.
+        workspace is the default. Raises UnauthorizedError or NoConfigurationError.
         """
+        if not self._configured:
+            raise NoConfigurationError("the router has no configuration yet")
         if self.lacks_tokens:
             raise UnauthorizedError(
                 "the callers' port is open beyond loopback, and no workspace has tokens"
--- a/features/support/world.py
+++ b/features/support/world.py
@@ -17,7 +17,7 @@
 from support.calls import Call, open_session
 from support.processes import ProcessFleet
 
-EXAMPLES = Path(__file__).parent.parent.parent / "examples"
+EXAMPLES = Path(__file__).parent.parent.parent / "egretrouter" / "examples"
 WAIT_SECONDS = 90.0
 POLL_SECONDS = 0.02
 TOKEN_INTERVAL_SECONDS = 0.01
