--- a/egretrouter/daemons/_copies.py
+++ b/egretrouter/daemons/_copies.py
@@ -309,7 +309,10 @@
         horizon = time.monotonic() - self._hold_seconds
         own = msgspec.structs.replace(self.own, is_newcomer=self._joined_seconds > horizon)
         peers = [
-            msgspec.structs.replace(p.peer, is_newcomer=self._seen[instance, p.address] > horizon)
+            msgspec.structs.replace(
+                p.peer,
+                is_newcomer=p.peer.is_newcomer or self._seen[instance, p.address] > horizon,
+            )
             for instance, p in self._peers.items()
         ]
         return (own, *peers)
--- a/egretrouter/direct/_agent.py
+++ b/egretrouter/direct/_agent.py
@@ -1,5 +1,6 @@
 """Run an agent beside a model engine that routers reach directly."""
 
+import asyncio
 import random
 import time
 from collections.abc import Collection
@@ -44,6 +45,7 @@
 STEP_SECONDS = 0.1
 MANIFEST_RETRY_SECONDS = 0.3
 FIRST_VERSION = 1
+STOP_MARGIN_SECONDS = 0.7
 CHUNK_MEMORY_BYTES = 48 * 1024 * 1024
 UNLIMITED_BYTES = 1 << 40
 # The rest of the link carries the calls of the engine on the same instance. Events of its streams
@@ -126,6 +128,22 @@
         await self.start_process(AgentPeers(self), self.metrics)
         await self.add_runtime_dependency(self.copies)
 
+    async def drain(self) -> None:
+        """Give others the time to take the chunks that only this agent has."""
+        self.fleet.announce(leaving=True)
+        if self._is_copying():
+            await asyncio.sleep(self.settings.bounds.grace_seconds - STOP_MARGIN_SECONDS)
+
+    def _is_copying(self) -> bool:
+        """Tell whether a copy of the newest version goes on somewhere."""
+        for switch in self._switches.values():
+            manifest = self._manifests.get((switch.model, switch.target))
+            name = f"{switch.model}/{switch.target}"
+            others = [member.serving for member in self.fleet.live(FleetRole.AGENT)]
+            if manifest is not None and any(serving != name for serving in others):
+                return True
+        return False
+
     async def on_stop(self) -> None:
         """Stop copies before their sockets are closed."""
         await self.copies.stop()
@@ -159,12 +177,15 @@
             self.copies.set_peers(
                 CopyPeer(
                     peer=Peer(
-                        instance_id=member.instance_id, zone=member.zone, region=member.region
+                        instance_id=member.instance_id,
+                        zone=member.zone,
+                        region=member.region,
+                        # An agent that leaves still gives what it has, and owns nothing.
+                        is_newcomer=member.leaving,
                     ),
                     address=f"{member.address}:{self.settings.peer_port}",
                 )
                 for member in self.fleet.live(FleetRole.AGENT)
-                if not member.leaving
             )
             await self.sleep(0.5)
 
--- a/egretrouter/direct/_shared_state.py
+++ b/egretrouter/direct/_shared_state.py
@@ -42,7 +42,7 @@
 WATCH_LIMIT_SECONDS = 25.0
 RETRY_FIRST_SECONDS = 0.1
 RETRY_LIMIT_SECONDS = 1.6
-WATCHERS_PER_ZONE = 2
+WATCHERS_PER_ZONE = 1
 RANK_SECONDS = 0.3
 POLL_SECONDS = 1.0
 # A watch of one's own usually brings a change within this time after a peer has it.
--- a/tests/test_platform_weights.py
+++ b/tests/test_platform_weights.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import random
+import time
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -12,7 +13,8 @@
 from egretrouter_platform._engine import PlatformEngine, PlatformOrigin
 from egretrouter_platform._store import PlatformStore
 
-from egretrouter.core.identifiers import InstanceId, ServiceName
+from egretrouter.core.direct import FleetMember, FleetRole
+from egretrouter.core.identifiers import InstanceId, RegionId, ServiceName, ZoneId
 from egretrouter.direct._agent import DirectAgent
 from tests.platform_standins import OriginStandin, StandinServer, StoreStandin, configuration
 from tests.platform_world import free_ports, settings
@@ -189,3 +191,36 @@
         await world.until_served(1)
         await asyncio.sleep(0.5)
         assert len(world.engine.orders) == 1
+
+
+class TestPlannedStop:
+    """Guard against chunks that are lost with the only agent that has them."""
+
+    async def test_leaving_agent_gives_its_chunks_while_others_copy(
+        self, world: WeightsWorld
+    ) -> None:
+        """The origin crashed after a released instance had taken chunks that no one else had."""
+        await world.start()
+        await world.until_served(1)
+        fleet = world.agent.fleet.fleet
+        other = FleetMember(
+            instance_id=InstanceId("side-2"),
+            role=FleetRole.AGENT,
+            zone=ZoneId("z1"),
+            region=RegionId("r1"),
+            address="127.0.0.9",
+            started_ms=1,
+            serving="m/0",
+        )
+        fleet.hear(other, now_seconds=time.monotonic())
+        drain = asyncio.create_task(world.agent.drain())
+        await asyncio.sleep(0.2)
+        assert fleet.own.leaving
+        assert not drain.done()
+        drain.cancel()
+
+    async def test_agent_with_nothing_to_give_stops_at_once(self, world: WeightsWorld) -> None:
+        await world.start()
+        await world.until_served(1)
+        async with asyncio.timeout(1):
+            await world.agent.drain()
