--- a/egretrouter/direct/_callers.py
+++ b/egretrouter/direct/_callers.py
@@ -207,7 +207,7 @@
         while True:
             choice = await self._choose(call)
             if isinstance(choice, NoChoice):
-                reason = "no endpoint has room" if choice.endpoints else "no endpoint can serve"
+                reason = _no_room(choice)
                 return self._end(
                     call,
                     call.plan.give_up(),
@@ -487,6 +487,12 @@
 }
 
 
+def _no_room(choice: NoChoice) -> str:
+    if choice.endpoints:
+        return f"none of {choice.endpoints} able endpoints has room"
+    return "no endpoint holds what the call needs"
+
+
 def _since(start_seconds: float) -> float:
     return round(time.monotonic() - start_seconds, 3)
 
