--- a/egretrouter/direct/_agent.py
+++ b/egretrouter/direct/_agent.py
@@ -17,7 +17,6 @@
     StateStore,
     WeightSource,
 )
-from egretrouter.core.configuration import Objective
 from egretrouter.core.direct import FleetRole, RoutingTable, WeightVersion, service_seconds
 from egretrouter.core.direct._switch import Replica, WeightSwitch
 from egretrouter.core.errors import (
@@ -28,13 +27,14 @@
 )
 from egretrouter.core.identifiers import ChunkIndex, Digest, ModelName, VersionName
 from egretrouter.core.rollout import VersionReference
-from egretrouter.core.weights import ChunkMemory, CopySettings, Manifest, PartWindow, Peer
-from egretrouter.daemons._copies import CopyLimits, CopyService, link_bucket
+from egretrouter.core.weights import ChunkMemory, Manifest, Peer
+from egretrouter.daemons._copies import CopyService
 from egretrouter.daemons._metrics import AgentMetrics
 from egretrouter.daemons._peers import PeersServicer
-from egretrouter.daemons._weight_transfers import CopyPeer, NarrowLink, WeightTransfers
+from egretrouter.daemons._weight_transfers import CopyPeer, WeightTransfers
+from egretrouter.direct._copy_limits import copy_limits, copy_seconds, narrow_link
 from egretrouter.direct._logs import log_event
-from egretrouter.direct._process import DirectProcess
+from egretrouter.direct._process import DirectProcess, state_reply
 from egretrouter.direct._settings import DirectSettings
 from egretrouter.protocol import egretrouter_pb2 as pb
 
@@ -47,15 +47,6 @@
 FIRST_VERSION = 1
 STOP_MARGIN_SECONDS = 0.7
 CHUNK_MEMORY_BYTES = 48 * 1024 * 1024
-UNLIMITED_BYTES = 1 << 40
-# The rest of the link carries the calls of the engine on the same instance. Events of its streams
-# leave by the same link as uploads and are late sooner than its requests, which are small.
-UPLOAD_LINK_SHARE = 0.85
-DOWNLOAD_LINK_SHARE = 0.97
-PART_BYTES = 8 * 1024
-# Parts wait their turn at the sender; beyond this there is a queue on the way.
-SLOW_PART_SECONDS = 0.25
-COPY_BURST_BYTES = 40 * 1024
 
 
 class AgentPeers(PeersServicer):
@@ -68,8 +59,7 @@
 
     async def FetchState(self, request: pb.StateRequest, context: Any) -> pb.StateReply:  # noqa: N802
         """Send the kinds of state that a peer asks for."""
-        kinds = {kind for kind in StateKind if kind.value in request.kinds}
-        return pb.StateReply(state=self._agent.shared_state.shared(kinds))
+        return state_reply(self._agent.shared_state, request)
 
 
 class DirectAgent(DirectProcess):
@@ -94,7 +84,7 @@
         self.copies = CopyService(
             own=own,
             memory=ChunkMemory(weight_memory_bytes=CHUNK_MEMORY_BYTES),
-            limits=_copy_limits(settings),
+            limits=copy_limits(settings),
             hold_seconds=0.0,
             transfers=WeightTransfers(
                 own=own,
@@ -103,7 +93,7 @@
                 channels=self.channels,
                 metrics=self.metrics,
                 rng=rng,
-                link=_narrow_link(settings),
+                link=narrow_link(settings),
             ),
             metrics=self.metrics,
             rng=rng,
@@ -289,8 +279,7 @@
         digest = self.copies.offer_manifest(manifest)
         if not known:
             self._manifests[model, version] = manifest
-            link_bits = DOWNLOAD_LINK_SHARE * self.settings.link_bits_per_second
-            self._switches[model].copy_seconds = 8 * manifest.weight_bytes / link_bits
+            self._switches[model].copy_seconds = copy_seconds(self.settings, manifest)
             self._announce_copies()
             await self._take_staged(model, manifest, digest)
         log_event("weights:copying", model=model, version=version)
@@ -420,50 +409,3 @@
             "engine": msgspec.to_builtins(self._engine_state),
             "copies": self.copies.snapshot(),
         }
-
-
-def _narrow_link(settings: DirectSettings) -> NarrowLink:
-    bytes_per_second = settings.link_bits_per_second / 8
-    return NarrowLink(
-        downloads=link_bucket(DOWNLOAD_LINK_SHARE * bytes_per_second, COPY_BURST_BYTES),
-        uploads=link_bucket(UPLOAD_LINK_SHARE * bytes_per_second, PART_BYTES),
-        part_bytes=PART_BYTES,
-        window=PartWindow(slow_seconds=SLOW_PART_SECONDS),
-    )
-
-
-def _copy_limits(settings: DirectSettings) -> CopyLimits:
-    """Derive the parameters of copies from the link and the time for a switch."""
-    switch_seconds = settings.bounds.weights_ms / 1000
-    return CopyLimits(
-        zone_bytes_per_minute=UNLIMITED_BYTES,
-        expected_members=1,
-        # Parts are paced one by one, so whole chunks need not be.
-        instance_bytes_per_second=UNLIMITED_BYTES,
-        regional_bytes_per_second=UNLIMITED_BYTES,
-        settings=CopySettings(
-            objective=Objective.TIME,
-            origin_copies=1,
-            parallel_fetches=4,
-            parallel_fetches_beside_origin=1,
-            parallel_origin_fetches=2,
-            parallel_remote_fetches=4,
-            parallel_fetches_per_source=2,
-            parallel_uploads=4,
-            max_upload_delay_seconds=switch_seconds / 32,
-            discovery_seconds=switch_seconds / 40,
-            fallback_seconds=switch_seconds / 20,
-            ask_timeout_seconds=switch_seconds / 27,
-            announce_seconds=switch_seconds / 32,
-            ramp_announce_seconds=switch_seconds / 64,
-            deadline_initial_seconds=switch_seconds / 8,
-            deadline_min_seconds=switch_seconds / 16,
-            deadline_max_seconds=switch_seconds / 2,
-            busy_seconds=switch_seconds / 80,
-            backoff_min_seconds=switch_seconds / 32,
-            backoff_max_seconds=switch_seconds / 4,
-            quarantine_seconds=switch_seconds / 4,
-            serve_after_load_seconds=3600.0,
-            pause_seconds=switch_seconds / 4,
-        ),
-    )
--- a/egretrouter/direct/_callers.py
+++ b/egretrouter/direct/_callers.py
@@ -31,9 +31,14 @@
 from egretrouter.core.identifiers import EndpointId
 from egretrouter.direct._logs import log_event
 from egretrouter.direct._metrics import CallMetrics
+from egretrouter.direct._refusals import (
+    Refusal,
+    check_header_size,
+    problem_answer,
+    read_body,
+)
 from egretrouter.direct._sends import OpenAnswer, OutgoingCall, Sender, SendError, WholeAnswer
 from egretrouter.direct._shared_state import SharedStateService
-from egretrouter.transport._problems import problem_response
 
 # An endpoint answers by itself when its time is up; its answer may take this long to arrive.
 ANSWER_SLACK_SECONDS = 0.1
@@ -48,28 +53,9 @@
 # An event stream is taken elsewhere when its endpoint was silent for this many allowed gaps.
 STALL_GAPS = 4.0
 STALL_LEAST_SECONDS = 1.0
-BODY_TIMEOUT_SECONDS = 5.0
 NO_CONFIGURATION_RETRY_SECONDS = 0.5
 
 
-class Refusal(Exception):  # noqa: N818
-    """A call is answered by the system itself."""
-
-    def __init__(
-        self,
-        status: int,
-        reason: str,
-        *,
-        outcome: Outcome = Outcome.NOT_RUN,
-        retry_after_seconds: float | None = None,
-    ) -> None:
-        super().__init__(reason)
-        self.status = status
-        self.reason = reason
-        self.outcome = outcome
-        self.retry_after_seconds = retry_after_seconds
-
-
 class _Call(msgspec.Struct, kw_only=True):
     """Hold one call while it is worked on."""
 
@@ -146,14 +132,14 @@
             raise Refusal(
                 503, "no configuration yet", retry_after_seconds=NO_CONFIGURATION_RETRY_SECONDS
             )
-        _check_header_size(request, routes.table.limits.header_bytes)
+        check_header_size(request, routes.table.limits.header_bytes)
         route = routes.route(request.headers.get("Host", ""), request.raw_path.partition("?")[0])
         if route is None:
             raise Refusal(404, f"no route for {request.headers.get('Host')}{request.path}")
         workspace = self._authenticate(routes, route, headers)
         limit = headers.deadline_seconds
         timeout = route.timeout_seconds if limit is None else min(limit, route.timeout_seconds)
-        content = await _read_body(request, routes.table.limits.body_bytes)
+        content = await read_body(request, routes.table.limits.body_bytes)
         late = self._is_late(route, headers)
         service_name = choose_service(route, self._rng)
         service = next(
@@ -431,7 +417,7 @@
         else:
             refusal = Refusal(status, reason, outcome=Outcome.UNKNOWN)
         self._finished(call, str(refusal.status), reason=reason)
-        return self._problem(call.headers, refusal)
+        return problem_answer(refusal, self._dialect.own_answer(call.headers), call.headers.call_id)
 
     def _refused(
         self, request: web.BaseRequest, headers: CallHeaders, refusal: Refusal
@@ -444,20 +430,7 @@
             configuration=self._state.routes.table.version if self._state.routes else None,
         )
         self._metrics.ended(str(refusal.status), 0.0)
-        return self._problem(headers, refusal)
-
-    def _problem(self, headers: CallHeaders, refusal: Refusal) -> web.Response:
-        response = problem_response(
-            status=refusal.status,
-            name=_PROBLEM_NAMES.get(refusal.status, "failed"),
-            detail=refusal.reason,
-            outcome=refusal.outcome,
-            request_id=headers.call_id,
-        )
-        response.headers.extend(self._dialect.own_answer(headers))
-        if refusal.retry_after_seconds is not None:
-            response.headers["Retry-After"] = f"{refusal.retry_after_seconds:.3f}"
-        return response
+        return problem_answer(refusal, self._dialect.own_answer(headers), headers.call_id)
 
     def _finished(self, call: _Call, result: str, *, reason: str = "") -> None:
         seconds = time.monotonic() - call.arrived_seconds
@@ -474,19 +447,6 @@
         )
 
 
-_PROBLEM_NAMES = {
-    400: "malformed",
-    401: "unauthorized",
-    404: "no-route",
-    408: "slow-request",
-    413: "too-large",
-    431: "headers-too-large",
-    502: "no-whole-answer",
-    503: "not-run",
-    504: "timeout",
-}
-
-
 def _no_room(choice: NoChoice) -> str:
     if choice.endpoints:
         return f"none of {choice.endpoints} able endpoints has room"
@@ -495,24 +455,3 @@
 
 def _since(start_seconds: float) -> float:
     return round(time.monotonic() - start_seconds, 3)
-
-
-def _check_header_size(request: web.BaseRequest, limit_bytes: int) -> None:
-    size = sum(len(name) + len(value) + 4 for name, value in request.raw_headers)
-    if size > limit_bytes:
-        raise Refusal(431, f"the headers have {size} bytes, {limit_bytes} are allowed")
-
-
-async def _read_body(request: web.BaseRequest, limit_bytes: int) -> bytes:
-    if not request.body_exists:
-        return b""
-    content = bytearray()
-    try:
-        async with asyncio.timeout(BODY_TIMEOUT_SECONDS):
-            async for piece in request.content.iter_any():
-                content += piece
-                if len(content) > limit_bytes:
-                    raise Refusal(413, f"the body has more than {limit_bytes} bytes")
-    except TimeoutError as error:
-        raise Refusal(408, "the body did not arrive in time") from error
-    return bytes(content)
--- a/egretrouter/direct/_process.py
+++ b/egretrouter/direct/_process.py
@@ -32,8 +32,13 @@
 
     async def FetchState(self, request: pb.StateRequest, context: Any) -> pb.StateReply:  # noqa: N802
         """Send the kinds of state that a peer asks for."""
-        kinds = {kind for kind in StateKind if kind.value in request.kinds}
-        return pb.StateReply(state=self._state.shared(kinds))
+        return state_reply(self._state, request)
+
+
+def state_reply(state: SharedStateService, request: pb.StateRequest) -> pb.StateReply:
+    """Answer a peer with the kinds of state that it asks for."""
+    kinds = {kind for kind in StateKind if kind.value in request.kinds}
+    return pb.StateReply(state=state.shared(kinds))
 
 
 class DirectProcess(Service):
