--- a/egretrouter/daemons/_weight_transfers.py
+++ b/egretrouter/daemons/_weight_transfers.py
@@ -132,7 +132,7 @@
             if backend is None:
                 continue
             try:
-                async with self._place_on_link():
+                async with self._place_on_link(length=length):
                     content = await backend.chunk(
                         version.model,
                         version.version,
@@ -187,15 +187,15 @@
 
     async def _request_chunk(self, address: str, request: pb.ChunkRequest) -> pb.ChunkReply:
         stub = pb_grpc.PeersStub(self._channels.channel(address))
-        async with self._place_on_link():
+        async with self._place_on_link(length=request.part_bytes):
             reply: pb.ChunkReply = await stub.FetchChunk(
                 request, metadata=self._channels.metadata, timeout=CHUNK_TIMEOUT_SECONDS
             )
         return reply
 
     @contextlib.asynccontextmanager
-    async def _place_on_link(self) -> AsyncIterator[None]:
-        """Wait until a part may be on its way, and learn how long it takes."""
+    async def _place_on_link(self, *, length: int) -> AsyncIterator[None]:
+        """Wait until bytes may be on their way, and learn how long a part of them takes."""
         if self._link is None:
             yield
             return
@@ -208,7 +208,8 @@
             yield
         finally:
             now = time.monotonic()
-            window.ended(seconds=now - began, now_seconds=now)
+            parts = max(1.0, length / self._link.part_bytes)
+            window.ended(seconds=(now - began) / parts, now_seconds=now)
 
     async def _wait_for_pace(self, length: int) -> None:
         if self._link is not None:
