Remove state that nothing reads and keep connection headers in one place

Removed: revisions of directory and versions (SharedStateService has them), the burst of a copy's limits, a parameter of Retry-After, an unused record and lookup. Derived: whether a stream has begun. Moved: a service's lookup from each call to the index of its configuration, and the silent members of a greeting from comparing records to their times. One set of hop-by-hop headers serves both the agents' endpoints and the platform's dialect.

--- a/egretrouter/core/direct/__init__.py
+++ b/egretrouter/core/direct/__init__.py
@@ -27,7 +27,6 @@
     EngineProfile,
     LoadedWeights,
     Origin,
-    Place,
     Route,
     RoutingTable,
     Service,
@@ -37,6 +36,7 @@
 )
 from egretrouter.core.direct._repeats import RepeatBudget
 from egretrouter.core.direct._routes import RouteIndex, choose_service
+from egretrouter.core.direct._switch import Replica, WeightSwitch
 
 __all__ = [
     "CallKind",
@@ -58,9 +58,9 @@
     "NextStep",
     "NoChoice",
     "Origin",
-    "Place",
     "Placement",
     "RepeatBudget",
+    "Replica",
     "Revisions",
     "Route",
     "RouteIndex",
@@ -69,6 +69,7 @@
     "SendOutcome",
     "Service",
     "Target",
+    "WeightSwitch",
     "WeightTargets",
     "WeightVersion",
     "Workspace",
--- a/egretrouter/core/direct/_directory.py
+++ b/egretrouter/core/direct/_directory.py
@@ -15,7 +15,6 @@
     """Know the endpoints that may get work."""
 
     def __init__(self) -> None:
-        self.revision = 0
         self._endpoints: dict[EndpointId, Endpoint] = {}
         self._lapsing: dict[EndpointId, float] = {}
         """Endpoints missing from the list after an outage, and when each counts as gone."""
@@ -24,7 +23,6 @@
         self,
         endpoints: Iterable[Endpoint],
         *,
-        revision: int,
         after_outage: bool,
         now_seconds: float,
     ) -> None:
@@ -40,19 +38,16 @@
             for endpoint_id in kept
         }
         self._endpoints = {**kept, **found}
-        self.revision = revision
 
-    def put(self, endpoint: Endpoint, *, revision: int) -> None:
+    def put(self, endpoint: Endpoint) -> None:
         """Take over a changed entry."""
         self._endpoints[endpoint.endpoint_id] = endpoint
         self._lapsing.pop(endpoint.endpoint_id, None)
-        self.revision = max(self.revision, revision)
 
-    def remove(self, endpoint_id: EndpointId, *, revision: int) -> None:
+    def remove(self, endpoint_id: EndpointId) -> None:
         """Learn that an entry was removed."""
         self._endpoints.pop(endpoint_id, None)
         self._lapsing.pop(endpoint_id, None)
-        self.revision = max(self.revision, revision)
 
     def expire(self, *, now_seconds: float) -> list[EndpointId]:
         """Drop endpoints whose entry did not come back, and return them."""
@@ -90,33 +85,24 @@
 
         Calls that may queue at their endpoint are ruled out queue_seconds sooner.
         """
-        self.revision = 0
         self._allowed_seconds = switch_seconds - margin_seconds
         self._margin_seconds = margin_seconds
         self._queue_seconds = queue_seconds
         self._strict_from: dict[ModelName, dict[int, float]] = {}
         """For each model, the versions named and when only these and newer ones may serve."""
 
-    def name(
-        self, target: WeightVersion, *, revision: int, now_seconds: float, at_start: bool = False
-    ) -> bool:
+    def name(self, target: WeightVersion, *, now_seconds: float, at_start: bool = False) -> bool:
         """Learn of a version and tell whether it is newer than the one known.
 
         When a version was named is not known to a process that finds it at its start, so older
         ones are not used from then on.
         """
-        self.revision = max(self.revision, revision)
         versions = self._strict_from.setdefault(target.model, {})
         if target.version <= max(versions, default=0):
             return False
         versions[target.version] = now_seconds + (0.0 if at_start else self._allowed_seconds)
         return True
 
-    def target(self, model: ModelName) -> int | None:
-        """Return the version that is to serve."""
-        versions = self._strict_from.get(model)
-        return max(versions) if versions else None
-
     def all(self) -> list[WeightVersion]:
         """Return every version that is to serve."""
         return [
--- a/egretrouter/core/direct/_fleet.py
+++ b/egretrouter/core/direct/_fleet.py
@@ -130,7 +130,8 @@
         chosen = self._rng.sample(near, min(NEWS_FANOUT if news else FANOUT, len(near)))
         if far and (news or not near or self._rng.random() < REMOTE_SHARE):
             chosen += self._one_of_each_zone(far) if news else [self._rng.choice(far)]
-        silent = [e.member for e in self._entries.values() if e.member not in live]
+        oldest = now_seconds - EXPIRY_SECONDS
+        silent = [e.member for e in self._entries.values() if e.advanced_seconds < oldest]
         if silent and self._rng.random() < 0.2:
             chosen.append(self._rng.choice(silent))
         return chosen
--- a/egretrouter/core/direct/_placement.py
+++ b/egretrouter/core/direct/_placement.py
@@ -197,14 +197,9 @@
         sound = [e for e in able if not self._ejected(e[0], now_seconds)] or able
         free = [e for e in sound if not self._is_full(*e, need, profile, now_seconds)]
         if not free:
-            return NoChoice(
-                endpoints=len(sound),
-                retry_after_seconds=self._retry_after(len(sound), profile),
-            )
+            return NoChoice(endpoints=len(sound), retry_after_seconds=self._retry_after(profile))
         if profile is not None and not self._has_turn(free, need, profile, now_seconds):
-            return NoChoice(
-                endpoints=len(free), retry_after_seconds=self._retry_after(len(free), profile)
-            )
+            return NoChoice(endpoints=len(free), retry_after_seconds=self._retry_after(profile))
         endpoint, version = min(free, key=lambda e: self._score(e[0], now_seconds))
         return Choice(endpoint=endpoint, version=version or None)
 
@@ -279,17 +274,18 @@
 
     def _score(self, endpoint: Endpoint, now_seconds: float) -> float:
         standing = self._standings.get(endpoint.endpoint_id)
-        load, pace = 0.0, 1.0
-        if standing is not None:
-            load = standing.expected_load(now_seconds)
-            pace = standing.report.pace if standing.report is not None else 1.0
-        score = pace * (load + 1) / self._slots(endpoint) + SPREAD * self._rng.random()
+        report = standing.report if standing is not None else None
+        pace = report.pace if report is not None else 1.0
+        score = (
+            pace * (self._load(endpoint, now_seconds) + 1) / self._slots(endpoint)
+            + SPREAD * self._rng.random()
+        )
         if endpoint.zone == self._zone:
             return score
         same_region = self._regions.get(endpoint.zone) == self._regions.get(self._zone)
         return score + (OTHER_ZONE_PENALTY if same_region else OTHER_REGION_PENALTY)
 
-    def _retry_after(self, endpoints: int, profile: EngineProfile | None) -> float:
+    def _retry_after(self, profile: EngineProfile | None) -> float:
         """Return when room is likely, spread so that callers do not return together."""
         turnover = service_seconds(profile) if profile is not None else 0.2
         return turnover * (1.0 + self._rng.random())
--- a/egretrouter/core/direct/_records.py
+++ b/egretrouter/core/direct/_records.py
@@ -7,7 +7,6 @@
 from egretrouter.core.identifiers import (
     EndpointId,
     ModelName,
-    RegionId,
     ServiceName,
     WorkspaceId,
     ZoneId,
@@ -155,10 +154,3 @@
 
     model: ModelName
     version: int
-
-
-class Place(_Record, frozen=True, kw_only=True):
-    """Locate a process."""
-
-    zone: ZoneId
-    region: RegionId
--- a/egretrouter/core/direct/_routes.py
+++ b/egretrouter/core/direct/_routes.py
@@ -2,7 +2,7 @@
 
 import random
 
-from egretrouter.core.direct._records import Route, RoutingTable, Workspace
+from egretrouter.core.direct._records import Route, RoutingTable, Service, Workspace
 from egretrouter.core.identifiers import ServiceName
 
 
@@ -17,6 +17,7 @@
             self._routes.setdefault(route.host.lower(), []).append(route)
         for routes in self._routes.values():
             routes.sort(key=lambda route: -len(route.path_prefix))
+        self._services = {service.name: service for service in table.services}
         self._workspaces: dict[str, Workspace] = {
             key: workspace for workspace in table.workspaces or () for key in workspace.keys
         }
@@ -28,6 +29,10 @@
                 return route
         return None
 
+    def service(self, name: ServiceName) -> Service:
+        """Return a service, with nothing known of one that is not described."""
+        return self._services.get(name) or Service(name=name)
+
     @property
     def keys_required(self) -> bool:
         """Tell whether calls to routes that are not public need a key."""
--- a/egretrouter/daemons/_copies.py
+++ b/egretrouter/daemons/_copies.py
@@ -60,8 +60,6 @@
     instance_bytes_per_second: float
     regional_bytes_per_second: float
     settings: CopySettings
-    burst_bytes: int | None = None
-    """What a link's share may carry at once; None for a part of a second."""
 
 
 class CopyService(Service):
@@ -99,8 +97,8 @@
         self.on_ready: Callable[[Digest], None] = lambda _: None
         self.on_failed: Callable[[Digest, str], None] = lambda _, __: None
         self._links = LinkShares(
-            instance=link_bucket(limits.instance_bytes_per_second, limits.burst_bytes),
-            between_regions=link_bucket(limits.regional_bytes_per_second, limits.burst_bytes),
+            instance=link_bucket(limits.instance_bytes_per_second),
+            between_regions=link_bucket(limits.regional_bytes_per_second),
         )
         self._transfers = transfers
         self._metrics = metrics
@@ -128,7 +126,7 @@
             (self._links.instance, limits.instance_bytes_per_second),
             (self._links.between_regions, limits.regional_bytes_per_second),
         ):
-            bucket.set_rate(rate, burst_bytes=limits.burst_bytes or link_burst_bytes(rate))
+            bucket.set_rate(rate, burst_bytes=link_burst_bytes(rate))
 
     def set_peers(
         self, peers: Iterable[CopyPeer], *, zone_agents: Iterable[InstanceId] = ()
--- a/egretrouter/daemons/_endpoint.py
+++ b/egretrouter/daemons/_endpoint.py
@@ -11,6 +11,7 @@
 from egretrouter.core.errors import CallNotRunError, CallUnknownError
 from egretrouter.core.identifiers import CallId
 from egretrouter.protocol import egretrouter_pb2 as pb
+from egretrouter.transport import HOP_BY_HOP_HEADERS
 
 CONNECT_TIMEOUT_SECONDS = 2.0
 READ_BUFFER_BYTES = 256 * 1024
@@ -19,20 +20,7 @@
 
 _EVENT_STREAM = "text/event-stream"
 _STREAM_END = b"data: [DONE]"
-_HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "content-length",
-        "host",
-        "keep-alive",
-        "proxy-authenticate",
-        "proxy-authorization",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-    }
-)
+_HOP_HEADERS = HOP_BY_HOP_HEADERS | {"content-length", "host"}
 
 
 class EndpointUnreachableError(CallNotRunError):
--- a/egretrouter/direct/_agent.py
+++ b/egretrouter/direct/_agent.py
@@ -17,8 +17,14 @@
     StateStore,
     WeightSource,
 )
-from egretrouter.core.direct import FleetRole, RoutingTable, WeightVersion, service_seconds
-from egretrouter.core.direct._switch import Replica, WeightSwitch
+from egretrouter.core.direct import (
+    FleetRole,
+    Replica,
+    RoutingTable,
+    WeightSwitch,
+    WeightVersion,
+    service_seconds,
+)
 from egretrouter.core.errors import (
     BackendError,
     CorruptedChunkError,
--- a/egretrouter/direct/_callers.py
+++ b/egretrouter/direct/_callers.py
@@ -141,11 +141,7 @@
         timeout = route.timeout_seconds if limit is None else min(limit, route.timeout_seconds)
         content = await read_body(request, routes.table.limits.body_bytes)
         late = self._is_late(route, headers)
-        service_name = choose_service(route, self._rng)
-        service = next(
-            (s for s in routes.table.services if s.name == service_name),
-            Service(name=service_name),
-        )
+        service = routes.service(choose_service(route, self._rng))
         if service.engine is not None:
             self._placement.arrived(now_seconds=arrived)
         return _Call(
@@ -375,22 +371,20 @@
         call.cutter.resume()
         if call.version is None:
             call.version = answer.answer.version or choice.version
-        # Before the first event a call may queue at its endpoint, which is no stall.
-        silent = None if not call.plan.answer_begun else stall
         while True:
-            waits_to_begin = not call.cutter.events and not call.plan.answer_begun
-            limit = self._time_to_begin(call, choice) if waits_to_begin else silent
+            # Before the first event a call may queue at its endpoint, which is no stall.
+            begun = call.plan.answer_begun
+            limit = stall if begun else self._time_to_begin(call, choice)
             try:
                 piece = await answer.piece(stall_seconds=limit)
             except SendError as error:
-                if waits_to_begin and error.outcome is SendOutcome.STALLED:
+                if not begun and error.outcome is SendOutcome.STALLED:
                     raise _expired(choice) from error
                 raise
             if not piece:
                 break
             events = call.cutter.feed(piece)
             if events:
-                silent = stall
                 await self._write(call, answer, events)
         if call.cutter.has_partial_event:
             raise SendError(SendOutcome.BROKEN, "the stream ended inside an event")
--- a/egretrouter/direct/_process.py
+++ b/egretrouter/direct/_process.py
@@ -18,7 +18,7 @@
 from egretrouter.direct._shared_state import SharedStateService
 from egretrouter.protocol import egretrouter_pb2 as pb
 from egretrouter.protocol import egretrouter_pb2_grpc as pb_grpc
-from egretrouter.transport._rpc import ChannelPool, PeerSecurity, build_server
+from egretrouter.transport import ChannelPool, PeerSecurity, build_server
 
 LISTEN_BACKLOG = 1024
 PEER_SERVER_GRACE_SECONDS = 0.1
--- a/egretrouter/direct/_shared_state.py
+++ b/egretrouter/direct/_shared_state.py
@@ -35,7 +35,7 @@
 from egretrouter.direct._settings import DirectSettings
 from egretrouter.protocol import egretrouter_pb2 as pb
 from egretrouter.protocol import egretrouter_pb2_grpc as pb_grpc
-from egretrouter.transport._rpc import ChannelPool
+from egretrouter.transport import ChannelPool
 
 # A watch that lasts as long as the store's history would find that history gone.
 WATCH_HISTORY_SHARE = 0.6
@@ -216,14 +216,13 @@
         if kind is StateKind.ENDPOINTS:
             self.directory.replace(
                 (item for item in listing.items if isinstance(item, Endpoint)),
-                revision=listing.revision,
                 after_outage=after_outage,
                 now_seconds=time.monotonic(),
             )
             self._endpoints_changed()
         else:
             for item in listing.items:
-                self._take(item, at_start=at_start, revision=listing.revision)
+                self._take(item, at_start=at_start)
         self._known.add(kind)
         if self._content[kind] > known:
             self._fleet.spread_news()
@@ -240,7 +239,7 @@
         self._seen[kind] = self._content[kind] = changes.revision
         for event in changes.events:
             if event.item is not None and not isinstance(event.item, Endpoint):
-                self._take(event.item, revision=changes.revision)
+                self._take(event.item)
             elif kind is StateKind.ENDPOINTS:
                 self._endpoint_event(event, changes.revision)
         if kind is StateKind.ENDPOINTS:
@@ -250,7 +249,7 @@
     def _endpoint_event(self, event: StateEvent, revision: int) -> None:
         if isinstance(event.item, Endpoint):
             endpoint = event.item
-            self.directory.put(endpoint, revision=revision)
+            self.directory.put(endpoint)
             log_event(
                 "endpoints:changed",
                 endpoint=endpoint.endpoint_id,
@@ -261,20 +260,19 @@
                 revision=revision,
             )
         else:
-            self.directory.remove(EndpointId(event.name), revision=revision)
+            self.directory.remove(EndpointId(event.name))
             log_event("endpoints:removed", endpoint=event.name, revision=revision)
 
     def _take(
         self,
         item: RoutingTable | Endpoint | WeightVersion,
         *,
-        revision: int,
         at_start: bool = False,
     ) -> None:
         if isinstance(item, RoutingTable):
             self._configure(item)
         elif isinstance(item, WeightVersion) and self.weights.name(
-            item, revision=revision, now_seconds=time.monotonic(), at_start=at_start
+            item, now_seconds=time.monotonic(), at_start=at_start
         ):
             log_event("weights:named", model=item.model, version=item.version)
             for listener in self.on_weights:
@@ -358,7 +356,6 @@
             self._content[StateKind.ENDPOINTS] = state.endpoints_revision
             self.directory.replace(
                 state.endpoints,
-                revision=state.endpoints_revision,
                 after_outage=False,
                 now_seconds=time.monotonic(),
             )
@@ -370,7 +367,7 @@
             self._seen[StateKind.WEIGHTS] = state.weights_revision
             self._content[StateKind.WEIGHTS] = state.weights_revision
             for target in state.weights:
-                self._take(target, revision=state.weights_revision, at_start=at_start)
+                self._take(target, at_start=at_start)
         self._fleet.spread_news()
 
     def shared(self, kinds: set[StateKind]) -> bytes:
--- a/egretrouter/transport/__init__.py
+++ b/egretrouter/transport/__init__.py
@@ -1,6 +1,14 @@
 """Offer what carries requests between processes and failures to callers."""
 
+from egretrouter.transport._headers import HOP_BY_HOP_HEADERS
 from egretrouter.transport._problems import problem_body, problem_response
 from egretrouter.transport._rpc import ChannelPool, PeerSecurity, build_server
 
-__all__ = ["ChannelPool", "PeerSecurity", "build_server", "problem_body", "problem_response"]
+__all__ = [
+    "HOP_BY_HOP_HEADERS",
+    "ChannelPool",
+    "PeerSecurity",
+    "build_server",
+    "problem_body",
+    "problem_response",
+]
--- a/tests/test_direct_core.py
+++ b/tests/test_direct_core.py
@@ -30,12 +30,9 @@
     SendEnded,
     SendOutcome,
     Target,
-    WeightTargets,
-    WeightVersion,
     Workspace,
     choose_service,
 )
-from egretrouter.core.direct._switch import Replica, WeightSwitch
 from egretrouter.core.identifiers import (
     EndpointId,
     InstanceId,
@@ -45,7 +42,6 @@
     WorkspaceId,
     ZoneId,
 )
-from egretrouter.core.weights import PartWindow
 
 MODEL = ModelName("m")
 ZONE = ZoneId("z1")
@@ -227,130 +223,24 @@
 
     def test_missing_entries_stay_for_a_grace_time_after_an_outage(self) -> None:
         directory = EndpointDirectory()
-        directory.replace(
-            [endpoint("i-1"), endpoint("i-2")], revision=1, after_outage=False, now_seconds=0
-        )
-        directory.replace([endpoint("i-1")], revision=2, after_outage=True, now_seconds=10)
+        directory.replace([endpoint("i-1"), endpoint("i-2")], after_outage=False, now_seconds=0)
+        directory.replace([endpoint("i-1")], after_outage=True, now_seconds=10)
         assert len(directory.ready(ServiceName("s"))) == 2
         assert directory.expire(now_seconds=11) == []
         assert directory.expire(now_seconds=12.1) == [EndpointId("i-2")]
 
     def test_missing_entries_go_at_once_without_an_outage(self) -> None:
         directory = EndpointDirectory()
-        directory.replace([endpoint("i-1")], revision=1, after_outage=False, now_seconds=0)
-        directory.replace([], revision=2, after_outage=False, now_seconds=1)
+        directory.replace([endpoint("i-1")], after_outage=False, now_seconds=0)
+        directory.replace([], after_outage=False, now_seconds=1)
         assert directory.all() == []
 
     def test_draining_endpoint_is_not_ready(self) -> None:
         directory = EndpointDirectory()
-        directory.put(endpoint("i-1", state=EndpointState.DRAINING), revision=1)
+        directory.put(endpoint("i-1", state=EndpointState.DRAINING))
         assert directory.ready(ServiceName("s")) == []
 
 
-class TestWeightTargets:
-    """Guard against calls that begin on an older version after its time."""
-
-    def test_older_versions_are_ruled_out_one_after_the_other(self) -> None:
-        targets = WeightTargets(switch_seconds=8, margin_seconds=1, queue_seconds=0.5)
-        targets.name(WeightVersion(model=MODEL, version=2), revision=1, now_seconds=0)
-        targets.name(WeightVersion(model=MODEL, version=3), revision=2, now_seconds=4)
-        assert targets.oldest_allowed(MODEL, now_seconds=6.9) == 0
-        assert targets.oldest_allowed(MODEL, now_seconds=7) == 2
-        assert targets.oldest_allowed(MODEL, now_seconds=11) == 3
-        assert targets.oldest_allowed(MODEL, now_seconds=6.6, queued=True) == 2
-
-    def test_version_found_at_the_start_is_strict(self) -> None:
-        targets = WeightTargets(switch_seconds=8, margin_seconds=1, queue_seconds=0.5)
-        version = WeightVersion(model=MODEL, version=2)
-        targets.name(version, revision=1, now_seconds=0, at_start=True)
-        assert targets.oldest_allowed(MODEL, now_seconds=0) == 2
-
-
-class TestWeightSwitch:
-    """Guard against engines that all load at once, or never."""
-
-    def switch(self, own: str = "a") -> WeightSwitch:
-        switch = WeightSwitch(own=InstanceId(own), model=MODEL, switch_seconds=8)
-        switch.name(1, now_seconds=0)
-        switch.name(2, now_seconds=10)
-        return switch
-
-    def load(self, switch: WeightSwitch, now_seconds: float, **changes: object) -> int | None:
-        values: dict[str, object] = {
-            "serving": 1,
-            "busy": False,
-            "shares": {2: 1.0},
-            "replicas": [
-                Replica(instance_id=InstanceId(name), version=1) for name in ("a", "b", "c", "d")
-            ],
-        }
-        return switch.version_to_load(now_seconds=now_seconds, **{**values, **changes})  # type: ignore[arg-type]
-
-    def test_half_of_the_engines_load_first(self) -> None:
-        assert [self.load(self.switch(own), 12) for own in "abcd"] == [2, 2, None, None]
-
-    def test_the_others_follow_when_the_first_are_done_or_time_presses(self) -> None:
-        replicas = [
-            Replica(instance_id=InstanceId(name), version=2 if name in "ab" else 1)
-            for name in "abcd"
-        ]
-        assert self.load(self.switch("d"), 12, replicas=replicas) == 2
-        assert self.load(self.switch("d"), 17) == 2
-
-    def test_empty_engine_loads_at_once(self) -> None:
-        assert self.load(self.switch("d"), 12, serving=0) == 2
-        assert self.load(self.switch("d"), 12, serving=0, shares={1: 1.0}) == 1
-
-    def test_incomplete_version_is_not_loaded(self) -> None:
-        assert self.load(self.switch(), 17, shares={2: 0.99}) is None
-
-    def test_copy_that_is_half_done_is_finished_first(self) -> None:
-        switch = self.switch()
-        switch.name(3, now_seconds=14)
-        chosen = [
-            switch.versions_to_copy(serving=1, shares={2: share}, now_seconds=14)
-            for share in (0.7, 0.2, 1.0)
-        ]
-        assert chosen == [(2,), (3,), (3,)]
-
-    def test_older_version_is_copied_beside_the_newest_once_that_stalled(self) -> None:
-        """Engines once waited for a crashed origin while peers held the version before."""
-        switch = self.switch()
-        switch.name(3, now_seconds=14)
-
-        def copied(now_seconds: float, share: float) -> tuple[int, ...]:
-            shares = {2: 0.2, 3: share}
-            return switch.versions_to_copy(serving=1, shares=shares, now_seconds=now_seconds)
-
-        assert copied(14.0, 0.0) == (3,)
-        assert copied(14.9, 0.0) == (3, 2)
-        # A single chunk of the newest is no reason to drop the older one again.
-        assert copied(15.0, 0.1) == (3, 2)
-        # With less than a second of its time left the older one is of no use.
-        assert copied(21.5, 0.1) == (3,)
-
-    def test_version_without_time_left_is_not_loaded(self) -> None:
-        """Engines once loaded a version seconds after calls could no longer begin on it."""
-        switch = self.switch()
-        switch.name(3, now_seconds=14)
-        assert self.load(switch, 15, serving=1) == 2
-        assert self.load(switch, 22, serving=0) is None
-
-    def test_engine_is_empty_when_its_copy_is_complete(self) -> None:
-        switch = self.switch()
-        drains = [
-            switch.should_drain(
-                serving=1,
-                shares={2: step / 10},
-                replicas=[],
-                drain_seconds=1.0,
-                now_seconds=10 + step * 0.5,
-            )
-            for step in range(11)
-        ]
-        assert drains == [False] * 8 + [True] * 3
-
-
 class TestPlacement:
     """Guard against calls for endpoints that are full, wrong or failing."""
 
@@ -467,44 +357,3 @@
         fleet = Fleet(own=self.member("a"), rng=random.Random(1))
         greeting = fleet.greeting(Revisions(configuration=3), now_seconds=0.0)
         assert greeting.revisions.configuration == 3
-
-
-class TestPartWindow:
-    """Guard against copies that fill a narrowed link for seconds."""
-
-    def test_slow_parts_shrink_the_window_once_for_each_queue(self) -> None:
-        window = PartWindow(slow_seconds=0.25)
-        for _ in range(4):
-            window.begun()
-        assert not window.has_room
-        for _ in range(4):
-            window.ended(seconds=1.0, now_seconds=5.0)
-        window.begun()
-        window.begun()
-        assert not window.has_room
-        window.ended(seconds=1.0, now_seconds=7.0)
-        window.ended(seconds=1.0, now_seconds=9.0)
-        window.begun()
-        assert not window.has_room
-
-    def test_window_grows_while_parts_are_fast(self) -> None:
-        window = PartWindow(slow_seconds=0.25)
-        for step in range(30):
-            window.begun()
-            window.ended(seconds=0.05, now_seconds=float(step))
-        for _ in range(5):
-            window.begun()
-        assert window.has_room
-
-
-class TestBeginBy:
-    """Guard against calls that queue until their endpoint's version is ruled out."""
-
-    def test_call_must_begin_before_a_newer_version_rules_its_own_out(self) -> None:
-        """Calls once queued for 1.4 s at the last engines of a version and began too late."""
-        targets = WeightTargets(switch_seconds=8, margin_seconds=1, queue_seconds=0.5)
-        targets.name(WeightVersion(model=MODEL, version=2), revision=1, now_seconds=0)
-        targets.name(WeightVersion(model=MODEL, version=3), revision=2, now_seconds=4)
-        assert targets.begin_by_seconds(MODEL, 1) == pytest.approx(7.75)
-        assert targets.begin_by_seconds(MODEL, 2) == pytest.approx(11.75)
-        assert targets.begin_by_seconds(MODEL, 3) is None
