Let half of the engines bridge two versions named in a row, and spread fetches over neighbours

Changes: - With a copy between 30% and 85% done when a newer version is named, half of the engines finish it and the others turn to the newest. Paused copies go on serving chunks.

--- a/egretrouter/core/direct/_switch.py
+++ b/egretrouter/core/direct/_switch.py
@@ -45,6 +45,8 @@
         self.copy_seconds = copy_seconds
         self._helped: int | None = None
         """An older version that is copied beside the newest, because that one stalled."""
+        self._bridges: dict[int, int] = {}
+        """Versions that half of the engines finish, and the newer one that the others copy."""
         self._own = own
         self._zone = zone
         self._switch_seconds = switch_seconds
@@ -69,7 +71,12 @@
         return True
 
     def versions_to_copy(
-        self, *, serving: int, shares: Mapping[int, float], now_seconds: float
+        self,
+        *,
+        serving: int,
+        shares: Mapping[int, float],
+        replicas: Iterable[Replica],
+        now_seconds: float,
     ) -> tuple[int, ...]:
         """Choose the versions to copy from the shares of each that are at hand."""
         target = self.target
@@ -84,12 +91,46 @@
         if not useful:
             return (target,)
         older = max(useful)
-        if shares.get(older, 0.0) >= FINISH_SHARE and self._helped != older:
-            return (older,)
+        share = shares.get(older, 0.0)
+        if share >= FINISH_SHARE and self._helped != older:
+            if share < SKIP_SHARE:
+                self._bridges.setdefault(older, target)
+            finishes = (
+                serving == 0 or share >= SKIP_SHARE or self._own not in self.idle(older, replicas)
+            )
+            return (older,) if finishes else (target,)
         if stalled:
             self._helped = older
         return (target, older) if self._helped == older else (target,)
 
+    def idle(self, version: int, replicas: Iterable[Replica]) -> frozenset[InstanceId]:
+        """Return the agents that leave the copying of a version to others for now.
+
+        Where a newer version is named in the middle of a copy, one half of the engines finishes the
+        older one and bridges the time until the other half serves the newer.
+        """
+        replicas = list(replicas)
+        first = {replica.instance_id for replica in self._first(replicas)}
+        second = {*(replica.instance_id for replica in replicas), self._own} - first
+        if version in self._bridges:
+            return frozenset(second if self._is_bridged_by_first(version) else first)
+        bridged = self._bridged_by(version)
+        if bridged is None:
+            return frozenset()
+        return frozenset(first if self._is_bridged_by_first(bridged) else second)
+
+    def _is_bridged_by_first(self, version: int) -> bool:
+        """Tell which half finishes a version: the one that has been copying it."""
+        bridged = self._bridged_by(version)
+        return bridged is None or not self._is_bridged_by_first(bridged)
+
+    def _bridged_by(self, version: int) -> int | None:
+        return next((older for older, newer in self._bridges.items() if newer == version), None)
+
+    def may_serve(self, version: int, *, now_seconds: float) -> bool:
+        """Tell whether calls may begin on a version for some time yet."""
+        return now_seconds + LEAST_USE_SECONDS < self._ends_seconds(version)
+
     def _is_useful(self, version: int, share: float, now_seconds: float) -> bool:
         """Tell whether a version would be in use for long enough after its copy is complete."""
         complete_seconds = now_seconds + (1.0 - share) * self.copy_seconds
@@ -118,7 +159,9 @@
     ) -> bool:
         """Tell whether the engine should take no new calls, so that it is empty when it loads."""
         version = max((v for v in shares if v in self._named), default=0)
-        if serving == 0 or version <= serving or not self._is_due(version, replicas, now_seconds):
+        if serving == 0 or version <= serving:
+            return False
+        if not self._is_due(version, serving, replicas, now_seconds):
             return False
         share = shares[version]
         began_seconds, began_share = self._begun.setdefault(version, (now_seconds, share))
@@ -151,18 +194,25 @@
             return version
         if version < self.target and shares.get(self.target, 0.0) >= SKIP_SHARE:
             return None
-        return version if self._is_due(version, replicas, now_seconds) else None
+        return version if self._is_due(version, serving, replicas, now_seconds) else None
 
-    def _is_due(self, version: int, replicas: Iterable[Replica], now_seconds: float) -> bool:
+    def _is_due(
+        self, version: int, serving: int, replicas: Iterable[Replica], now_seconds: float
+    ) -> bool:
         """Tell whether enough other engines go on serving while this one loads."""
-        if now_seconds >= self._named[version] + self._switch_seconds - SWITCH_MARGIN_SECONDS:
-            # Routers send no more calls to an engine of the older version.
+        if now_seconds >= self._ends_seconds(serving) - SWITCH_MARGIN_SECONDS:
+            # Routers send no more calls to this engine as it is.
             return True
-        others = {r.instance_id: r for r in replicas if r.version and r.instance_id != self._own}
+        first = self._first(replicas)
+        others = [replica for replica in first if replica.instance_id != self._own]
+        return len(others) < len(first) or all(replica.version >= version for replica in others)
+
+    def _first(self, replicas: Iterable[Replica]) -> list[Replica]:
+        """Return the half of the engines that is to load first; equal views give equal halves."""
+        others = [replica for replica in replicas if replica.instance_id != self._own]
         own = Replica(instance_id=self._own, zone=self._zone, version=0)
-        ranked = _by_turns([*others.values(), own])
-        first = ranked[: (len(ranked) + 1) // 2]
-        return own in first or all(replica.version >= version for replica in first)
+        ranked = _by_turns([*others, own])
+        return ranked[: (len(ranked) + 1) // 2]
 
 
 def _by_turns(replicas: Iterable[Replica]) -> list[Replica]:
--- a/egretrouter/core/weights/_copy.py
+++ b/egretrouter/core/weights/_copy.py
@@ -31,9 +31,11 @@
     Missing,
     OwnerAnswered,
     OwnerAsked,
+    Paused,
     PeerAnnounced,
     PeersChanged,
     QuarantineSource,
+    Resumed,
     Superseded,
     Tick,
     UploadEnded,
@@ -51,6 +53,7 @@
 
     DISCOVERING = "discovering"
     COPYING = "copying"
+    PAUSED = "paused"
     VERIFYING = "verifying"
     COMPLETED = "completed"
     HALTED = "halted"
@@ -355,6 +358,21 @@
             self._serve_until_seconds = now_seconds + self._settings.serve_after_load_seconds
         return []
 
+    @_on.register
+    def _on_paused(self, message: Paused, now_seconds: float) -> list[CopyCommand]:
+        if self._state not in FETCHING_STATES:
+            return []
+        self._state = CopyState.PAUSED
+        self._claims.clear()
+        return self._planner.cancel_all()
+
+    @_on.register
+    def _on_resumed(self, message: Resumed, now_seconds: float) -> list[CopyCommand]:
+        if self._state is CopyState.PAUSED:
+            self._state = CopyState.DISCOVERING
+            self._started_seconds = now_seconds
+        return []
+
     @_on.register
     def _on_superseded(self, message: Superseded, now_seconds: float) -> list[CopyCommand]:
         return self._stop(CopyState.SUPERSEDED)
@@ -390,6 +408,8 @@
         self._counts["corrupted"] += 1
         self._far_due = True
         self._claims.failed(index, source, now_seconds=now_seconds)
+        # The same chunk is taken from another source first, until this one announces it again.
+        self._sources.set_held(source, self._sources.held(source) & ~(1 << index))
         seconds = self._sources.charge_corruption(source, now_seconds=now_seconds)
         if seconds is None:
             return []
--- a/egretrouter/core/weights/_messages.py
+++ b/egretrouter/core/weights/_messages.py
@@ -140,6 +140,14 @@
     """Report that the engine runs the version; serving to peers ends some time after."""
 
 
+class Paused(CopyMessage, frozen=True, kw_only=True):
+    """Stop fetching; peers still get what is held."""
+
+
+class Resumed(CopyMessage, frozen=True, kw_only=True):
+    """Fetch again after a pause."""
+
+
 class Superseded(CopyMessage, frozen=True, kw_only=True):
     """Report that another version replaced this one."""
 
--- a/egretrouter/core/weights/_planner.py
+++ b/egretrouter/core/weights/_planner.py
@@ -152,25 +152,36 @@
         return self.allowance.give(size_bytes, now_seconds=now_seconds)
 
     def fetch_near(self, missing: int, *, now_seconds: float) -> list[CopyCommand]:
-        """Fetch the rarest missing chunks from neighbours while slots are free."""
+        """Fetch missing chunks from neighbours while slots are free."""
         commands: list[CopyCommand] = []
         free = self._parallel_near() - self.transfers.per_kind[SourceKind.ZONE]
         if free <= 0:
             return commands
-        usable = {s: h for s, h in self.sources.holding() if self._free(s, now_seconds)}
         for _ in range(free):
-            offered = 0
-            for held in usable.values():
-                offered |= held
-            index = self.sources.rarest(offered & missing & ~self.transfers.mask)
-            if index is None:
+            found = self._next_near(missing, now_seconds)
+            if found is None:
                 break
-            source = self._least_loaded([s for s, held in usable.items() if held >> index & 1])
-            commands.append(self._fetch(source, index, now_seconds))
-            if not self._free(source, now_seconds):
-                del usable[source]
+            commands.append(self._fetch(*found, now_seconds))
         return commands
 
+    def _next_near(self, missing: int, now_seconds: float) -> tuple[InstanceId, ChunkIndex] | None:
+        """Choose the least loaded neighbour and then its rarest chunk.
+
+        The rarest chunk of all would often be one that a single neighbour holds, and the links of
+        the others would be idle meanwhile.
+        """
+        wanted = missing & ~self.transfers.mask
+        useful = {
+            source: held & wanted
+            for source, held in self.sources.holding()
+            if held & wanted and self._free(source, now_seconds)
+        }
+        if not useful:
+            return None
+        source = self._least_loaded(sorted(useful))
+        index = self.sources.rarest(useful[source])
+        return None if index is None else (source, index)
+
     def _parallel_near(self) -> int:
         beside = self._settings.parallel_fetches_beside_origin
         if beside is not None and self.transfers.per_kind[SourceKind.ORIGIN]:
--- a/egretrouter/daemons/_copies.py
+++ b/egretrouter/daemons/_copies.py
@@ -29,9 +29,11 @@
     Manifest,
     OriginAllowance,
     OwnerAsked,
+    Paused,
     Peer,
     PeerAnnounced,
     PeersChanged,
+    Resumed,
     Superseded,
     Tick,
     TokenBucket,
@@ -110,6 +112,8 @@
         """When each agent came into view; a restarted one has another address."""
         self._joined_seconds = now
         self._copies: dict[Digest, RunningCopy] = {}
+        self._idle: dict[Digest, frozenset[InstanceId]] = {}
+        """The agents that do not fetch a version, where there are any."""
         self._manifests: dict[Digest, bytes] = {}
         self._preparing: dict[Digest, asyncio.Task[None]] = {}
         self._failures: dict[Digest, str] = {}
@@ -162,7 +166,9 @@
         running = self._copies.get(digest)
         if running is not None and running.state is CopyState.COMPLETED:
             self._ready(running)
-        elif running is None and digest not in self._preparing:
+        elif running is not None:
+            self._tell(digest, Resumed())
+        elif digest not in self._preparing:
             self._failures.pop(digest, None)
             self._preparing[digest] = asyncio.create_task(
                 self._prepare(version, zone_peers, until_seconds)
@@ -188,13 +194,27 @@
         self.start_copy(version)
         return await future
 
+    def set_idle(self, digest: Digest, idle: frozenset[InstanceId]) -> None:
+        """Learn which agents do not fetch a version for now, so that they own none of it."""
+        if self._idle.get(digest, frozenset()) != idle:
+            self._idle[digest] = idle
+            self._tell(digest, PeersChanged(peers=self._participants(digest)))
+
+    def pause(self, digest: Digest) -> None:
+        """Leave the link to other copies for now, and go on serving what is held."""
+        self._cancel_preparation(digest)
+        self._tell(digest, Paused())
+
     def abandon(self, digest: Digest) -> None:
         """Stop copying a version that is no longer wanted."""
+        self._cancel_preparation(digest)
+        self._tell(digest, Superseded())
+        self._fail(digest, "the version was superseded", report=False)
+
+    def _cancel_preparation(self, digest: Digest) -> None:
         preparing = self._preparing.pop(digest, None)
         if preparing is not None:
             preparing.cancel()
-        self._tell(digest, Superseded())
-        self._fail(digest, "the version was superseded", report=False)
 
     def loaded(self, digest: Digest) -> None:
         """Learn that the engine runs a version."""
@@ -241,6 +261,7 @@
             for digest in [d for d in self._manifests if d not in self._copies]:
                 if not self.memory.held(digest):
                     del self._manifests[digest]
+                    self._idle.pop(digest, None)
             await self.sleep(TICK_SECONDS)
 
     async def _prepare(
@@ -279,7 +300,7 @@
             on_stopped=lambda: self._forget(running),
         )
         log_message("agent:copy_started", digest=digest, weight_bytes=manifest.weight_bytes)
-        self._tell(digest, PeersChanged(peers=self._newcomers()))
+        self._tell(digest, PeersChanged(peers=self._participants(digest)))
 
     def _new_copy(self, manifest: Manifest, digest: Digest) -> WeightCopy:
         def build() -> WeightCopy:
@@ -315,10 +336,18 @@
         ]
         return (own, *peers)
 
+    def _participants(self, digest: Digest) -> tuple[Peer, ...]:
+        """Return all agents of the view, those that do not fetch a version as its newcomers."""
+        idle = self._idle.get(digest, frozenset())
+        return tuple(
+            msgspec.structs.replace(peer, is_newcomer=True) if peer.instance_id in idle else peer
+            for peer in self._newcomers()
+        )
+
     def _show_peers(self) -> None:
         self._view = self._newcomers()
         for digest in list(self._copies):
-            self._tell(digest, PeersChanged(peers=self._view))
+            self._tell(digest, PeersChanged(peers=self._participants(digest)))
 
     def _tell(self, digest: Digest, message: CopyMessage) -> None:
         running = self._copies.get(digest)
--- a/egretrouter/direct/_agent.py
+++ b/egretrouter/direct/_agent.py
@@ -113,6 +113,8 @@
         self._manifests: dict[tuple[ModelName, int], Manifest] = {}
         self._complete: set[Digest] = set()
         self._obtaining: set[tuple[ModelName, int]] = set()
+        self._paused: set[tuple[ModelName, int]] = set()
+        """Incomplete copies that others may go on with."""
         self._engine_state: EngineState | None = None
         self._draining = False
         """Whether the engine is to be empty soon so that it can load."""
@@ -228,11 +230,16 @@
             for (model, version), manifest in self._manifests.items()
             if model == switch.model
         }
-        goals = switch.versions_to_copy(serving=serving, shares=shares, now_seconds=now)
-        self._abandon_others(switch.model, goals)
+        replicas = self._replicas(switch.model)
+        goals = switch.versions_to_copy(
+            serving=serving, shares=shares, replicas=replicas, now_seconds=now
+        )
+        self._set_others_aside(switch, goals, now_seconds=now)
+        for known in shares:
+            idle = switch.idle(known, replicas)
+            self.copies.set_idle(self._manifests[switch.model, known].digest, idle)
         for goal in goals:
             self._obtain(switch.model, goal)
-        replicas = self._replicas(switch.model)
         self._draining = switch.should_drain(
             serving=serving,
             shares=shares,
@@ -250,13 +257,23 @@
         if version is not None:
             await self._load(switch.model, version, state)
 
-    def _abandon_others(self, model: ModelName, goals: Collection[int]) -> None:
-        """Stop incomplete copies of other versions, which would take the link's room."""
-        for key in [k for k in self._obtaining if k[0] == model and k[1] not in goals]:
+    def _set_others_aside(
+        self, switch: WeightSwitch, goals: Collection[int], *, now_seconds: float
+    ) -> None:
+        """Stop incomplete copies of other versions, which would take the link's room.
+
+        Other agents may still go on with a version that calls may use, and need its chunks.
+        """
+        for key in [k for k in self._obtaining if k[0] == switch.model and k[1] not in goals]:
             manifest = self._manifests.get(key)
             if manifest is not None and manifest.digest not in self._complete:
-                self.copies.abandon(manifest.digest)
+                self.copies.pause(manifest.digest)
                 self._obtaining.discard(key)
+                self._paused.add(key)
+        for key in [k for k in self._paused if k[0] == switch.model]:
+            if not switch.may_serve(key[1], now_seconds=now_seconds):
+                self.copies.abandon(self._manifests[key].digest)
+                self._paused.discard(key)
 
     def _replicas(self, model: ModelName) -> list[Replica]:
         replicas = []
@@ -276,6 +293,7 @@
     def _obtain(self, model: ModelName, version: int) -> None:
         if (model, version) not in self._obtaining:
             self._obtaining.add((model, version))
+            self._paused.discard((model, version))
             self.add_future(self._copy(model, version))
 
     async def _copy(self, model: ModelName, version: int) -> None:
--- a/tests/test_daemon_copies.py
+++ b/tests/test_daemon_copies.py
@@ -166,6 +166,26 @@
         assert old.manifest_digest not in {*agent.ready, *agent.failed}
         assert not agent.state(old)
 
+    async def test_paused_copy_still_serves_and_goes_on_when_started_again(
+        self, world: CopyWorld
+    ) -> None:
+        """Agents that turn to a newer version once took the chunks of the older with them."""
+        world.origin.link_bytes_per_second = SLOW
+        old, content = world.add_version("v1")
+        first, second = await world.add("a", "b")
+        start([first], old)
+        await wait_until(lambda: first.held(old) >= 4)
+        first.service.pause(old.manifest_digest)
+        held = first.held(old)
+        sent_bytes = world.origin.sent_bytes
+        start([second], old)
+        await wait_until(lambda: second.held(old) >= held)
+        assert first.held(old) <= held + 1
+        await wait_for_copies([second], old, content)
+        assert world.origin.sent_bytes - sent_bytes < WEIGHT_BYTES
+        start([first], old)
+        await wait_for_copies([first], old, content)
+
     async def test_reports_weights_that_do_not_fit(self, world: CopyWorld) -> None:
         version, _ = world.add_version("v1")
         (agent,) = await world.add("a", memory_bytes=WEIGHT_BYTES - 1)
--- a/tests/test_direct_weights.py
+++ b/tests/test_direct_weights.py
@@ -87,11 +87,61 @@
         switch = self.switch()
         switch.name(3, now_seconds=14)
         chosen = [
-            switch.versions_to_copy(serving=1, shares={2: share}, now_seconds=14)
+            switch.versions_to_copy(serving=1, shares={2: share}, replicas=[], now_seconds=14)
             for share in (0.7, 0.2, 1.0)
         ]
         assert chosen == [(2,), (3,), (3,)]
 
+    @pytest.mark.parametrize(
+        ("share", "serving", "finishing"),
+        [(0.6, 1, "ab"), (0.9, 1, "abcd"), (0.6, 0, "abcd")],
+        ids=["half done", "almost done", "empty engine"],
+    )
+    def test_half_of_the_engines_bridge_two_names(
+        self, share: float, serving: int, finishing: str
+    ) -> None:
+        """Engines once all finished the older copy, and had none of the newest when it ended."""
+        replicas = [replica(name, version=1) for name in "abcd"]
+        chosen = ""
+        for name in "abcd":
+            switch = self.switch(name)
+            switch.name(3, now_seconds=14)
+            goals = switch.versions_to_copy(
+                serving=serving, shares={2: share}, replicas=replicas, now_seconds=14
+            )
+            chosen += name if goals == (2,) else ""
+        assert chosen == finishing
+
+    def test_agents_own_no_chunks_of_a_version_that_they_leave_to_others(self) -> None:
+        """Chunks of either version once waited for owners that were copying the other one."""
+        replicas = [replica(name, version=1) for name in "abcd"]
+        switch = self.switch("a")
+        switch.name(3, now_seconds=14)
+        assert switch.idle(2, replicas) == frozenset()
+        switch.versions_to_copy(serving=1, shares={2: 0.6}, replicas=replicas, now_seconds=14)
+        assert switch.idle(2, replicas) == {"c", "d"}
+        assert switch.idle(3, replicas) == {"a", "b"}
+
+    def test_half_that_copies_a_version_finishes_it_when_another_is_named(self) -> None:
+        replicas = [replica(name, version=1) for name in "abcd"]
+        finishing = ""
+        for name in "abcd":
+            switch = self.switch(name)
+            switch.name(3, now_seconds=14)
+            switch.versions_to_copy(serving=1, shares={2: 0.6}, replicas=replicas, now_seconds=14)
+            switch.name(4, now_seconds=17)
+            goals = switch.versions_to_copy(
+                serving=1, shares={2: 1.0, 3: 0.6}, replicas=replicas, now_seconds=17
+            )
+            finishing += name if goals == (3,) else ""
+        assert finishing == "cd"
+
+    def test_engine_whose_version_is_ruled_out_loads_the_newest_at_once(self) -> None:
+        switch = self.switch("d")
+        switch.name(3, now_seconds=14)
+        assert self.load(switch, 17.0, shares={3: 1.0}) is None
+        assert self.load(switch, 17.2, shares={3: 1.0}) == 3
+
     def test_older_version_is_copied_beside_the_newest_once_that_stalled(self) -> None:
         """Engines once waited for a crashed origin while peers held the version before."""
         switch = self.switch()
@@ -99,7 +149,9 @@
 
         def copied(now_seconds: float, share: float) -> tuple[int, ...]:
             shares = {2: 0.2, 3: share}
-            return switch.versions_to_copy(serving=1, shares=shares, now_seconds=now_seconds)
+            return switch.versions_to_copy(
+                serving=1, shares=shares, replicas=[], now_seconds=now_seconds
+            )
 
         assert copied(14.0, 0.0) == (3,)
         assert copied(14.9, 0.0) == (3, 2)
--- a/tests/test_weights_copy.py
+++ b/tests/test_weights_copy.py
@@ -12,10 +12,13 @@
     ORIGIN,
     Busy,
     CopySettings,
+    FetchChunk,
+    OriginAllowance,
     PeersChanged,
     QuarantineSource,
     Unavailable,
 )
+from egretrouter.core.weights._planner import Planner
 
 OBJECTIVES = [Objective.TIME, Objective.ORIGIN_BYTES]
 IDEAL_SECONDS = 20.0
@@ -234,6 +237,30 @@
         assert not {source for _, source, _ in loop.origin_fetches} & set(list(loop.peers)[24:])
 
 
+class TestSources:
+    """Guard against neighbours whose links are idle while another's is full."""
+
+    def test_each_neighbour_gives_a_chunk_before_one_gives_two(self) -> None:
+        """Rare chunks first, all fetches once went to the one neighbour that held them."""
+        loop = make_loop(4, zones=1, chunks=8)
+        own, rich, *poor = loop.peers
+        planner = Planner(
+            manifest=loop.manifest,
+            manifest_digest=loop.manifest.digest,
+            own=loop.peers[own],
+            allowance=OriginAllowance(zone_bytes_per_minute=0, instance_id=own, joined_seconds=0.0),
+            settings=CopySettings(parallel_fetches=3, parallel_fetches_per_source=3),
+            random=Random(1),
+        )
+        planner.set_peers(tuple(loop.peers.values()))
+        planner.sources.set_held(rich, 0b11111111)
+        for neighbour in poor:
+            planner.sources.set_held(neighbour, 0b11110000)
+        commands = planner.fetch_near(0b11111111, now_seconds=0.0)
+        asked = [command.source for command in commands if isinstance(command, FetchChunk)]
+        assert sorted(asked) == [rich, *poor]
+
+
 class TestCopyWithFaults:
     """Guard against lost copies and origin bytes out of bounds under each failure."""
 
