Spread prompts that come together over engines, and leave no copy for a version without a manifest

Cause 1: below a full batch an engine's time to a first event depends on the prompts that it is reading, not on the calls that write. Routers weighed only the calls held, with a random spread of 2.4 calls, so the prompts of one burst went to one engine until its next report. A call sent within the time of reading now counts as two calls more; the spread is 0.05, the penalty for other regions 0.5.

Now no engine leaves a copy for a version whose manifest is not at hand, and one whose newer copy stalls helps the older.

--- a/egretrouter/core/direct/_placement.py
+++ b/egretrouter/core/direct/_placement.py
@@ -22,9 +22,15 @@
 EJECTION_LIMIT_SECONDS = 6.0
 # In units of a full batch: calls stay in their zone or region unless another is emptier by this.
 OTHER_ZONE_PENALTY = 0.1
-OTHER_REGION_PENALTY = 0.35
+OTHER_REGION_PENALTY = 0.5
 # Routers that see the same reports must not all choose the same endpoint.
-SPREAD = 0.15
+SPREAD = 0.05
+# An engine reads prompts one after the other between its steps, so a prompt that is being read
+# delays the next call's first event like two calls more in the batch.
+READING_CALLS = 2.0
+# A prompt waits for the pass in progress and is read in the next.
+READING_PASSES = 2
+RECENT_SENDS = 16
 # Agents report about this often, and routers act on the same reports until the next.
 REPORT_INTERVAL_SECONDS = 0.15
 ARRIVAL_WINDOW_SECONDS = 1.0
@@ -59,6 +65,8 @@
         self.agent_report: LoadReport | None = None
         self.agent_seconds = float("-inf")
         self.sent_seconds: list[float] = []
+        """The sends that the last report does not count yet."""
+        self.recent_seconds: deque[float] = deque(maxlen=RECENT_SENDS)
         self.in_flight = 0
         self.failures = 0
         self.ejected_until_seconds = float("-inf")
@@ -71,6 +79,10 @@
         reported = self.report.running + self.report.queued
         return max(float(self.in_flight), float(reported + since))
 
+    def reading(self, now_seconds: float, *, for_seconds: float) -> int:
+        """Return how many of this router's calls the endpoint is likely to be reading."""
+        return sum(1 for sent in self.recent_seconds if sent > now_seconds - for_seconds)
+
     def is_silent(self, now_seconds: float) -> bool:
         """Tell whether the agent ceased to report a short while ago."""
         return SILENCE_SECONDS < now_seconds - self.agent_seconds < SILENCE_LIMIT_SECONDS
@@ -171,6 +183,7 @@
         standing = self._standing(endpoint_id)
         standing.in_flight += 1
         standing.sent_seconds.append(now_seconds)
+        standing.recent_seconds.append(now_seconds)
 
     def released(self, endpoint_id: EndpointId) -> None:
         """Learn that a call left an endpoint."""
@@ -210,7 +223,7 @@
             return NoChoice(endpoints=len(sound), retry_after_seconds=self._retry_after(profile))
         if profile is not None and not self._has_turn(free, need, profile, now_seconds):
             return NoChoice(endpoints=len(free), retry_after_seconds=self._retry_after(profile))
-        endpoint, version = min(free, key=lambda e: self._score(e[0], now_seconds))
+        endpoint, version = min(free, key=lambda e: self._score(e[0], profile, now_seconds))
         return Choice(endpoint=endpoint, version=version or None)
 
     def _has_turn(
@@ -286,14 +299,18 @@
     ) -> bool:
         return self._load(endpoint, now_seconds) >= self._limit(endpoint, version, need, profile)
 
-    def _score(self, endpoint: Endpoint, now_seconds: float) -> float:
+    def _score(
+        self, endpoint: Endpoint, profile: EngineProfile | None, now_seconds: float
+    ) -> float:
         standing = self._standings.get(endpoint.endpoint_id)
         report = standing.report if standing is not None else None
         pace = report.pace if report is not None else 1.0
-        score = (
-            pace * (self._load(endpoint, now_seconds) + 1) / self._slots(endpoint)
-            + SPREAD * self._rng.random()
-        )
+        calls = self._load(endpoint, now_seconds) + 1
+        if standing is not None and profile is not None:
+            calls += READING_CALLS * standing.reading(
+                now_seconds, for_seconds=reading_seconds(profile)
+            )
+        score = pace * calls / self._slots(endpoint) + SPREAD * self._rng.random()
         if endpoint.zone == self._zone:
             return score
         same_region = self._regions.get(endpoint.zone) == self._regions.get(self._zone)
@@ -329,6 +346,12 @@
     return profile.usual_prompt_tokens / profile.prefill_tokens_per_second
 
 
+def reading_seconds(profile: EngineProfile) -> float:
+    """Return how long a full engine usually takes until a prompt is read."""
+    seconds = profile.steps_per_pass * _step_seconds(profile) + _prefill_seconds(profile)
+    return READING_PASSES * seconds
+
+
 def first_event_seconds(profile: EngineProfile) -> float:
     """Return the usual time to a first event on a full engine without a queue."""
     return 2 * profile.steps_per_pass * _step_seconds(profile) + 2 * _prefill_seconds(profile)
--- a/egretrouter/core/direct/_switch.py
+++ b/egretrouter/core/direct/_switch.py
@@ -78,7 +78,7 @@
         replicas: Iterable[Replica],
         now_seconds: float,
     ) -> tuple[int, ...]:
-        """Choose the versions to copy from the shares of each that are at hand."""
+        """Choose the versions to copy from the shares of those whose manifests are at hand."""
         target = self.target
         stalled = self._is_stalled(target, shares, now_seconds)
         useful = [
@@ -93,31 +93,40 @@
         older = max(useful)
         share = shares.get(older, 0.0)
         if share >= FINISH_SHARE and self._helped != older:
+            if target not in shares:
+                # Its manifest is not at hand, so the origin may be away for long.
+                return (target, older)
+            # Half of the engines bridge the time until the others serve the newest version.
             if share < SKIP_SHARE:
                 self._bridges.setdefault(older, target)
-            finishes = (
-                serving == 0 or share >= SKIP_SHARE or self._own not in self.idle(older, replicas)
-            )
-            return (older,) if finishes else (target,)
+            left_to_others = self._own in self.idle(older, replicas, serving=serving)
+            if serving == 0 or share >= SKIP_SHARE or not left_to_others:
+                return (older,)
         if stalled:
             self._helped = older
         return (target, older) if self._helped == older else (target,)
 
-    def idle(self, version: int, replicas: Iterable[Replica]) -> frozenset[InstanceId]:
+    def idle(
+        self, version: int, replicas: Iterable[Replica], *, serving: int
+    ) -> frozenset[InstanceId]:
         """Return the agents that leave the copying of a version to others for now.
 
         Where a newer version is named in the middle of a copy, one half of the engines finishes the
         older one and bridges the time until the other half serves the newer.
         """
-        replicas = list(replicas)
-        first = {replica.instance_id for replica in self._first(replicas)}
-        second = {*(replica.instance_id for replica in replicas), self._own} - first
-        if version in self._bridges:
-            return frozenset(second if self._is_bridged_by_first(version) else first)
-        bridged = self._bridged_by(version)
+        own = Replica(instance_id=self._own, zone=self._zone, version=serving)
+        everyone = [own, *(r for r in replicas if r.instance_id != self._own)]
+        first = self._first(everyone)
+        second = [replica for replica in everyone if replica not in first]
+        bridged = version if version in self._bridges else self._bridged_by(version)
         if bridged is None:
             return frozenset()
-        return frozenset(first if self._is_bridged_by_first(bridged) else second)
+        finishing, others = first, second
+        if not self._is_bridged_by_first(bridged):
+            finishing, others = second, first
+        if version == bridged:
+            return frozenset(replica.instance_id for replica in others)
+        return frozenset(r.instance_id for r in finishing if r.version < bridged)
 
     def _is_bridged_by_first(self, version: int) -> bool:
         """Tell which half finishes a version: the one that has been copying it."""
@@ -203,15 +212,13 @@
         if now_seconds >= self._ends_seconds(serving) - SWITCH_MARGIN_SECONDS:
             # Routers send no more calls to this engine as it is.
             return True
-        first = self._first(replicas)
-        others = [replica for replica in first if replica.instance_id != self._own]
-        return len(others) < len(first) or all(replica.version >= version for replica in others)
+        own = Replica(instance_id=self._own, zone=self._zone, version=serving)
+        first = self._first([own, *(r for r in replicas if r.instance_id != self._own)])
+        return own in first or all(replica.version >= version for replica in first)
 
     def _first(self, replicas: Iterable[Replica]) -> list[Replica]:
         """Return the half of the engines that is to load first; equal views give equal halves."""
-        others = [replica for replica in replicas if replica.instance_id != self._own]
-        own = Replica(instance_id=self._own, zone=self._zone, version=0)
-        ranked = _by_turns([*others, own])
+        ranked = _by_turns(replicas)
         return ranked[: (len(ranked) + 1) // 2]
 
 
--- a/egretrouter/direct/_agent.py
+++ b/egretrouter/direct/_agent.py
@@ -236,7 +236,7 @@
         )
         self._set_others_aside(switch, goals, now_seconds=now)
         for known in shares:
-            idle = switch.idle(known, replicas)
+            idle = switch.idle(known, replicas, serving=serving)
             self.copies.set_idle(self._manifests[switch.model, known].digest, idle)
         for goal in goals:
             self._obtain(switch.model, goal)
--- a/tests/test_direct_core.py
+++ b/tests/test_direct_core.py
@@ -315,6 +315,21 @@
         assert choice.endpoint.endpoint_id == "i-2"
         assert isinstance(self.choose(placement, [endpoint("i-1")]), Choice)
 
+    def test_calls_that_come_together_go_to_different_endpoints(self) -> None:
+        """Prompts of one burst once queued at the engine with one call less in its batch."""
+        placement = self.placement()
+        found = [endpoint("i-1"), endpoint("i-2")]
+        for name, running in (("i-1", 6), ("i-2", 8)):
+            report = LoadReport(running=running, queued=0)
+            placement.reported(EndpointId(name), report, by_agent=True, now_seconds=0.0)
+        chosen = []
+        for now in (0.01, 0.02, 0.6):
+            choice = placement.choose(found, Need(model=MODEL), profile=PROFILE, now_seconds=now)
+            assert isinstance(choice, Choice)
+            chosen.append(choice.endpoint.endpoint_id)
+            placement.sent(choice.endpoint.endpoint_id, now_seconds=now)
+        assert chosen == ["i-1", "i-2", "i-1"]
+
     def test_endpoint_whose_agent_fell_silent_gets_no_call_while_another_is_heard(self) -> None:
         """Calls once went to the engines of a cut zone for the three seconds that reports count."""
         placement = self.placement()
