Count the time that a call waited before it queues at an engine, and model engines that work in passes

Cause: a call that had waited 0.2 s of its 0.4 s at the router was let into an engine's queue as if it were fresh, and came late there; in overload most calls wait, so most of what was served was late. Need now holds what is left of the latency target. A prompt that is being read counts as four calls.

benchmarks/pass_engine.py models an engine that reads prompts between strides of steps, and routers that place bursts on reports 0.1 s old.

--- /dev/null
+++ b/benchmarks/pass_engine.py
@@ -0,0 +1,270 @@
+"""Model engines that work in passes, and routers that place bursts of calls on them."""
+
+import argparse
+import heapq
+import json
+import random
+from collections import deque
+from collections.abc import Iterable
+from itertools import count
+
+import msgspec
+
+from egretrouter.core.direct import (
+    Choice,
+    Endpoint,
+    EndpointState,
+    EngineProfile,
+    LoadedWeights,
+    LoadReport,
+    Need,
+    Placement,
+)
+from egretrouter.core.identifiers import (
+    EndpointId,
+    ModelName,
+    RegionId,
+    ServiceName,
+    ZoneId,
+)
+
+MODEL = ModelName("m")
+SERVICE = ServiceName("engines")
+PROFILE = EngineProfile(
+    slots=16,
+    step_seconds=0.00673,
+    step_per_sequence_seconds=0.0000219,
+    step_per_context_token_seconds=0.0000000068,
+    prefill_tokens_per_second=30_600,
+    prefill_seconds_per_token_pair=0.647e-9,
+    steps_per_pass=6,
+    prefill_chunk_tokens=2048,
+    cache_tokens=1_640_000,
+    report_lag_seconds=0.0,
+    usual_prompt_tokens=965,
+    usual_answer_tokens=120,
+)
+REPORT_SECONDS = 0.1
+LATENCY_TARGET_SECONDS = 0.4
+POLL_SECONDS = 0.1
+WAIT_SECONDS = 0.2
+BURST_CALLS = 4
+"""Calls that reach one router at the same moment."""
+
+
+class ModelledCall:
+    """Follow one call from its router to the end of its answer."""
+
+    def __init__(self, *, arrived_seconds: float, prompt_tokens: int, answer_tokens: int) -> None:
+        self.arrived_seconds = arrived_seconds
+        self.prompt_tokens = prompt_tokens
+        self.unread_tokens = prompt_tokens
+        self.unwritten_tokens = answer_tokens
+        self.first_event_seconds: float | None = None
+
+    @property
+    def in_time(self) -> bool:
+        """Tell whether the first event came within the latency target."""
+        if self.first_event_seconds is None:
+            return False
+        return self.first_event_seconds - self.arrived_seconds <= LATENCY_TARGET_SECONDS
+
+
+class PassEngine:
+    """Read prompts in pieces and write tokens in strides, pass by pass."""
+
+    def __init__(self, profile: EngineProfile) -> None:
+        self._profile = profile
+        self.queue: deque[ModelledCall] = deque()
+        self.reading: list[ModelledCall] = []
+        self.writing: list[ModelledCall] = []
+        self.busy = False
+
+    @property
+    def report(self) -> LoadReport:
+        """Return what an agent would tell; a call runs from its first token on."""
+        waiting = len(self.queue) + len(self.reading)
+        return LoadReport(running=len(self.writing), queued=waiting, versions={MODEL: 1})
+
+    def begin_pass(self) -> float | None:
+        """Admit calls and return how long the next pass takes; None if there is no work."""
+        profile = self._profile
+        while self.queue and len(self.reading) + len(self.writing) < profile.slots:
+            self.reading.append(self.queue.popleft())
+        if not self.reading and not self.writing:
+            return None
+        seconds = self._read()
+        if self.writing:
+            context = sum(call.prompt_tokens for call in self.writing)
+            seconds += profile.steps_per_pass * (
+                profile.step_seconds
+                + len(self.writing) * profile.step_per_sequence_seconds
+                + context * profile.step_per_context_token_seconds
+            )
+        return seconds
+
+    def _read(self) -> float:
+        profile = self._profile
+        budget, seconds = profile.prefill_chunk_tokens, 0.0
+        for call in self.reading:
+            tokens = min(budget, call.unread_tokens)
+            before = call.prompt_tokens - call.unread_tokens
+            pairs = tokens * (before + tokens / 2)
+            seconds += tokens / profile.prefill_tokens_per_second
+            seconds += pairs * profile.prefill_seconds_per_token_pair
+            call.unread_tokens -= tokens
+            budget -= tokens
+        return seconds
+
+    def end_pass(self, now_seconds: float) -> None:
+        """Hand out the events of a pass."""
+        for call in self.writing:
+            call.unwritten_tokens -= self._profile.steps_per_pass
+            if call.first_event_seconds is None:
+                call.first_event_seconds = now_seconds
+        self.writing = [call for call in self.writing if call.unwritten_tokens > 0]
+        self.writing += [call for call in self.reading if not call.unread_tokens]
+        self.reading = [call for call in self.reading if call.unread_tokens]
+
+
+class BurstModel:
+    """Let routers that share nothing but reports place bursts of calls."""
+
+    def __init__(self, *, engines: int, routers: int, calls_per_second: float, seed: int) -> None:
+        self.calls: list[ModelledCall] = []
+        self.refused = 0
+        self._calls_per_second = calls_per_second
+        self._random = random.Random(seed)
+        self._engines = [PassEngine(PROFILE) for _ in range(engines)]
+        self._endpoints = [_endpoint(number) for number in range(engines)]
+        zone = ZoneId("z")
+        self._routers = [
+            Placement(zone=zone, regions={zone: RegionId("r")}, rng=random.Random(f"{seed}/{n}"))
+            for n in range(routers)
+        ]
+        for router in self._routers:
+            router.set_routers(routers)
+        self._events: list[tuple[float, int, str, tuple[object, ...]]] = []
+        self._order = count()
+
+    def run(self, *, seconds: float) -> "BurstModel":
+        """Play the arrivals of so many seconds and what follows them."""
+        self._at(0.0, "arrive", seconds)
+        for number in range(len(self._engines)):
+            self._at(self._random.random() * REPORT_SECONDS, "tell", number, seconds)
+        while self._events:
+            now, _, name, values = heapq.heappop(self._events)
+            getattr(self, f"_{name}")(now, *values)
+        return self
+
+    @property
+    def in_time_share(self) -> float:
+        """Return the share of all calls whose first event came in time."""
+        return sum(call.in_time for call in self.calls) / len(self.calls)
+
+    def _at(self, at_seconds: float, name: str, *values: object) -> None:
+        heapq.heappush(self._events, (at_seconds, next(self._order), name, values))
+
+    def _arrive(self, now: float, until: float) -> None:
+        router = self._random.randrange(len(self._routers))
+        for _ in range(BURST_CALLS):
+            call = ModelledCall(
+                arrived_seconds=now,
+                prompt_tokens=self._random.choice((647, 827, 1330)),
+                answer_tokens=self._random.choice((72, 144, 144)),
+            )
+            self.calls.append(call)
+            self._routers[router].arrived(now_seconds=now)
+            self._place(now, router, call)
+        following = now + self._random.expovariate(self._calls_per_second / BURST_CALLS)
+        if following < until:
+            self._at(following, "arrive", until)
+
+    def _place(self, now: float, router: int, call: ModelledCall) -> None:
+        placement = self._routers[router]
+        left_seconds = call.arrived_seconds + LATENCY_TARGET_SECONDS - now
+        need = Need(model=MODEL, latency_left_seconds=left_seconds)
+        choice = placement.choose(self._endpoints, need, profile=PROFILE, now_seconds=now)
+        if isinstance(choice, Choice):
+            placement.sent(choice.endpoint.endpoint_id, now_seconds=now)
+            number = self._endpoints.index(choice.endpoint)
+            engine = self._engines[number]
+            engine.queue.append(call)
+            if not engine.busy:
+                self._work(now, number)
+        elif now + POLL_SECONDS <= call.arrived_seconds + WAIT_SECONDS:
+            self._at(now + POLL_SECONDS, "place", router, call)
+        else:
+            self.refused += 1
+
+    def _work(self, now: float, number: int) -> None:
+        engine = self._engines[number]
+        seconds = engine.begin_pass()
+        engine.busy = seconds is not None
+        if seconds is not None:
+            self._at(now + seconds, "end", number)
+
+    def _end(self, now: float, number: int) -> None:
+        self._engines[number].end_pass(now)
+        self._work(now, number)
+
+    def _tell(self, now: float, number: int, until: float) -> None:
+        for router in self._routers:
+            router.reported(
+                self._endpoints[number].endpoint_id,
+                self._engines[number].report,
+                by_agent=True,
+                now_seconds=now,
+            )
+        if now < until:
+            self._at(now + REPORT_SECONDS, "tell", number, until)
+
+
+def _endpoint(number: int) -> Endpoint:
+    return Endpoint(
+        endpoint_id=EndpointId(f"e{number}"),
+        service=SERVICE,
+        address=f"127.0.0.1:{9000 + number}",
+        zone=ZoneId("z"),
+        state=EndpointState.READY,
+        slots=PROFILE.slots,
+        weights=(LoadedWeights(model=MODEL, version=1),),
+    )
+
+
+class BurstResult(msgspec.Struct, frozen=True, kw_only=True):
+    """Hold the figures of one run."""
+
+    calls_per_second: float
+    in_time_share: float
+    refused_share: float
+
+
+def measure(loads: Iterable[float], *, seed: int, seconds: float) -> list[BurstResult]:
+    """Run the model at several loads, as shares of what the engines can serve."""
+    results = []
+    for load in loads:
+        model = BurstModel(engines=8, routers=15, calls_per_second=load, seed=seed)
+        model.run(seconds=seconds)
+        results.append(
+            BurstResult(
+                calls_per_second=load,
+                in_time_share=round(model.in_time_share, 4),
+                refused_share=round(model.refused / len(model.calls), 4),
+            )
+        )
+    return results
+
+
+def main() -> None:
+    """Print the results as JSON."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=60.0)
+    arguments = parser.parse_args()
+    results = measure((40, 60, 80, 100), seed=arguments.seed, seconds=arguments.seconds)
+    print(json.dumps({"seed": arguments.seed, "results": msgspec.to_builtins(results)}, indent=2))
+
+
+if __name__ == "__main__":
+    main()
--- a/egretrouter/core/direct/_placement.py
+++ b/egretrouter/core/direct/_placement.py
@@ -26,8 +26,8 @@
 # Routers that see the same reports must not all choose the same endpoint.
 SPREAD = 0.05
 # An engine reads prompts one after the other between its steps, so a prompt that is being read
-# delays the next call's first event like two calls more in the batch.
-READING_CALLS = 2.0
+# delays the next call's first event like several calls more in the batch.
+READING_CALLS = 4.0
 # A prompt waits for the pass in progress and is read in the next.
 READING_PASSES = 2
 RECENT_SENDS = 16
@@ -103,7 +103,8 @@
     """The oldest version for a call that may queue at its endpoint."""
     exact_version: int | None = None
     """Set to go on with a stream whose beginning came from this version."""
-    latency_target_seconds: float = 0.4
+    latency_left_seconds: float = 0.4
+    """How soon an answer must begin to be in time."""
     late: bool = False
     """Whether the call can no longer be answered within its target."""
     tried: Collection[EndpointId] = ()
@@ -286,7 +287,7 @@
             return LATE_SLOT_SHARE * slots
         if profile is None:
             return slots + PLAIN_QUEUE_FACTOR * slots
-        spare = max(0.0, need.latency_target_seconds - first_event_seconds(profile))
+        spare = max(0.0, need.latency_left_seconds - first_event_seconds(profile))
         return slots + spare * slots / service_seconds(profile)
 
     def _is_full(
--- a/egretrouter/direct/_callers.py
+++ b/egretrouter/direct/_callers.py
@@ -247,7 +247,7 @@
                     weights.oldest_allowed(model, now_seconds=now, queued=True) if model else 0
                 ),
                 exact_version=call.version if call.plan.answer_begun else None,
-                latency_target_seconds=call.route.latency_target_seconds,
+                latency_left_seconds=call.arrived_seconds + call.route.latency_target_seconds - now,
                 late=call.late,
                 tried=call.tried,
             )
