Split the search for manifests from the agent, and log copies that are set aside

A copy that was set aside while its staged chunks were still read started all the same, and ran beside the copy that was to have the link: found by reading, not seen in a run; it has no test of its own, since the agent renews its goals every 0.1 s. weights:paused names the version and what is copied instead.

--- a/egretrouter/direct/_agent.py
+++ b/egretrouter/direct/_agent.py
@@ -29,7 +29,6 @@
     BackendError,
     CorruptedChunkError,
     LostAnswerError,
-    ManifestMismatchError,
 )
 from egretrouter.core.identifiers import ChunkIndex, Digest, ModelName, VersionName
 from egretrouter.core.rollout import VersionReference
@@ -40,6 +39,7 @@
 from egretrouter.daemons._weight_transfers import CopyPeer, WeightTransfers
 from egretrouter.direct._copy_limits import copy_limits, copy_seconds, narrow_link
 from egretrouter.direct._logs import log_event
+from egretrouter.direct._manifests import ManifestFinder
 from egretrouter.direct._process import DirectProcess, state_reply
 from egretrouter.direct._settings import DirectSettings
 from egretrouter.protocol import egretrouter_pb2 as pb
@@ -49,7 +49,6 @@
 """Routers of other zones get every second report."""
 ANNOUNCED_COPIES = 3
 STEP_SECONDS = 0.1
-MANIFEST_RETRY_SECONDS = 0.3
 FIRST_VERSION = 1
 STOP_MARGIN_SECONDS = 0.7
 CHUNK_MEMORY_BYTES = 48 * 1024 * 1024
@@ -108,7 +107,13 @@
         )
         self.copies.on_ready = self._copied
         self._engine = engine
-        self._origin = origin
+        self._manifest_finder = ManifestFinder(
+            origin=origin,
+            fleet=self.fleet,
+            copies=self.copies,
+            peer_port=settings.peer_port,
+            rng=rng,
+        )
         self._switches: dict[ModelName, WeightSwitch] = {}
         self._manifests: dict[tuple[ModelName, int], Manifest] = {}
         self._complete: set[Digest] = set()
@@ -267,6 +272,7 @@
         for key in [k for k in self._obtaining if k[0] == switch.model and k[1] not in goals]:
             manifest = self._manifests.get(key)
             if manifest is not None and manifest.digest not in self._complete:
+                log_event("weights:paused", model=key[0], version=key[1], copied=sorted(goals))
                 self.copies.pause(manifest.digest)
                 self._obtaining.discard(key)
                 self._paused.add(key)
@@ -301,7 +307,11 @@
         manifest = self._manifests.get((model, version))
         known = manifest is not None
         if manifest is None:
-            manifest = await self._find_manifest(model, version)
+            manifest = await self._manifest_finder.find(
+                model,
+                version,
+                wanted=lambda: not self.should_stop and (model, version) in self._obtaining,
+            )
         if manifest is None:
             self._obtaining.discard((model, version))
             return
@@ -311,6 +321,9 @@
             self._switches[model].copy_seconds = copy_seconds(self.settings, manifest)
             self._announce_copies()
             await self._take_staged(model, manifest, digest)
+        if (model, version) not in self._obtaining:
+            # It was set aside meanwhile.
+            return
         log_event("weights:copying", model=model, version=version)
         self.copies.start_copy(
             VersionReference(model=model, version=VersionName(str(version)), manifest_digest=digest)
@@ -350,44 +363,6 @@
         if taken:
             log_event("weights:staged_found", model=model, chunks=taken)
 
-    async def _find_manifest(self, model: ModelName, version: int) -> Manifest | None:
-        """Read the manifest from the origin, or from an agent that has it."""
-        name = f"{model}/{version}"
-        while not self.should_stop and (model, version) in self._obtaining:
-            try:
-                return await self._origin_manifest(model, version)
-            except (BackendError, ManifestMismatchError) as error:
-                log_event("weights:manifest_failed", version=name, error=str(error))
-            for member in self.fleet.live(FleetRole.AGENT):
-                digest = dict(member.copies).get(name)
-                if digest is not None:
-                    content = await self._peer_manifest(member.address, digest)
-                    if content is not None:
-                        return content
-            await self.sleep(MANIFEST_RETRY_SECONDS * (0.5 + self.rng.random()))
-        return None
-
-    async def _origin_manifest(self, model: ModelName, version: int) -> Manifest:
-        """Read the manifest twice: the origin may spoil what it sends."""
-        name = VersionName(str(version))
-        first = await self._origin.manifest(model, name)
-        digests = {
-            digest
-            for m in self.fleet.live(FleetRole.AGENT)
-            for found, digest in m.copies
-            if found == f"{model}/{version}"
-        }
-        manifest = Manifest.from_json(first)
-        if manifest.digest not in digests and await self._origin.manifest(model, name) != first:
-            raise ManifestMismatchError(f"the origin sent two manifests for {model}/{version}")
-        return manifest
-
-    async def _peer_manifest(self, address: str, digest: Digest) -> Manifest | None:
-        content = await self.copies.manifest_from_peer(
-            f"{address}:{self.settings.peer_port}", digest
-        )
-        return Manifest.from_json(content) if content else None
-
     def _copied(self, digest: Digest) -> None:
         self._complete.add(digest)
 
