--- a/egretrouter/direct/_callers.py
+++ b/egretrouter/direct/_callers.py
@@ -4,7 +4,6 @@
 import random
 import time
 
-import msgspec
 from aiohttp import web
 from multidict import CIMultiDict
 
@@ -14,7 +13,6 @@
     Choice,
     DirectCall,
     EventCutter,
-    Need,
     NextStep,
     NoChoice,
     Placement,
@@ -23,12 +21,12 @@
     RouteIndex,
     SendEnded,
     SendOutcome,
-    Service,
     Workspace,
     choose_service,
 )
 from egretrouter.core.errors import Outcome
-from egretrouter.core.identifiers import EndpointId
+from egretrouter.direct._active_call import ActiveCall
+from egretrouter.direct._choices import EndpointChoices
 from egretrouter.direct._logs import log_event
 from egretrouter.direct._metrics import CallMetrics
 from egretrouter.direct._refusals import (
@@ -44,39 +42,12 @@
 ANSWER_SLACK_SECONDS = 0.1
 # A call with less time left is not worth an endpoint's work.
 LEAST_SEND_SECONDS = 0.02
-# Agents report room about this often.
-ROOM_POLL_SECONDS = 0.1
-# Share of its latency target that a call may wait for room before it is refused.
-WAIT_SHARE = 0.5
-# A call that is late in any case may wait this share of its time; it is not likely to come again.
-LATE_WAIT_SHARE = 0.25
 # An event stream is taken elsewhere when its endpoint was silent for this many allowed gaps.
 STALL_GAPS = 4.0
 STALL_LEAST_SECONDS = 1.0
 NO_CONFIGURATION_RETRY_SECONDS = 0.5
 
 
-class _Call(msgspec.Struct, kw_only=True):
-    """Hold one call while it is worked on."""
-
-    request: web.BaseRequest
-    headers: CallHeaders
-    route: Route
-    workspace: Workspace | None
-    service: Service
-    content: bytes
-    arrived_seconds: float
-    deadline_seconds: float
-    plan: DirectCall
-    cutter: EventCutter
-    tried: set[EndpointId] = msgspec.field(default_factory=set)
-    late: bool = False
-    """Whether the caller waited for more than the latency target before this attempt."""
-    response: web.StreamResponse | None = None
-    version: int | None = None
-    """The version of the weights that the answer's beginning came from."""
-
-
 class Callers:
     """Own the calls in progress of one router."""
 
@@ -100,6 +71,7 @@
         self._dialect = dialect
         self._metrics = metrics
         self._rng = rng
+        self._choices = EndpointChoices(state=state, placement=placement, rng=rng)
         self._longest_deadlines: dict[str, float] = {}
         """The longest time that callers gave a call, by route."""
 
@@ -126,7 +98,9 @@
             response.force_close()
         return response
 
-    async def _admit(self, request: web.BaseRequest, headers: CallHeaders, arrived: float) -> _Call:
+    async def _admit(
+        self, request: web.BaseRequest, headers: CallHeaders, arrived: float
+    ) -> ActiveCall:
         routes = self._state.routes
         if routes is None or not self._state.complete:
             raise Refusal(
@@ -144,7 +118,7 @@
         service = routes.service(choose_service(route, self._rng))
         if service.engine is not None:
             self._placement.arrived(now_seconds=arrived)
-        return _Call(
+        return ActiveCall(
             late=late,
             request=request,
             headers=headers,
@@ -175,7 +149,7 @@
             raise Refusal(401, "the key is unknown")
         return workspace
 
-    async def _run(self, call: _Call) -> web.StreamResponse:
+    async def _run(self, call: ActiveCall) -> web.StreamResponse:
         try:
             async with asyncio.timeout_at(
                 asyncio.get_running_loop().time()
@@ -185,9 +159,9 @@
         except TimeoutError:
             return self._end(call, call.plan.give_up(), 504, "the time is up")
 
-    async def _send_until_answered(self, call: _Call) -> web.StreamResponse:
+    async def _send_until_answered(self, call: ActiveCall) -> web.StreamResponse:
         while True:
-            choice = await self._choose(call)
+            choice = await self._choices.choose(call)
             if isinstance(choice, NoChoice):
                 reason = _no_room(choice)
                 return self._end(
@@ -206,7 +180,7 @@
                 if step is not NextStep.SEND:
                     return self._end(call, step, 502, error.reason)
 
-    def _after(self, call: _Call, choice: Choice, error: SendError) -> NextStep:
+    def _after(self, call: ActiveCall, choice: Choice, error: SendError) -> NextStep:
         endpoint_id, now = choice.endpoint.endpoint_id, time.monotonic()
         if error.answer is not None and error.answer.load is not None:
             self._placement.reported(
@@ -229,44 +203,7 @@
         )
         return step
 
-    async def _choose(self, call: _Call) -> Choice | NoChoice:
-        """Choose an endpoint, waiting a part of the latency target for room."""
-        wait_until = call.arrived_seconds + (
-            LATE_WAIT_SHARE * (call.deadline_seconds - call.arrived_seconds)
-            if call.late
-            else WAIT_SHARE * call.route.latency_target_seconds
-        )
-        while True:
-            now = time.monotonic()
-            model = call.headers.model if call.service.engine is not None else None
-            weights = self._state.weights
-            need = Need(
-                model=model,
-                oldest_version=weights.oldest_allowed(model, now_seconds=now) if model else 0,
-                oldest_queued_version=(
-                    weights.oldest_allowed(model, now_seconds=now, queued=True) if model else 0
-                ),
-                exact_version=call.version if call.plan.answer_begun else None,
-                latency_left_seconds=call.arrived_seconds + call.route.latency_target_seconds - now,
-                late=call.late,
-                tried=call.tried,
-            )
-            choice = self._placement.choose(
-                self._state.directory.ready(call.service.name),
-                need,
-                profile=call.service.engine,
-                now_seconds=now,
-            )
-            poll = ROOM_POLL_SECONDS * (0.8 + 0.4 * self._rng.random())
-            if isinstance(choice, Choice) or now + poll > wait_until:
-                return choice
-            self._placement.waiting(1)
-            try:
-                await asyncio.sleep(poll)
-            finally:
-                self._placement.waiting(-1)
-
-    async def _send(self, call: _Call, choice: Choice) -> web.StreamResponse:
+    async def _send(self, call: ActiveCall, choice: Choice) -> web.StreamResponse:
         now = time.monotonic()
         left = call.deadline_seconds - now
         if left < LEAST_SEND_SECONDS:
@@ -292,13 +229,7 @@
         finally:
             self._placement.released(endpoint.endpoint_id)
 
-    async def _open(self, call: _Call, choice: Choice, left_seconds: float) -> OpenAnswer:
-        strict = call.version if call.plan.answer_begun else None
-        if strict is None and choice.version is not None and call.headers.model is not None:
-            now = time.monotonic()
-            oldest = self._state.weights.oldest_allowed(call.headers.model, now_seconds=now)
-            # Older weights are ruled out by now; the endpoint itself checks what it holds.
-            strict = choice.version if oldest == choice.version else None
+    async def _open(self, call: ActiveCall, choice: Choice, left_seconds: float) -> OpenAnswer:
         headers = self._dialect.forwarded(
             CIMultiDict(call.request.headers),
             SendHeaders(
@@ -306,7 +237,7 @@
                 deadline_seconds=left_seconds,
                 workspace=call.workspace.workspace_id if call.workspace else None,
                 resume_after=call.cutter.last_id,
-                exact_version=strict,
+                exact_version=self._choices.exact_version(call, choice),
             ),
         )
         call.plan.sent()
@@ -328,20 +259,14 @@
             call_id=call.headers.call_id,
         )
         try:
-            async with asyncio.timeout(self._time_to_begin(call, choice)):
+            async with asyncio.timeout(self._choices.time_to_begin(call, choice)):
                 return await self._sender.open(choice.endpoint.address, outgoing)
         except TimeoutError as error:
             raise _expired(choice) from error
 
-    def _time_to_begin(self, call: _Call, choice: Choice) -> float | None:
-        """Return how long the call may queue before its endpoint's version is ruled out."""
-        model = call.headers.model
-        if model is None or choice.version is None:
-            return None
-        begin_by = self._state.weights.begin_by_seconds(model, choice.version)
-        return None if begin_by is None else max(0.0, begin_by - time.monotonic())
-
-    async def _pass_on(self, call: _Call, choice: Choice, answer: OpenAnswer) -> web.StreamResponse:
+    async def _pass_on(
+        self, call: ActiveCall, choice: Choice, answer: OpenAnswer
+    ) -> web.StreamResponse:
         streams = call.route.kind is CallKind.STREAM
         if streams and answer.status == 200 and answer.is_event_stream:
             return await self._stream(call, choice, answer)
@@ -354,7 +279,7 @@
         self._placement.succeeded(choice.endpoint.endpoint_id)
         return self._answer_whole(call, whole)
 
-    def _answer_whole(self, call: _Call, whole: WholeAnswer) -> web.StreamResponse:
+    def _answer_whole(self, call: ActiveCall, whole: WholeAnswer) -> web.StreamResponse:
         status = whole.status
         if status in (408, 421, 429, 503):
             # These promise that the call did not run, which the endpoint did not say.
@@ -364,7 +289,9 @@
             status=status, body=whole.content, headers=self._dialect.returned(whole.headers)
         )
 
-    async def _stream(self, call: _Call, choice: Choice, answer: OpenAnswer) -> web.StreamResponse:
+    async def _stream(
+        self, call: ActiveCall, choice: Choice, answer: OpenAnswer
+    ) -> web.StreamResponse:
         stall = None
         if call.route.resumable:
             stall = max(STALL_LEAST_SECONDS, STALL_GAPS * call.route.max_event_gap_seconds)
@@ -374,7 +301,7 @@
         while True:
             # Before the first event a call may queue at its endpoint, which is no stall.
             begun = call.plan.answer_begun
-            limit = stall if begun else self._time_to_begin(call, choice)
+            limit = stall if begun else self._choices.time_to_begin(call, choice)
             try:
                 piece = await answer.piece(stall_seconds=limit)
             except SendError as error:
@@ -395,7 +322,7 @@
         self._finished(call, "200")
         return call.response
 
-    async def _write(self, call: _Call, answer: OpenAnswer, data: bytes) -> None:
+    async def _write(self, call: ActiveCall, answer: OpenAnswer, data: bytes) -> None:
         if call.response is None:
             headers = self._dialect.returned(answer.headers)
             headers.popall("Content-Length", None)
@@ -411,7 +338,7 @@
 
     def _end(
         self,
-        call: _Call,
+        call: ActiveCall,
         step: NextStep,
         status: int,
         reason: str,
@@ -445,7 +372,7 @@
         self._metrics.ended(str(refusal.status), 0.0)
         return problem_answer(refusal, self._dialect.own_answer(headers), headers.call_id)
 
-    def _finished(self, call: _Call, result: str, *, reason: str = "") -> None:
+    def _finished(self, call: ActiveCall, result: str, *, reason: str = "") -> None:
         seconds = time.monotonic() - call.arrived_seconds
         self._metrics.ended(result, seconds)
         log_event(
--- /dev/null
+++ b/egretrouter/direct/_choices.py
@@ -0,0 +1,86 @@
+"""Choose endpoints for calls in progress, and wait for room."""
+
+import asyncio
+import random
+import time
+
+from egretrouter.core.direct import Choice, Need, NoChoice, Placement
+from egretrouter.direct._active_call import ActiveCall
+from egretrouter.direct._shared_state import SharedStateService
+
+# Agents report room about this often.
+ROOM_POLL_SECONDS = 0.1
+# Share of its latency target that a call may wait for room before it is refused.
+WAIT_SHARE = 0.5
+# A call that is late in any case may wait this share of its time; it is not likely to come again.
+LATE_WAIT_SHARE = 0.25
+
+
+class EndpointChoices:
+    """Bring a call's needs together with the versions in force and the placement."""
+
+    def __init__(
+        self, *, state: SharedStateService, placement: Placement, rng: random.Random
+    ) -> None:
+        self._state = state
+        self._placement = placement
+        self._rng = rng
+
+    async def choose(self, call: ActiveCall) -> Choice | NoChoice:
+        """Choose an endpoint, waiting a part of the latency target for room."""
+        wait_until = call.arrived_seconds + (
+            LATE_WAIT_SHARE * (call.deadline_seconds - call.arrived_seconds)
+            if call.late
+            else WAIT_SHARE * call.route.latency_target_seconds
+        )
+        while True:
+            now = time.monotonic()
+            choice = self._placement.choose(
+                self._state.directory.ready(call.service.name),
+                self._need(call, now),
+                profile=call.service.engine,
+                now_seconds=now,
+            )
+            poll = ROOM_POLL_SECONDS * (0.8 + 0.4 * self._rng.random())
+            if isinstance(choice, Choice) or now + poll > wait_until:
+                return choice
+            self._placement.waiting(1)
+            try:
+                await asyncio.sleep(poll)
+            finally:
+                self._placement.waiting(-1)
+
+    def _need(self, call: ActiveCall, now: float) -> Need:
+        model = call.headers.model if call.service.engine is not None else None
+        weights = self._state.weights
+        return Need(
+            model=model,
+            oldest_version=weights.oldest_allowed(model, now_seconds=now) if model else 0,
+            oldest_queued_version=(
+                weights.oldest_allowed(model, now_seconds=now, queued=True) if model else 0
+            ),
+            exact_version=call.version if call.plan.answer_begun else None,
+            latency_left_seconds=call.arrived_seconds + call.route.latency_target_seconds - now,
+            late=call.late,
+            tried=call.tried,
+        )
+
+    def exact_version(self, call: ActiveCall, choice: Choice) -> int | None:
+        """Return the only version that the endpoint may run the call on, if it must be one."""
+        if call.plan.answer_begun and call.version is not None:
+            return call.version
+        if choice.version is None or call.headers.model is None:
+            return None
+        oldest = self._state.weights.oldest_allowed(
+            call.headers.model, now_seconds=time.monotonic()
+        )
+        # Older weights are ruled out by now; the endpoint itself checks what it holds.
+        return choice.version if oldest == choice.version else None
+
+    def time_to_begin(self, call: ActiveCall, choice: Choice) -> float | None:
+        """Return how long the call may queue before its endpoint's version is ruled out."""
+        model = call.headers.model
+        if model is None or choice.version is None:
+            return None
+        begin_by = self._state.weights.begin_by_seconds(model, choice.version)
+        return None if begin_by is None else max(0.0, begin_by - time.monotonic())
