Log where a configuration came from and what a peer fetch costs

The logs could not tell the hypotheses of the late configuration apart. configuration:applied names its source and the time since a peer first announced a newer version, state:fetched the bytes and seconds of a fetch, state:peer_silent its kind and seconds, state:watcher_changed when a process takes itself for a watcher and how many members it sees, store:watch_behind an answer with several changes at once.

--- a/egretrouter/direct/_shared_state.py
+++ b/egretrouter/direct/_shared_state.py
@@ -108,6 +108,10 @@
         self._fetching: set[StateKind] = set()
         self._fetch_tasks: set[asyncio.Task[None]] = set()
         self._outage = False
+        self._elected = False
+        """Whether this process was among its zone's watchers when that was last checked."""
+        self._heard_seconds: float | None = None
+        """When a peer first announced a configuration that this process does not have yet."""
         fleet.revisions = self._revisions
         fleet.on_revisions.append(self._handle_peer_revisions)
 
@@ -162,6 +166,8 @@
                     log_event("store:regained", kind=kind.value, failures=failures)
                 failures = 0
                 revision = changes.revision
+                if len(changes.events) > 1:
+                    log_event("store:watch_behind", kind=kind.value, events=len(changes.events))
                 self._apply_changes(kind, changes)
 
     async def _poll(self) -> None:
@@ -190,7 +196,12 @@
                 self._outage = False
 
     def _is_watcher(self, kind: StateKind) -> bool:
-        return kind in self._watched_kinds or self._rank() < WATCHERS_PER_ZONE
+        elected = self._rank() < WATCHERS_PER_ZONE
+        if elected != self._elected:
+            self._elected = elected
+            members = len(self._fleet.live_members())
+            log_event("state:watcher_changed", elected=elected, live_members=members)
+        return kind in self._watched_kinds or elected
 
     def _rank(self) -> int:
         return self._fleet.fleet.watch_rank(now_seconds=time.monotonic())
@@ -284,12 +295,19 @@
             for listener in self.on_weights:
                 listener(item)
 
-    def _apply_configuration(self, table: RoutingTable) -> None:
+    def _apply_configuration(self, table: RoutingTable, *, peer: str | None = None) -> None:
         # An active configuration is never replaced by an older version.
         if self.routes is not None and table.version <= self.routes.table.version:
             return
         self.routes = RouteIndex(table)
-        log_event("configuration:applied", version=table.version, routes=len(table.routes))
+        heard, self._heard_seconds = self._heard_seconds, None
+        log_event(
+            "configuration:applied",
+            version=table.version,
+            routes=len(table.routes),
+            source=peer or "store",
+            seconds_since_heard=None if heard is None else round(time.monotonic() - heard, 3),
+        )
         for listener in self.on_configuration:
             listener(table)
 
@@ -314,7 +332,11 @@
 
     def _handle_peer_revisions(self, peer: FleetMember, peer_revisions: Revisions) -> None:
         for kind in self._kinds:
-            if kind not in self._fetching and self._is_behind(kind, peer_revisions):
+            if not self._is_behind(kind, peer_revisions):
+                continue
+            if kind is StateKind.CONFIGURATION and self._heard_seconds is None:
+                self._heard_seconds = time.monotonic()
+            if kind not in self._fetching:
                 self._fetching.add(kind)
                 task = asyncio.create_task(self._catch_up(kind, peer, peer_revisions))
                 self._fetch_tasks.add(task)
@@ -336,6 +358,7 @@
     async def _fetch_from_peer(self, kind: StateKind, peer: FleetMember) -> None:
         address = f"{peer.address}:{self._settings.peer_port}"
         stub = pb_grpc.PeersStub(self._channels.channel(address))
+        started = time.monotonic()
         try:
             reply = await stub.FetchState(
                 pb.StateRequest(kinds=[kind.value]),
@@ -344,16 +367,29 @@
             )
             state = msgspec.msgpack.decode(reply.state, type=SharedState)
         except grpc.aio.AioRpcError as error:
-            log_event("state:peer_silent", peer=peer.instance_id, code=error.code().name)
+            log_event(
+                "state:peer_silent",
+                peer=peer.instance_id,
+                kind=kind.value,
+                code=error.code().name,
+                seconds=round(time.monotonic() - started, 3),
+            )
             await self._channels.discard(address)
         except msgspec.MsgspecError as error:
             log_event("state:peer_malformed", peer=peer.instance_id, error=str(error))
         else:
+            log_event(
+                "state:fetched",
+                peer=peer.instance_id,
+                kind=kind.value,
+                state_bytes=len(reply.state),
+                seconds=round(time.monotonic() - started, 3),
+            )
             self._apply_peer_state(state, peer)
 
     def _apply_peer_state(self, state: SharedState, peer: FleetMember) -> None:
         if state.configuration is not None:
-            self._apply_configuration(state.configuration)
+            self._apply_configuration(state.configuration, peer=peer.instance_id)
             self._loaded_kinds.add(StateKind.CONFIGURATION)
         if (
             state.endpoints is not None
