--- /dev/null
+++ b/tests/shared_state_world.py
@@ -0,0 +1,305 @@
+"""Run the shared state of a whole fleet in virtual time, with a store behind shaped links."""
+
+import asyncio
+import functools
+import random
+import zlib
+from types import SimpleNamespace
+from typing import Any
+
+import grpc
+import msgspec
+import pytest
+
+from egretrouter.backends import StateChanges, StateEvent, StateKind, StateListing
+from egretrouter.core.direct import (
+    CallKind,
+    FleetMember,
+    FleetRole,
+    Route,
+    RoutingTable,
+    Target,
+)
+from egretrouter.core.errors import BackendUnavailableError
+from egretrouter.core.identifiers import InstanceId, RegionId, ServiceName, ZoneId
+from egretrouter.direct import _fleet_service, _shared_state
+from egretrouter.direct._fleet_service import FleetService
+from egretrouter.direct._process import state_reply
+from egretrouter.direct._shared_state import SharedStateService
+from egretrouter.protocol import egretrouter_pb2 as pb
+from tests.platform_world import settings
+from tests.virtual_network import VirtualLoop
+
+STORE_ADDRESS = "10.200.0.1"
+STORE_BITS_PER_SECOND = 1e9
+STORE_ANSWER_SECONDS = 0.004
+ROUTER_BITS_PER_SECOND = 14e6
+AGENT_BITS_PER_SECOND = 3.8e6
+REGION_BITS_PER_SECOND = 13e6
+PEER_PORTS = (7700, 7701)
+WORDS = "bafepidorukatelomunisazehi"
+
+
+def build_table(version: int, *, routes: int) -> RoutingTable:
+    """Build a configuration whose names compress like names that operators choose."""
+    return RoutingTable(version=version, routes=build_routes(routes))
+
+
+@functools.cache
+def build_routes(count: int, seed: int = 1) -> tuple[Route, ...]:
+    rng = random.Random(seed)
+
+    def word(length: int) -> str:
+        return "".join(rng.choice(WORDS) for _ in range(length))
+
+    hosts = [f"{word(5)}.example" for _ in range(40)]
+    return tuple(
+        Route(
+            name=f"r-{word(7)}",
+            host=rng.choice(hosts),
+            path_prefix=f"/{word(6)}/{word(4)}/",
+            kind=CallKind.IDEMPOTENT,
+            targets=(Target(service=ServiceName("engines"), weight=1),),
+            max_sends=2,
+            timeout_seconds=6.0,
+            latency_target_seconds=0.4,
+        )
+        for _ in range(count)
+    )
+
+
+class FleetStore:
+    """Hold one configuration and answer listings and watches over the network."""
+
+    def __init__(self, loop: VirtualLoop) -> None:
+        self.revision = 1
+        self.tables: list[tuple[int, RoutingTable]] = []
+        self.served_bytes = 0
+        self.unreachable: set[str] = set()
+        """Addresses of processes that the store does not answer."""
+        self._sizes: dict[int, int] = {}
+        self._loop = loop
+        self._changed = asyncio.Event()
+
+    def publish(self, table: RoutingTable) -> None:
+        """Write a configuration, of which every watch learns."""
+        self.revision += 1
+        self.tables.append((self.revision, table))
+        self._sizes[self.revision] = len(msgspec.json.encode(table))
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    async def answer(self, address: str, revisions: list[int]) -> None:
+        """Send the objects of some revisions to a process."""
+        size = 200 + sum(self._sizes[revision] for revision in revisions)
+        self.served_bytes += size
+        await asyncio.sleep(STORE_ANSWER_SECONDS)
+        await self._loop.network.transfer(STORE_ADDRESS, address, size)
+
+    async def wait_for_change(self, after_revision: int, wait_seconds: float) -> None:
+        """Wait until there is a configuration after a revision."""
+        deadline = self._loop.time() + wait_seconds
+        while not any(revision > after_revision for revision, _ in self.tables):
+            try:
+                async with asyncio.timeout_at(deadline):
+                    await self._changed.wait()
+            except TimeoutError:
+                return
+
+
+class ProcessStore:
+    """Implement StateStore for one process of the fleet."""
+
+    CALL_TIMEOUT_SECONDS = 1.5
+
+    def __init__(self, store: FleetStore, address: str, members: list[FleetMember]) -> None:
+        self._store = store
+        self._address = address
+        self._members = members
+
+    async def list_state(self, kind: StateKind) -> StateListing:
+        newest = self._store.tables[-1:] if kind is StateKind.CONFIGURATION else []
+        revision = self._store.revision
+        await self._call(newest, self.CALL_TIMEOUT_SECONDS)
+        return StateListing(
+            items=tuple(table for _, table in newest),
+            revision=revision,
+            content_revision=max((r for r, _ in newest), default=0),
+        )
+
+    async def watch_state(
+        self, kind: StateKind, *, after_revision: int, wait_seconds: float
+    ) -> StateChanges:
+        if kind is not StateKind.CONFIGURATION:
+            await asyncio.sleep(wait_seconds)
+            return StateChanges(events=(), revision=self._store.revision)
+        await self._store.wait_for_change(after_revision, wait_seconds)
+        found = [(r, table) for r, table in self._store.tables if r > after_revision]
+        revision = self._store.revision
+        await self._call(found, wait_seconds + 3.0)
+        return StateChanges(
+            events=tuple(StateEvent(name="main", item=table) for _, table in found),
+            revision=revision,
+        )
+
+    async def _call(self, found: list[tuple[int, RoutingTable]], timeout_seconds: float) -> None:
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                if self._address in self._store.unreachable:
+                    await asyncio.sleep(timeout_seconds + 1.0)
+                await self._store.answer(self._address, [r for r, _ in found])
+        except TimeoutError as error:
+            raise BackendUnavailableError("the store did not answer in time") from error
+
+    async def register(self, member: FleetMember) -> None:
+        return
+
+    async def list_members(self) -> list[FleetMember]:
+        return self._members
+
+
+class _Context:
+    """Stand in for the context of a gRPC call."""
+
+    def __init__(self) -> None:
+        self.compressed = False
+
+    def set_compression(self, compression: grpc.Compression) -> None:
+        self.compressed = compression is not grpc.Compression.NoCompression
+
+
+class _PeerError(grpc.aio.AioRpcError):
+    def __init__(self) -> None:
+        super().__init__(grpc.StatusCode.DEADLINE_EXCEEDED, None, None)
+
+
+class PeerChannels:
+    """Stand in for ChannelPool: call the shared state of another process over the network."""
+
+    metadata = ()
+
+    def __init__(self, world: "SharedStateWorld", address: str) -> None:
+        self._world = world
+        self._address = address
+
+    def channel(self, address: str) -> Any:
+        return SimpleNamespace(
+            unary_unary=lambda path, **_: (
+                lambda request, **options: self._call(
+                    address.partition(":")[0], path, request, options["timeout"]
+                )
+            ),
+            unary_stream=lambda *_, **__: None,
+            stream_unary=lambda *_, **__: None,
+            stream_stream=lambda *_, **__: None,
+        )
+
+    async def discard(self, address: str) -> None:
+        return
+
+    async def _call(self, peer: str, path: str, request: Any, timeout_seconds: float) -> Any:
+        assert path.endswith("/FetchState"), path
+        world = self._world
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                await world.network.transfer(self._address, peer, 100)
+                context = _Context()
+                reply = await world.answer_peer(peer, request, context)
+                data = reply.SerializeToString()
+                size = len(zlib.compress(data)) if context.compressed else len(data)
+                world.peer_bytes += size
+                await world.network.transfer(peer, self._address, size)
+        except TimeoutError as error:
+            world.failed_fetches += 1
+            raise _PeerError from error
+        return reply
+
+
+class SharedStateWorld:
+    """Run the fleets, the shared state and the store of a deployment without sockets."""
+
+    def __init__(self, loop: VirtualLoop, monkeypatch: pytest.MonkeyPatch, *, seed: int) -> None:
+        clock = SimpleNamespace(monotonic=loop.time, time=loop.time)
+        monkeypatch.setattr(_fleet_service, "time", clock)
+        monkeypatch.setattr(_shared_state, "time", clock)
+        self.network = loop.network
+        self.network.region_bits_per_second = REGION_BITS_PER_SECOND
+        self.store = FleetStore(loop)
+        self.states: dict[str, SharedStateService] = {}
+        self.fleets: dict[str, FleetService] = {}
+        self.routers: list[str] = []
+        self.peer_bytes = 0
+        self.failed_fetches = 0
+        self.applied_seconds: dict[int, dict[str, float]] = {}
+        """When each router put a version into force, by version and address."""
+        self._loop = loop
+        self._rng = random.Random(seed)
+        self._members: list[FleetMember] = []
+        self.network.add_host(STORE_ADDRESS, region="r0", bits_per_second=STORE_BITS_PER_SECOND)
+
+    async def start(self, *, zones: int, routers: int, agents: int) -> None:
+        """Start the processes of some zones at about the same time, each zone in its region."""
+        regions = {ZoneId(f"z{zone}"): RegionId(f"r{zone}") for zone in range(zones)}
+        for zone in range(zones):
+            for role, count in ((FleetRole.ROUTER, routers), (FleetRole.AGENT, agents)):
+                for number in range(count):
+                    self._add(zone, role, number, regions)
+        for address in self.states:
+            await self.fleets[address].start()
+            await self.states[address].start()
+
+    def _add(
+        self, zone: int, role: FleetRole, number: int, regions: dict[ZoneId, RegionId]
+    ) -> None:
+        is_router = role is FleetRole.ROUTER
+        address = f"10.{zone}.{0 if is_router else 1}.{number}"
+        self.network.add_host(
+            address,
+            region=f"r{zone}",
+            bits_per_second=ROUTER_BITS_PER_SECOND if is_router else AGENT_BITS_PER_SECOND,
+        )
+        own = settings(
+            "10.200.0.1:80",
+            PEER_PORTS,
+            instance_id=InstanceId(f"{'front' if is_router else 'side'}-z{zone}-{number}"),
+            zone=ZoneId(f"z{zone}"),
+            regions=regions,
+            address=address,
+            seeds=("10.0.0.0:1", "10.1.0.0:1", "10.2.0.0:1"),
+        )
+        store = ProcessStore(self.store, address, self._members)
+        fleet = FleetService(own, role=role, store=store, rng=random.Random(self._rng.random()))
+        self._members.append(msgspec.structs.replace(fleet.fleet.own, started_ms=0))
+        self.fleets[address] = fleet
+        state = SharedStateService(
+            own,
+            store=store,
+            fleet=fleet,
+            channels=PeerChannels(self, address),
+            kinds=(StateKind.CONFIGURATION,),
+            rng=random.Random(self._rng.random()),
+        )
+        self.states[address] = state
+        if is_router:
+            self.routers.append(address)
+            state.on_configuration.append(
+                lambda table: self.applied_seconds.setdefault(table.version, {}).update(
+                    {address: self._loop.time()}
+                )
+            )
+
+    async def answer_peer(self, address: str, request: pb.StateRequest, context: Any) -> Any:
+        """Answer a fetch of shared state at one process."""
+        return state_reply(self.states[address], request)
+
+    def in_force_seconds(self, version: int) -> list[float]:
+        """Return when each router had a version or a newer one in force, or infinity."""
+        times = []
+        for address in self.routers:
+            applied = [
+                when
+                for applied_version, by_address in self.applied_seconds.items()
+                if applied_version >= version and (when := by_address.get(address)) is not None
+            ]
+            times.append(min(applied, default=float("inf")))
+        return sorted(times)
