Move watching and polling of the store to a service of its own

Each kind is polled by a task of its own now, so a listing of the configuration that takes long on a narrow link no longer delays the listing of endpoints behind it. Otherwise nothing changes.

--- a/egretrouter/direct/_shared_state.py
+++ b/egretrouter/direct/_shared_state.py
@@ -10,7 +10,6 @@
 from mode import Service
 
 from egretrouter.backends import (
-    HistoryGoneError,
     StateChanges,
     StateEvent,
     StateKind,
@@ -29,22 +28,14 @@
     WeightTargets,
     WeightVersion,
 )
-from egretrouter.core.errors import BackendError
 from egretrouter.core.identifiers import EndpointId
 from egretrouter.direct._fleet_service import FleetService
 from egretrouter.direct._logs import log_event
 from egretrouter.direct._peer_state import PeerStateClient, SharedState
 from egretrouter.direct._settings import DirectSettings
+from egretrouter.direct._store_watch import StoreWatchService
 from egretrouter.transport import ChannelPool
 
-# A watch as long as the store's history could end after that history was discarded.
-WATCH_HISTORY_SHARE = 0.6
-WATCH_LIMIT_SECONDS = 25.0
-RETRY_FIRST_SECONDS = 0.1
-RETRY_LIMIT_SECONDS = 1.6
-WATCHERS_PER_ZONE = 1
-RANK_SECONDS = 0.3
-POLL_SECONDS = 1.0
 # The process's own watch usually delivers a change within this time after a peer has it.
 PEER_LEAD_SECONDS = 0.3
 EXPIRY_TICK_SECONDS = 0.25
@@ -77,16 +68,19 @@
         self.on_configuration: list[Callable[[RoutingTable], None]] = []
         self.on_endpoints: list[Callable[[], None]] = []
         self.on_weights: list[Callable[[WeightVersion], None]] = []
-        self._watch_seconds = min(
-            WATCH_LIMIT_SECONDS, WATCH_HISTORY_SHARE * settings.store_history_seconds
-        )
         self._settings = settings
-        self._store = store
         self._fleet = fleet
+        self._store_watch = StoreWatchService(
+            self,
+            store=store,
+            fleet=fleet,
+            kinds=kinds,
+            watched_kinds=watched_kinds,
+            history_seconds=settings.store_history_seconds,
+            rng=rng,
+        )
         self._peers = PeerStateClient(channels, peer_port=settings.peer_port)
         self._kinds = kinds
-        self._watched_kinds = watched_kinds
-        self._rng = rng
         self._loaded_kinds: set[StateKind] = set()
         self._content_revisions = dict.fromkeys(StateKind, 0)
         """The revision of the newest content, which is the same in all processes that have it."""
@@ -94,9 +88,6 @@
         """The store's revision up to which all changes have been applied."""
         self._fetching: set[StateKind] = set()
         self._fetch_tasks: set[asyncio.Task[None]] = set()
-        self._outage = False
-        self._elected = False
-        """Whether this process was among its zone's watchers when that was last checked."""
         self._heard_seconds: float | None = None
         """When a peer first announced a configuration that this process does not have yet."""
         fleet.revisions = self._revisions
@@ -107,11 +98,13 @@
         """Return whether every kind was loaded from the store or a peer."""
         return self._loaded_kinds.issuperset(self._kinds) and self.routes is not None
 
+    def is_loaded(self, kind: StateKind) -> bool:
+        """Return whether a kind was loaded from the store or a peer."""
+        return kind in self._loaded_kinds
+
     async def on_start(self) -> None:
-        """Start to watch and poll each kind."""
-        for kind in self._kinds:
-            self.add_future(self._watch_kind(kind))
-        self.add_future(self._poll())
+        """Start to watch the store."""
+        await self.add_runtime_dependency(self._store_watch)
         self.add_future(self._expire())
 
     async def on_stop(self) -> None:
@@ -119,85 +112,6 @@
         for task in list(self._fetch_tasks):
             task.cancel()
 
-    async def _watch_kind(self, kind: StateKind) -> None:
-        """Watch a kind at the store while this process is one of its watchers."""
-        failures = 0
-        revision: int | None = None
-        outage = False
-        while not self.should_stop:
-            if kind in self._loaded_kinds and not self._is_watcher(kind):
-                revision = None
-                await self.sleep(RANK_SECONDS)
-                continue
-            try:
-                if revision is None:
-                    revision = await self._list(kind, after_outage=outage)
-                    outage = False
-                changes = await self._store.watch_state(
-                    kind, after_revision=revision, wait_seconds=self._watch_seconds
-                )
-            except HistoryGoneError:
-                log_event("store:history_gone", kind=kind.value, revision=revision)
-                revision = None
-            except BackendError as error:
-                failures += 1
-                log_event("store:lost", kind=kind.value, failures=failures, error=str(error))
-                # After one failure the watch continues from its last revision. After more, the
-                # store may have been unavailable and registrations may have expired.
-                if failures > 1:
-                    revision, outage = None, True
-                delay = min(RETRY_FIRST_SECONDS * 2.0 ** (failures - 1), RETRY_LIMIT_SECONDS)
-                await self.sleep(delay * (0.5 + self._rng.random()))
-            else:
-                if failures:
-                    log_event("store:regained", kind=kind.value, failures=failures)
-                failures = 0
-                revision = changes.revision
-                if len(changes.events) > 1:
-                    log_event("store:watch_behind", kind=kind.value, events=len(changes.events))
-                self._apply_changes(kind, changes)
-
-    async def _poll(self) -> None:
-        """List the store's state periodically in one process of each zone.
-
-        A watch can miss changes without an error, and ends only long after them.
-        """
-        round_number = 0
-        while not self.should_stop:
-            await self.sleep(POLL_SECONDS * (0.9 + 0.2 * self._rng.random()))
-            if self._rank() > 0:
-                continue
-            round_number += 1
-            for kind in self._kinds:
-                if kind in self._loaded_kinds and (
-                    kind is not StateKind.WEIGHTS or round_number % 4 == 0
-                ):
-                    try:
-                        await self._list(kind, after_outage=self._outage)
-                    except BackendError as error:
-                        self._outage = True
-                        log_event("store:poll_failed", kind=kind.value, error=str(error))
-                        await self.sleep(RETRY_LIMIT_SECONDS * self._rng.random())
-                        break
-            else:
-                self._outage = False
-
-    def _is_watcher(self, kind: StateKind) -> bool:
-        elected = self._rank() < WATCHERS_PER_ZONE
-        if elected != self._elected:
-            self._elected = elected
-            members = len(self._fleet.live_members())
-            log_event("state:watcher_changed", elected=elected, live_members=members)
-        return kind in self._watched_kinds or elected
-
-    def _rank(self) -> int:
-        return self._fleet.fleet.watch_rank(now_seconds=time.monotonic())
-
-    async def _list(self, kind: StateKind, *, after_outage: bool) -> int:
-        listing = await self._store.list_state(kind)
-        self._apply_listing(kind, listing, after_outage=after_outage)
-        return listing.revision
-
     async def _expire(self) -> None:
         while not self.should_stop:
             await self.sleep(EXPIRY_TICK_SECONDS)
@@ -206,7 +120,8 @@
                 log_event("endpoints:lapsed", endpoints=gone)
                 self._notify_endpoints_changed()
 
-    def _apply_listing(self, kind: StateKind, listing: StateListing, *, after_outage: bool) -> None:
+    def apply_listing(self, kind: StateKind, listing: StateListing, *, after_outage: bool) -> None:
+        """Apply a listing of all objects of a kind."""
         if listing.revision < self._seen_revisions[kind]:
             return
         at_start = kind not in self._loaded_kinds
@@ -237,7 +152,8 @@
     def _current_ids(self) -> set[EndpointId]:
         return {endpoint.endpoint_id for endpoint in self.directory.all_endpoints()}
 
-    def _apply_changes(self, kind: StateKind, changes: StateChanges) -> None:
+    def apply_changes(self, kind: StateKind, changes: StateChanges) -> None:
+        """Apply the changes that a watch reported."""
         if not changes.events or changes.revision <= self._seen_revisions[kind]:
             return
         self._seen_revisions[kind] = self._content_revisions[kind] = changes.revision
@@ -335,7 +251,7 @@
         try:
             # Prefer peers of the same zone, and let a watcher receive the change from the store.
             is_remote = peer.zone != self._settings.zone
-            if kind in self._loaded_kinds and (is_remote or self._is_watcher(kind)):
+            if kind in self._loaded_kinds and (is_remote or self._store_watch.is_watcher(kind)):
                 await asyncio.sleep(PEER_LEAD_SECONDS)
             if self._is_behind(kind, peer_revisions):
                 state = await self._peers.fetch(kind, peer)
--- /dev/null
+++ b/egretrouter/direct/_store_watch.py
@@ -0,0 +1,151 @@
+"""Watch and list the shared state at the store, in few processes of each zone."""
+
+import random
+import time
+from typing import Any, Protocol
+
+from mode import Service
+
+from egretrouter.backends import (
+    HistoryGoneError,
+    StateChanges,
+    StateKind,
+    StateListing,
+    StateStore,
+)
+from egretrouter.core.errors import BackendError
+from egretrouter.direct._fleet_service import FleetService
+from egretrouter.direct._logs import log_event
+
+# A watch as long as the store's history could end after that history was discarded.
+WATCH_HISTORY_SHARE = 0.6
+WATCH_LIMIT_SECONDS = 25.0
+RETRY_FIRST_SECONDS = 0.1
+RETRY_LIMIT_SECONDS = 1.6
+WATCHERS_PER_ZONE = 1
+RANK_SECONDS = 0.3
+POLL_SECONDS = 1.0
+WEIGHTS_POLL_SECONDS = 4.0
+
+
+class StateSink(Protocol):
+    """Define the state to which content of the store is applied."""
+
+    def is_loaded(self, kind: StateKind) -> bool:
+        """Return whether a kind was loaded from the store or a peer."""
+
+    def apply_listing(self, kind: StateKind, listing: StateListing, *, after_outage: bool) -> None:
+        """Apply all objects of a kind."""
+
+    def apply_changes(self, kind: StateKind, changes: StateChanges) -> None:
+        """Apply the changes that a watch reported."""
+
+
+class StoreWatchService(Service):
+    """Keep a process's state up to date with the store while it is a watcher of its zone."""
+
+    def __init__(
+        self,
+        sink: StateSink,
+        *,
+        store: StateStore,
+        fleet: FleetService,
+        kinds: tuple[StateKind, ...],
+        watched_kinds: tuple[StateKind, ...],
+        history_seconds: float,
+        rng: random.Random,
+        **kwargs: Any,
+    ) -> None:
+        """Watch watched_kinds whatever the process's rank, and the other kinds by rank."""
+        super().__init__(**kwargs)
+        self._sink = sink
+        self._store = store
+        self._fleet = fleet
+        self._kinds = kinds
+        self._watched_kinds = watched_kinds
+        self._rng = rng
+        self._watch_seconds = min(WATCH_LIMIT_SECONDS, WATCH_HISTORY_SHARE * history_seconds)
+        self._elected = False
+        """Whether this process was among its zone's watchers when that was last checked."""
+
+    async def on_start(self) -> None:
+        """Start to watch and poll each kind."""
+        for kind in self._kinds:
+            self.add_future(self._watch(kind))
+            self.add_future(self._poll(kind))
+
+    def is_watcher(self, kind: StateKind) -> bool:
+        """Return whether this process watches a kind at the store."""
+        elected = self.rank() < WATCHERS_PER_ZONE
+        if elected != self._elected:
+            self._elected = elected
+            members = len(self._fleet.live_members())
+            log_event("state:watcher_changed", elected=elected, live_members=members)
+        return kind in self._watched_kinds or elected
+
+    def rank(self) -> int:
+        """Return this process's rank among those of its zone that may watch."""
+        return self._fleet.fleet.watch_rank(now_seconds=time.monotonic())
+
+    async def _watch(self, kind: StateKind) -> None:
+        """Watch a kind at the store while this process is one of its watchers."""
+        failures = 0
+        revision: int | None = None
+        outage = False
+        while not self.should_stop:
+            if self._sink.is_loaded(kind) and not self.is_watcher(kind):
+                revision = None
+                await self.sleep(RANK_SECONDS)
+                continue
+            try:
+                if revision is None:
+                    revision = await self._list(kind, after_outage=outage)
+                    outage = False
+                changes = await self._store.watch_state(
+                    kind, after_revision=revision, wait_seconds=self._watch_seconds
+                )
+            except HistoryGoneError:
+                log_event("store:history_gone", kind=kind.value, revision=revision)
+                revision = None
+            except BackendError as error:
+                failures += 1
+                log_event("store:lost", kind=kind.value, failures=failures, error=str(error))
+                # After one failure the watch continues from its last revision. After more, the
+                # store may have been unavailable and registrations may have expired.
+                if failures > 1:
+                    revision, outage = None, True
+                delay = min(RETRY_FIRST_SECONDS * 2.0 ** (failures - 1), RETRY_LIMIT_SECONDS)
+                await self.sleep(delay * (0.5 + self._rng.random()))
+            else:
+                if failures:
+                    log_event("store:regained", kind=kind.value, failures=failures)
+                failures = 0
+                revision = changes.revision
+                if len(changes.events) > 1:
+                    log_event("store:watch_behind", kind=kind.value, events=len(changes.events))
+                self._sink.apply_changes(kind, changes)
+
+    async def _poll(self, kind: StateKind) -> None:
+        """List a kind periodically in one process of each zone.
+
+        A watch can miss changes without an error, and ends only long after them.
+        """
+        period = WEIGHTS_POLL_SECONDS if kind is StateKind.WEIGHTS else POLL_SECONDS
+        outage = False
+        while not self.should_stop:
+            await self.sleep(period * (0.9 + 0.2 * self._rng.random()))
+            if self.rank() > 0 or not self._sink.is_loaded(kind):
+                continue
+            try:
+                await self._list(kind, after_outage=outage)
+            except BackendError as error:
+                outage = True
+                log_event("store:poll_failed", kind=kind.value, error=str(error))
+                await self.sleep(RETRY_LIMIT_SECONDS * self._rng.random())
+            else:
+                outage = False
+
+    async def _list(self, kind: StateKind, *, after_outage: bool) -> int:
+        listing = await self._store.list_state(kind)
+        self._sink.apply_listing(kind, listing, after_outage=after_outage)
+        return listing.revision
