Find failed processes by probes instead of forgetting those without news

Callers of large deployments met routers whose view of the system was a part of it: too many watchers listed the whole configuration over the links between regions, each router took a third of the routers for all of them, and agents knew few of the others.

Cause: a process counted as live for 3 s after news of it, but each greeting relays four random members, so with 94 processes news of one arrives every six seconds or so.

A member is live now until it does not answer two probes and does not object to the suspicion within 1.2 s. Changes are relayed at once and a bounded number of times, so what a process sends does not grow with the fleet. A report never overrides what the process itself says later.

--- a/egretrouter/core/direct/__init__.py
+++ b/egretrouter/core/direct/__init__.py
@@ -8,11 +8,12 @@
     WeightTargets,
 )
 from egretrouter.core.direct._events import EventSplitter
-from egretrouter.core.direct._fleet import (
-    Fleet,
+from egretrouter.core.direct._fleet import Fleet, Send
+from egretrouter.core.direct._members import (
     FleetMember,
     FleetRole,
     Greeting,
+    MemberHealth,
     Revisions,
 )
 from egretrouter.core.direct._placement import (
@@ -61,6 +62,7 @@
     "FleetRole",
     "Greeting",
     "LoadReport",
+    "MemberHealth",
     "LoadedWeights",
     "NextStep",
     "NoEndpointAvailable",
@@ -72,6 +74,7 @@
     "Route",
     "RouteIndex",
     "RoutingTable",
+    "Send",
     "SendEnded",
     "SendOutcome",
     "Service",
--- a/egretrouter/core/direct/_fleet.py
+++ b/egretrouter/core/direct/_fleet.py
@@ -1,148 +1,265 @@
-"""Track the system's other processes by gossiping heartbeat counters."""
+"""Track the system's other processes by gossip and probes.
 
+A process counts as live until probes find that it does not answer, not only as long as news of it
+arrives: in a large fleet news of one process is too rare for that. What a process sends grows
+with the number of changes, not with the number of processes. Each zone probes its own members;
+of another zone a process finds out only whether any of it answers.
+"""
+
+import math
 import random
-from enum import Enum
+from collections.abc import Iterable
 
 import msgspec
 
-from egretrouter.core.identifiers import Digest, InstanceId, RegionId, ZoneId
+from egretrouter.core.direct._members import (
+    FleetMember,
+    FleetRole,
+    Greeting,
+    MemberHealth,
+    Revisions,
+)
+from egretrouter.core.direct._probes import ProbeSchedule
+from egretrouter.core.identifiers import InstanceId, ZoneId
 
-EXPIRY_SECONDS = 3.0
-"""A member whose heartbeat counter has not advanced for this long is no longer live."""
+SUSPICION_SECONDS = 1.2
+"""A suspect that has not objected for this long counts as failed."""
 
 REMOVAL_SECONDS = 60.0
-RELAYED_MEMBERS = 4
+RELAYED_MEMBERS = 6
+RELAYED_SUSPICIONS = 6
+# Each change is relayed this often for each power of ten in the size of the fleet.
+RELAYS_PER_DIGIT = 4
 FANOUT = 2
 UPDATE_FANOUT = 5
+VERIFIERS = 3
 # Links between regions have little bandwidth, so most greetings stay within the zone.
 REMOTE_SHARE = 0.3
 
 
-class FleetRole(Enum):
-    """List the roles that a process can have."""
-
-    ROUTER = "router"
-    AGENT = "agent"
-
-
-class FleetMember(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """Describe one process as it announces itself by gossip."""
-
-    instance_id: InstanceId
-    role: FleetRole
-    zone: ZoneId
-    region: RegionId
-    address: str
-    """IP address; ports are the same on all instances."""
-    started_ms: int
-    heartbeat: int = 0
-    leaving: bool = False
-    copies: tuple[tuple[str, Digest], ...] = ()
-    """The versions that an agent holds or copies, as MODEL/VERSION, with their manifest digests."""
-    serving: str = ""
-    """The model and version that an agent's engine serves, as MODEL/VERSION."""
-
-
-class Revisions(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """Carry the revision of each kind of shared state that a process has."""
+class Send(msgspec.Struct, frozen=True, kw_only=True):
+    """Request to send a greeting to some members."""
 
-    configuration: int = 0
-    endpoints: int = 0
-    weights: int = 0
-
-
-class Greeting(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """Carry the sender's record and revisions and the records of some other members."""
-
-    sender: FleetMember
-    revisions: Revisions
-    others: tuple[FleetMember, ...] = ()
+    targets: tuple[FleetMember, ...]
+    about: tuple[FleetMember, ...] = ()
+    """Records that the greeting must contain."""
     wants_answer: bool = False
+    wants_verification: bool = False
 
 
 class _Entry:
     def __init__(self, member: FleetMember, now_seconds: float) -> None:
         self.member = member
-        self.advanced_seconds = now_seconds
+        self.changed_seconds = now_seconds
+        self.relays_left = 0
 
 
 class Fleet:
-    """Maintain the membership table and select the members to send to."""
+    """Maintain the membership table and decide which greetings to send."""
 
     def __init__(self, *, own: FleetMember, rng: random.Random) -> None:
         self.own = own
         self._rng = rng
         self._entries: dict[InstanceId, _Entry] = {}
+        self._unhealthy: dict[InstanceId, _Entry] = {}
+        """The entries of members that are suspected or failed."""
+        self._probes = ProbeSchedule(instance_id=own.instance_id, zone=own.zone, rng=rng)
+        self._changed: list[FleetMember] = []
+        self._has_news = False
+        """Whether a change arrived that was not relayed yet."""
 
-    def advance_heartbeat(self, **changes: object) -> None:
-        """Increment this process's heartbeat and apply changes to its own record."""
-        self.own = msgspec.structs.replace(self.own, heartbeat=self.own.heartbeat + 1, **changes)
-
-    def record_member(self, member: FleetMember, *, now_seconds: float) -> bool:
-        """Store a newer record of a member, and return whether the member was not live before."""
-        if member.instance_id == self.own.instance_id:
-            return False
-        entry = self._entries.get(member.instance_id)
-        if entry is None:
-            self._entries[member.instance_id] = _Entry(member, now_seconds)
-            return True
-        if _recency(member) <= _recency(entry.member):
-            return False
-        was_live = now_seconds - entry.advanced_seconds <= EXPIRY_SECONDS
-        entry.member, entry.advanced_seconds = member, now_seconds
-        return not was_live
+    def update_own(self, **changes: object) -> None:
+        """Change this process's own record, so that it overrides what others have."""
+        self.own = msgspec.structs.replace(self.own, revision=self.own.revision + 1, **changes)
 
     def add_listed(self, member: FleetMember, *, now_seconds: float) -> None:
         """Add a member from the store's list, unless known; the list doesn't prove it is alive."""
         if member.instance_id != self.own.instance_id:
             self._entries.setdefault(member.instance_id, _Entry(member, now_seconds))
 
-    def live_members(
-        self, *, now_seconds: float, role: FleetRole | None = None
-    ) -> list[FleetMember]:
-        """Return the other processes whose heartbeat has advanced recently."""
-        oldest = now_seconds - EXPIRY_SECONDS
+    def live_members(self, *, role: FleetRole | None = None) -> list[FleetMember]:
+        """Return the other processes that have not failed, of the zones that answer."""
         return [
-            entry.member
-            for entry in self._entries.values()
-            if entry.advanced_seconds >= oldest and role in (None, entry.member.role)
+            member
+            for member in self._members_not_failed()
+            if self._probes.is_reachable(member.zone) and role in (None, member.role)
         ]
 
-    def remove_expired(self, *, now_seconds: float) -> None:
-        """Remove members whose heartbeat has not advanced for REMOVAL_SECONDS."""
-        oldest = now_seconds - REMOVAL_SECONDS
-        for instance_id in [i for i, e in self._entries.items() if e.advanced_seconds < oldest]:
-            del self._entries[instance_id]
-
-    def build_greeting(
-        self, revisions: Revisions, *, now_seconds: float, wants_answer: bool = False
-    ) -> Greeting:
-        """Build a greeting with this process's state and a random sample of live members."""
-        live = self.live_members(now_seconds=now_seconds)
-        others = self._rng.sample(live, min(RELAYED_MEMBERS, len(live)))
+    def _members_not_failed(self) -> list[FleetMember]:
+        members = [entry.member for entry in self._entries.values()]
+        return [member for member in members if member.health is not MemberHealth.FAILED]
+
+    def take_changed(self) -> list[FleetMember]:
+        """Return the members that are new or changed their health since the last call."""
+        changed, self._changed = self._changed, []
+        return changed
+
+    def handle_greeting(self, greeting: Greeting, *, now_seconds: float) -> list[Send]:
+        """Record what a greeting says, and return the greetings to send in response."""
+        sender = greeting.sender
+        self._merge(sender, now_seconds=now_seconds)
+        self._probes.record_answer(sender)
+        sends = []
+        for member in greeting.others:
+            if member.instance_id == self.own.instance_id:
+                sends += self._defend(member, sender)
+            else:
+                self._merge(member, now_seconds=now_seconds)
+        if greeting.wants_verification:
+            suspects = [m for m in greeting.others if m.health is MemberHealth.SUSPECT]
+            sends += [Send(targets=(m,), about=(m,)) for m in suspects]
+        entry = self._entries.get(sender.instance_id)
+        if entry is not None and entry.member.overrides(sender):
+            # The sender does not know that it is suspected, or that a former process of its
+            # instance had a later clock; its objection ends that everywhere.
+            sends.append(Send(targets=(sender,), about=(entry.member,)))
+        elif greeting.wants_answer:
+            sends.append(Send(targets=(sender,)))
+        return sends
+
+    def _defend(self, reported: FleetMember, reporter: FleetMember) -> list[Send]:
+        """Object to a report about this process that is not its own."""
+        if not reported.overrides(self.own):
+            suspected = reported.health is not MemberHealth.ALIVE
+            return [Send(targets=(reporter,))] if suspected else []
+        self.own = msgspec.structs.replace(
+            self.own, started_ms=reported.started_ms, revision=reported.revision + 1
+        )
+        return [Send(targets=(reporter,)), self.announcement()]
+
+    def _merge(self, member: FleetMember, *, now_seconds: float) -> None:
+        """Store a record that overrides the known one, and relay it soon."""
+        if member.instance_id == self.own.instance_id:
+            return
+        entry = self._entries.get(member.instance_id)
+        if entry is None:
+            entry = self._entries[member.instance_id] = _Entry(member, now_seconds)
+            self._changed.append(member)
+        elif not member.overrides(entry.member):
+            return
+        elif member.health is not entry.member.health:
+            self._changed.append(member)
+        entry.member, entry.changed_seconds = member, now_seconds
+        if member.health is MemberHealth.ALIVE:
+            self._unhealthy.pop(member.instance_id, None)
+        else:
+            self._unhealthy[member.instance_id] = entry
+        entry.relays_left = math.ceil(RELAYS_PER_DIGIT * math.log10(len(self._entries) + 2))
+
+    def _set_health(self, entry: _Entry, health: MemberHealth, *, now_seconds: float) -> None:
+        self._merge(msgspec.structs.replace(entry.member, health=health), now_seconds=now_seconds)
+
+    def advance(self, *, now_seconds: float) -> list[Send]:
+        """Return what follows from changes, unanswered probes and unrefuted suspicions."""
+        self._end_suspicions(now_seconds)
+        sends = self._check_probes(now_seconds)
+        if self._has_news:
+            # Changes are relayed at once; waiting for the next round would add seconds.
+            sends.append(Send(targets=self._round_targets(FANOUT)))
+            self._has_news = False
+        return sends
+
+    def _end_suspicions(self, now_seconds: float) -> None:
+        for instance_id, entry in list(self._unhealthy.items()):
+            age = now_seconds - entry.changed_seconds
+            if entry.member.health is MemberHealth.SUSPECT and age >= SUSPICION_SECONDS:
+                # Every process that knows of the suspicion comes to this on its own.
+                entry.member = msgspec.structs.replace(entry.member, health=MemberHealth.FAILED)
+                entry.changed_seconds = now_seconds
+                self._changed.append(entry.member)
+            elif entry.member.health is MemberHealth.FAILED and age >= REMOVAL_SECONDS:
+                del self._entries[instance_id]
+                del self._unhealthy[instance_id]
+
+    def _check_probes(self, now_seconds: float) -> list[Send]:
+        sends = []
+        for overdue in self._probes.take_overdue(now_seconds=now_seconds):
+            if overdue.repeats:
+                sends.append(_probe(overdue.target))
+            elif overdue.target.zone == self.own.zone and not self._probes.isolated:
+                # For others a failed member looks like one whose zone is cut off.
+                sends += self._suspect(overdue.target.instance_id, now_seconds)
+        if self._probes.doubts_a_zone:
+            members = self._members_not_failed()
+            doubted = self._probes.continue_doubt(members, now_seconds=now_seconds)
+            sends += [_probe(target) for target in doubted]
+        return sends
+
+    def _suspect(self, instance_id: InstanceId, now_seconds: float) -> list[Send]:
+        entry = self._entries.get(instance_id)
+        if entry is None or entry.member.health is not MemberHealth.ALIVE:
+            return []
+        suspect = msgspec.structs.replace(entry.member, health=MemberHealth.SUSPECT)
+        self._merge(suspect, now_seconds=now_seconds)
+        others = [member for member in self.live_members() if member.instance_id != instance_id]
+        verifiers = tuple(self._sample(others, VERIFIERS))
+        return [Send(targets=verifiers, about=(suspect,), wants_verification=True)]
+
+    def gossip(self, *, now_seconds: float) -> list[Send]:
+        """Return the greetings to send in this round, one of them a probe."""
+        probed = self._probes.start_round(self._members_not_failed(), now_seconds=now_seconds)
+        sends = [_probe(target) for target in probed]
+        sends.append(Send(targets=self._round_targets(max(0, FANOUT - len(probed)))))
+        failed = [
+            e.member for e in self._entries.values() if e.member.health is MemberHealth.FAILED
+        ]
+        if failed:
+            # A member that has returned, or whose zone is no longer cut off, objects.
+            member = self._rng.choice(failed)
+            sends.append(Send(targets=(member,), about=(member,)))
+        return sends
+
+    def _round_targets(self, count: int) -> tuple[FleetMember, ...]:
+        same_zone, other_zones = self._split_by_zone(self.live_members())
+        targets = self._sample(same_zone, count)
+        if other_zones and (not same_zone or self._rng.random() < REMOTE_SHARE):
+            targets.append(self._rng.choice(other_zones))
+        return tuple(targets)
+
+    def announcement(self) -> Send:
+        """Return the greeting that spreads a change of this process's state or record."""
+        same_zone, other_zones = self._split_by_zone(self.live_members())
+        targets = self._sample(same_zone, UPDATE_FANOUT) + self._pick_one_per_zone(other_zones)
+        return Send(targets=tuple(targets))
+
+    def build_greeting(self, send: Send, revisions: Revisions) -> Greeting:
+        """Build the greeting of a send, with the newest changes of other members."""
         return Greeting(
-            sender=self.own, revisions=revisions, others=tuple(others), wants_answer=wants_answer
+            sender=self.own,
+            revisions=revisions,
+            others=self._pick_others(send),
+            wants_answer=send.wants_answer,
+            wants_verification=send.wants_verification,
         )
 
-    def gossip_targets(self, *, now_seconds: float, has_update: bool = False) -> list[FleetMember]:
-        """Return the processes to greet now, more of them if there is an update to share."""
-        live = self.live_members(now_seconds=now_seconds)
-        same_zone = [member for member in live if member.zone == self.own.zone]
-        other_zones = [member for member in live if member.zone != self.own.zone]
-        chosen = self._rng.sample(
-            same_zone, min(UPDATE_FANOUT if has_update else FANOUT, len(same_zone))
+    def _pick_others(self, send: Send) -> tuple[FleetMember, ...]:
+        chosen = {member.instance_id: member for member in send.about}
+        # The newest go first, so that a change does not queue behind those of a mass restart.
+        news = sorted(
+            (entry for entry in self._entries.values() if entry.relays_left > 0),
+            key=lambda entry: -entry.changed_seconds,
         )
-        if other_zones and (has_update or not same_zone or self._rng.random() < REMOTE_SHARE):
-            chosen += (
-                self._pick_one_per_zone(other_zones)
-                if has_update
-                else [self._rng.choice(other_zones)]
-            )
-        oldest = now_seconds - EXPIRY_SECONDS
-        unresponsive = [e.member for e in self._entries.values() if e.advanced_seconds < oldest]
-        if unresponsive and self._rng.random() < 0.2:
-            chosen.append(self._rng.choice(unresponsive))
-        return chosen
+        reports = [e for e in news if e.member.health is not MemberHealth.ALIVE]
+        changes = [e for e in news if e.member.health is MemberHealth.ALIVE]
+        for entry in reports[:RELAYED_SUSPICIONS] + changes[:RELAYED_MEMBERS]:
+            entry.relays_left -= len(send.targets)
+            chosen.setdefault(entry.member.instance_id, _without_details(entry.member))
+        if len(chosen) < RELAYED_MEMBERS:
+            # Failed members too, for those that missed the report.
+            members = [entry.member for entry in self._entries.values()]
+            for member in self._sample(members, RELAYED_MEMBERS - len(chosen)):
+                chosen.setdefault(member.instance_id, _without_details(member))
+        return tuple(chosen.values())
+
+    def _sample(self, members: Iterable[FleetMember], count: int) -> list[FleetMember]:
+        found = list(members)
+        return self._rng.sample(found, min(count, len(found)))
+
+    def _split_by_zone(
+        self, members: list[FleetMember]
+    ) -> tuple[list[FleetMember], list[FleetMember]]:
+        same_zone = [member for member in members if member.zone == self.own.zone]
+        return same_zone, [member for member in members if member.zone != self.own.zone]
 
     def _pick_one_per_zone(self, members: list[FleetMember]) -> list[FleetMember]:
         zones: dict[ZoneId, list[FleetMember]] = {}
@@ -150,25 +267,33 @@
             zones.setdefault(member.zone, []).append(member)
         return [self._rng.choice(candidates) for candidates in zones.values()]
 
-    def report_targets(self, *, now_seconds: float, role: FleetRole) -> list[FleetMember]:
+    def report_targets(self, *, role: FleetRole) -> list[FleetMember]:
         """Return all live members of a role in this zone and one in each other zone."""
-        live = self.live_members(now_seconds=now_seconds, role=role)
-        same_zone = [member for member in live if member.zone == self.own.zone]
-        return same_zone + self._pick_one_per_zone([m for m in live if m.zone != self.own.zone])
+        same_zone, other_zones = self._split_by_zone(self.live_members(role=role))
+        return same_zone + self._pick_one_per_zone(other_zones)
 
-    def watch_rank(self, *, now_seconds: float) -> int:
+    def watch_rank(self) -> int:
         """Return this process's rank among those of its zone that may watch the store.
 
         Routers rank before agents because they need more of the store's state.
         """
-        same_zone = [
-            member
-            for member in self.live_members(now_seconds=now_seconds)
-            if member.zone == self.own.zone and not member.leaving
-        ]
         own = (self.own.role is FleetRole.AGENT, self.own.instance_id)
-        return sum(1 for m in same_zone if (m.role is FleetRole.AGENT, m.instance_id) < own)
+        return sum(
+            1
+            for member in self.live_members()
+            if member.zone == self.own.zone
+            and not member.leaving
+            and member.health is MemberHealth.ALIVE
+            and (member.role is FleetRole.AGENT, member.instance_id) < own
+        )
+
+
+def _without_details(member: FleetMember) -> FleetMember:
+    """Return a report about a member without what only the member itself may say."""
+    if member.health is MemberHealth.ALIVE:
+        return member
+    return msgspec.structs.replace(member, copies=(), serving="")
 
 
-def _recency(member: FleetMember) -> tuple[int, int]:
-    return member.started_ms, member.heartbeat
+def _probe(target: FleetMember) -> Send:
+    return Send(targets=(target,), wants_answer=True)
--- /dev/null
+++ b/egretrouter/core/direct/_members.py
@@ -0,0 +1,72 @@
+"""Define the records that processes gossip about themselves and each other."""
+
+from enum import Enum
+
+import msgspec
+
+from egretrouter.core.identifiers import Digest, InstanceId, RegionId, ZoneId
+
+
+class FleetRole(Enum):
+    """List the roles that a process can have."""
+
+    ROUTER = "router"
+    AGENT = "agent"
+
+
+class MemberHealth(Enum):
+    """List what other processes know of a process: whether it answers their probes."""
+
+    ALIVE = "alive"
+    SUSPECT = "suspect"
+    FAILED = "failed"
+
+
+class FleetMember(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Describe one process as it announces itself, or as others found it."""
+
+    instance_id: InstanceId
+    role: FleetRole
+    zone: ZoneId
+    region: RegionId
+    address: str
+    """IP address; ports are the same on all instances."""
+    started_ms: int
+    revision: int = 0
+    """Incremented by the process itself when its record changes or is to override a suspicion."""
+    leaving: bool = False
+    copies: tuple[tuple[str, Digest], ...] = ()
+    """The versions that an agent holds or copies, as MODEL/VERSION, with their manifest digests."""
+    serving: str = ""
+    """The model and version that an agent's engine serves, as MODEL/VERSION."""
+    health: MemberHealth = MemberHealth.ALIVE
+
+    def overrides(self, other: "FleetMember") -> bool:
+        """Return whether this record is to replace another one of the same process."""
+        return _precedence(self) > _precedence(other)
+
+
+_HEALTH_ORDER = {MemberHealth.ALIVE: 0, MemberHealth.SUSPECT: 1, MemberHealth.FAILED: 2}
+
+
+def _precedence(member: FleetMember) -> tuple[int, int, int]:
+    return member.started_ms, member.revision, _HEALTH_ORDER[member.health]
+
+
+class Revisions(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Carry the revision of each kind of shared state that a process has."""
+
+    configuration: int = 0
+    endpoints: int = 0
+    weights: int = 0
+
+
+class Greeting(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
+    """Carry the sender's record and revisions and the records of some other members."""
+
+    sender: FleetMember
+    revisions: Revisions
+    others: tuple[FleetMember, ...] = ()
+    wants_answer: bool = False
+    wants_verification: bool = False
+    """Whether the receiver is to tell the suspects among the others about their suspicion."""
--- a/egretrouter/direct/_fleet_service.py
+++ b/egretrouter/direct/_fleet_service.py
@@ -1,9 +1,9 @@
-"""Exchange heartbeats, revisions and load reports with the other processes by datagrams."""
+"""Exchange membership, revisions and load reports with the other processes by datagrams."""
 
 import asyncio
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import msgspec
@@ -16,7 +16,9 @@
     FleetRole,
     Greeting,
     LoadReport,
+    MemberHealth,
     Revisions,
+    Send,
 )
 from egretrouter.core.errors import BackendError
 from egretrouter.core.identifiers import InstanceId
@@ -24,10 +26,17 @@
 from egretrouter.direct._settings import DirectSettings
 
 GREETING_SECONDS = 0.7
+TICK_SECONDS = 0.15
 JOIN_GREETING_SECONDS = 0.1
 JOIN_SECONDS = 1.0
 REGISTER_RETRY_SECONDS = 2.0
 
+_HEALTH_EVENTS = {
+    MemberHealth.ALIVE: "fleet:member_seen",
+    MemberHealth.SUSPECT: "fleet:member_suspected",
+    MemberHealth.FAILED: "fleet:member_failed",
+}
+
 
 class LoadNote(msgspec.Struct, frozen=True, kw_only=True, tag="load", array_like=True):
     """Carry an agent's load report of its engine to routers."""
@@ -57,7 +66,7 @@
         self._on_datagram(data)
 
     def error_received(self, exc: Exception) -> None:
-        # A stopped peer refuses datagrams; the table detects it by missing heartbeats.
+        # A stopped peer refuses datagrams; probes that it does not answer detect it.
         return
 
 
@@ -107,25 +116,23 @@
         self._transport.close()
 
     def live_members(self, role: FleetRole | None = None) -> list[FleetMember]:
-        """Return the other processes whose heartbeat has advanced recently."""
-        return self.fleet.live_members(now_seconds=time.monotonic(), role=role)
+        """Return the other processes that have not failed."""
+        return self.fleet.live_members(role=role)
 
     def gossip_update(self) -> None:
         """Send greetings immediately after this process's state or record has changed."""
-        self._greet(has_update=True)
+        self._greet([self.fleet.announcement()])
 
     def announce(self, **changes: object) -> None:
         """Change this process's record and send it immediately."""
-        self.fleet.advance_heartbeat(**changes)
+        self.fleet.update_own(**changes)
         self.gossip_update()
 
     def send_load(self, address: str, report: LoadReport, *, to_other_zones: bool) -> None:
         """Send a load report to the zone's routers, and through one router to each other zone."""
         same_zone_data = _encode(LoadNote(address=address, report=report))
         other_zones_data = _encode(LoadNote(address=address, report=report, relay=True))
-        for member in self.fleet.report_targets(
-            now_seconds=time.monotonic(), role=FleetRole.ROUTER
-        ):
+        for member in self.fleet.report_targets(role=FleetRole.ROUTER):
             if member.zone == self.fleet.own.zone:
                 self._send(same_zone_data, member.address)
             elif to_other_zones:
@@ -140,24 +147,20 @@
     def _send(self, data: bytes, address: str) -> None:
         self._transport.sendto(data, (address, self._settings.gossip_port))
 
-    def _greet(self, *, has_update: bool = False, wants_answer: bool = False) -> None:
-        now = time.monotonic()
-        data = self._encode_greeting(wants_answer=wants_answer)
-        for member in self.fleet.gossip_targets(now_seconds=now, has_update=has_update):
-            self._send(data, member.address)
+    def _greet(self, sends: Iterable[Send]) -> None:
+        for send in sends:
+            greeting = self.fleet.build_greeting(send, self.revisions())
+            data = _encode(GreetingNote(greeting=greeting))
+            for member in send.targets:
+                self._send(data, member.address)
 
     def _greet_seeds(self) -> None:
-        data = self._encode_greeting(wants_answer=True)
+        greeting = self.fleet.build_greeting(Send(targets=(), wants_answer=True), self.revisions())
+        data = _encode(GreetingNote(greeting=greeting))
         for seed in self._settings.seed_addresses:
             if seed != self._settings.address:
                 self._send(data, seed)
 
-    def _encode_greeting(self, *, wants_answer: bool = False) -> bytes:
-        greeting = self.fleet.build_greeting(
-            self.revisions(), now_seconds=time.monotonic(), wants_answer=wants_answer
-        )
-        return _encode(GreetingNote(greeting=greeting))
-
     def _handle_datagram(self, data: bytes) -> None:
         try:
             note = _DECODER.decode(data)
@@ -173,30 +176,31 @@
             self._handle_greeting(note.greeting)
 
     def _handle_greeting(self, greeting: Greeting) -> None:
-        now = time.monotonic()
-        sender = greeting.sender
-        if self.fleet.record_member(sender, now_seconds=now):
-            log_event("fleet:member_seen", member=sender.instance_id, zone=sender.zone)
-        for member in greeting.others:
-            self.fleet.record_member(member, now_seconds=now)
-        if greeting.wants_answer:
-            self._send(self._encode_greeting(), sender.address)
+        self._greet(self.fleet.handle_greeting(greeting, now_seconds=time.monotonic()))
+        self._log_changes()
         for on_revisions in self.on_revisions:
-            on_revisions(sender, greeting.revisions)
+            on_revisions(greeting.sender, greeting.revisions)
+
+    def _log_changes(self) -> None:
+        for member in self.fleet.take_changed():
+            log_event(_HEALTH_EVENTS[member.health], member=member.instance_id, zone=member.zone)
 
     @Service.task
-    async def _heartbeat(self) -> None:
-        started = time.monotonic()
+    async def _gossip(self) -> None:
+        started = gossiped = time.monotonic()
+        period = 0.0
         while not self.should_stop:
             now = time.monotonic()
+            self._greet(self.fleet.advance(now_seconds=now))
+            self._log_changes()
             joining = now - started < JOIN_SECONDS
-            self.fleet.advance_heartbeat()
-            self.fleet.remove_expired(now_seconds=now)
-            if not self.fleet.live_members(now_seconds=now):
-                self._greet_seeds()
-            self._greet()
-            period = JOIN_GREETING_SECONDS if joining else GREETING_SECONDS
-            await self.sleep(period * (0.8 + 0.4 * self._rng.random()))
+            if joining or now - gossiped >= period:
+                gossiped = now
+                period = GREETING_SECONDS * (0.8 + 0.4 * self._rng.random())
+                if not self.fleet.live_members():
+                    self._greet_seeds()
+                self._greet(self.fleet.gossip(now_seconds=now))
+            await self.sleep(JOIN_GREETING_SECONDS if joining else TICK_SECONDS)
 
     @Service.task
     async def _register(self) -> None:
@@ -206,7 +210,7 @@
                 await self._store.register(self.fleet.own)
                 for member in await self._store.list_members():
                     self.fleet.add_listed(member, now_seconds=time.monotonic())
-                self._greet(wants_answer=True)
+                self._greet([msgspec.structs.replace(self.fleet.announcement(), wants_answer=True)])
             except BackendError as error:
                 log_event("fleet:registration_failed", error=str(error))
                 await self.sleep(REGISTER_RETRY_SECONDS * (0.5 + self._rng.random()))
--- a/egretrouter/direct/_store_watch.py
+++ b/egretrouter/direct/_store_watch.py
@@ -1,7 +1,6 @@
 """Watch and list the shared state at the store, in few processes of each zone."""
 
 import random
-import time
 from typing import Any, Protocol
 
 from mode import Service
@@ -85,7 +84,7 @@
 
     def rank(self) -> int:
         """Return this process's rank among those of its zone that may watch."""
-        return self._fleet.fleet.watch_rank(now_seconds=time.monotonic())
+        return self._fleet.fleet.watch_rank()
 
     async def _watch(self, kind: StateKind) -> None:
         """Watch a kind at the store while this process is one of its watchers."""
--- a/tests/test_direct_core.py
+++ b/tests/test_direct_core.py
@@ -1,6 +1,7 @@
 """Test the decisions of routers and agents that reach endpoints directly."""
 
 import random
+from typing import Any
 
 import pytest
 
@@ -17,8 +18,10 @@
     Fleet,
     FleetMember,
     FleetRole,
+    Greeting,
     LoadedWeights,
     LoadReport,
+    MemberHealth,
     NextStep,
     NoEndpointAvailable,
     Placement,
@@ -27,6 +30,7 @@
     Route,
     RouteIndex,
     RoutingTable,
+    Send,
     SendEnded,
     SendOutcome,
     Target,
@@ -354,7 +358,7 @@
 class TestFleet:
     """Guard against processes that are not discovered, or are considered live when they are not."""
 
-    def member(self, name: str, *, zone: str = "z1", heartbeat: int = 1) -> FleetMember:
+    def member(self, name: str, *, zone: str = "z1", **changes: Any) -> FleetMember:
         return FleetMember(
             instance_id=InstanceId(name),
             role=FleetRole.ROUTER,
@@ -362,33 +366,61 @@
             region=RegionId("r"),
             address="10.0.0.1",
             started_ms=1,
-            heartbeat=heartbeat,
+            **changes,
         )
 
+    def fleet(self, own: str, *others: FleetMember) -> Fleet:
+        fleet = Fleet(own=self.member(own), rng=random.Random(1))
+        for other in others:
+            self.greet(fleet, other, now_seconds=0.0)
+        return fleet
+
+    def greet(
+        self, fleet: Fleet, sender: FleetMember, *others: FleetMember, now_seconds: float
+    ) -> list[Send]:
+        greeting = Greeting(sender=sender, revisions=Revisions(), others=others)
+        return fleet.handle_greeting(greeting, now_seconds=now_seconds)
+
     def test_unresponsive_member_expires_and_returns(self) -> None:
-        fleet = Fleet(own=self.member("a"), rng=random.Random(1))
-        assert fleet.record_member(self.member("b"), now_seconds=0.0)
-        assert len(fleet.live_members(now_seconds=1.0)) == 1
-        assert fleet.live_members(now_seconds=5.0) == []
-        # A late relay of the same heartbeat does not make the member live again.
-        assert not fleet.record_member(self.member("b"), now_seconds=5.0)
-        assert fleet.record_member(self.member("b", heartbeat=2), now_seconds=5.0)
+        fleet = self.fleet("a", self.member("b"))
+        now = 0.0
+        while fleet.live_members():
+            fleet.gossip(now_seconds=now)
+            fleet.advance(now_seconds=now)
+            now += 0.3
+        assert now <= 5.0
+        # Neither a late greeting of the same record nor its relay makes the member live again.
+        assert self.greet(fleet, self.member("b"), now_seconds=now)[0].about
+        self.greet(fleet, self.member("c"), self.member("b"), now_seconds=now)
+        assert [m.instance_id for m in fleet.live_members()] == ["c"]
+        self.greet(fleet, self.member("b", revision=1), now_seconds=now)
+        assert [m.instance_id for m in fleet.live_members()] == ["b", "c"]
+
+    def test_suspected_process_objects(self) -> None:
+        fleet = self.fleet("a", self.member("b"))
+        suspicion = self.member("a", health=MemberHealth.SUSPECT)
+        self.greet(fleet, self.member("b"), suspicion, now_seconds=1.0)
+        assert fleet.own.overrides(suspicion)
 
     def test_update_is_sent_to_every_zone(self) -> None:
-        fleet = Fleet(own=self.member("a"), rng=random.Random(1))
-        for name, zone in (("b", "z1"), ("c", "z2"), ("d", "z2"), ("e", "z3")):
-            fleet.record_member(self.member(name, zone=zone), now_seconds=0.0)
-        zones = {m.zone for m in fleet.gossip_targets(now_seconds=0.0, has_update=True)}
+        fleet = self.fleet(
+            "a",
+            *(
+                self.member(name, zone=zone)
+                for name, zone in (("b", "z1"), ("c", "z2"), ("d", "z2"), ("e", "z3"))
+            ),
+        )
+        zones = {member.zone for member in fleet.announcement().targets}
         assert zones == {"z1", "z2", "z3"}
 
     def test_first_routers_of_a_zone_watch(self) -> None:
-        fleet = Fleet(own=self.member("b"), rng=random.Random(1))
-        assert fleet.watch_rank(now_seconds=0.0) == 0
-        fleet.record_member(self.member("a"), now_seconds=0.0)
-        fleet.record_member(self.member("A", zone="z2"), now_seconds=0.0)
-        assert fleet.watch_rank(now_seconds=0.0) == 1
+        fleet = self.fleet("b")
+        assert fleet.watch_rank() == 0
+        self.greet(fleet, self.member("a"), now_seconds=0.0)
+        self.greet(fleet, self.member("A", zone="z2"), now_seconds=0.0)
+        assert fleet.watch_rank() == 1
 
     def test_greeting_carries_revisions(self) -> None:
-        fleet = Fleet(own=self.member("a"), rng=random.Random(1))
-        greeting = fleet.build_greeting(Revisions(configuration=3), now_seconds=0.0)
+        fleet = self.fleet("a")
+        greeting = fleet.build_greeting(fleet.announcement(), Revisions(configuration=3))
         assert greeting.revisions.configuration == 3
--- /dev/null
+++ b/tests/test_fleet_gossip.py
@@ -0,0 +1,129 @@
+"""Test what the processes of a large fleet know of each other."""
+
+import pytest
+
+from egretrouter.core.direct import FleetRole, MemberHealth
+from egretrouter.core.identifiers import InstanceId
+from tests.fleet_world import STARTED_MS, FleetWorld
+
+SETTLE_SECONDS = 10.0
+DETECTION_SECONDS = 6.0
+CONTROL_BYTES_PER_SECOND = 16 * 1024
+FIRST_ROUTER = InstanceId("router-z0-000")
+
+
+def large_fleet(*, seed: int = 1) -> FleetWorld:
+    world = FleetWorld(zones=3, routers=24, agents=13, seed=seed)
+    world.run(SETTLE_SECONDS)
+    return world
+
+
+class TestLargeFleet:
+    """Guard against processes that lose sight of others as the fleet grows."""
+
+    @pytest.mark.parametrize(("zones", "routers", "agents"), [(3, 24, 13), (4, 50, 50)])
+    def test_live_members_are_forgotten_in_a_large_fleet(
+        self, zones: int, routers: int, agents: int
+    ) -> None:
+        world = FleetWorld(zones=zones, routers=routers, agents=agents)
+        world.run(SETTLE_SECONDS)
+        assert {len(view) for view in world.views()} == {len(world.fleets) - 1}
+        assert sorted(member.zone for member in world.watchers()) == [
+            f"z{zone}" for zone in range(zones)
+        ]
+
+    @pytest.mark.parametrize("members", [20, 100, 200])
+    def test_bytes_do_not_grow_with_the_fleet(self, members: int) -> None:
+        world = FleetWorld(zones=2, routers=members // 4, agents=members // 4)
+        world.run(SETTLE_SECONDS)
+        before = world.sent_bytes
+        world.run(10.0)
+        per_second = (world.sent_bytes - before) / 10.0 / members
+        assert per_second < CONTROL_BYTES_PER_SECOND / 2
+
+    def test_changed_record_reaches_all(self) -> None:
+        world = large_fleet()
+        changed = world.fleets[FIRST_ROUTER]
+        changed.update_own(serving="model/2")
+        world.greet(changed, [changed.announcement()])
+        world.run(3.0)
+        others = [fleet for fleet in world.running() if fleet is not changed]
+        serving = {
+            member.serving
+            for fleet in others
+            for member in fleet.live_members()
+            if member.instance_id == FIRST_ROUTER
+        }
+        assert serving == {"model/2"}
+
+
+class TestFailures:
+    """Guard against failed members that count as live, and live ones that count as failed."""
+
+    def test_failed_member_is_found_and_its_duty_taken_over(self) -> None:
+        world = large_fleet()
+        world.stopped.add(FIRST_ROUTER)
+        world.run(DETECTION_SECONDS)
+        assert not any(FIRST_ROUTER in view for view in world.views())
+        assert sorted(m.instance_id for m in world.watchers() if m.zone == "z0") == [
+            "router-z0-001"
+        ]
+
+    def test_third_of_the_fleet_fails_at_once(self) -> None:
+        world = large_fleet()
+        world.stopped.update(list(world.fleets)[::3])
+        world.run(3 * DETECTION_SECONDS)
+        assert {len(view) for view in world.views()} == {len(world.running()) - 1}
+
+    def test_paused_member_returns(self) -> None:
+        world = large_fleet()
+        world.stopped.add(FIRST_ROUTER)
+        world.run(DETECTION_SECONDS)
+        world.stopped.clear()
+        world.run(DETECTION_SECONDS)
+        assert {len(view) for view in world.views()} == {len(world.fleets) - 1}
+
+    @pytest.mark.parametrize("started_ms", [STARTED_MS + 5_000, STARTED_MS - 500])
+    def test_restarted_member_returns_whatever_its_clock(self, started_ms: int) -> None:
+        world = large_fleet()
+        fleet = world.fleets[FIRST_ROUTER]
+        fleet.update_own(serving="model/1")
+        del world.fleets[FIRST_ROUTER]
+        world.run(DETECTION_SECONDS)
+        world.add(FIRST_ROUTER, role=FleetRole.ROUTER, zone="z0", started_ms=started_ms)
+        returned = world.fleets[FIRST_ROUTER]
+        for member in world.running()[0].live_members():
+            returned.add_listed(member, now_seconds=world.now)
+        world.run(DETECTION_SECONDS)
+        assert all(FIRST_ROUTER in view for view in world.views()[:-1])
+
+    def test_zone_that_is_cut_off_is_found_and_returns(self) -> None:
+        world = large_fleet()
+        world.is_partitioned = lambda a, b: (a.zone == "z1") is not (b.zone == "z1")
+        world.run(2 * DETECTION_SECONDS)
+        sizes = sorted({len(view) for view in world.views()})
+        assert sizes == [36, 73]
+        world.is_partitioned = lambda a, b: False
+        world.run(DETECTION_SECONDS)
+        assert {len(view) for view in world.views()} == {len(world.fleets) - 1}
+
+    def test_lost_datagrams_do_not_make_members_fail(self) -> None:
+        world = large_fleet()
+        world.loss = 0.03
+        for _ in range(20):
+            world.run(1.0)
+            assert min(len(view) for view in world.views()) >= len(world.fleets) - 2
+
+    def test_isolated_process_does_not_report_the_others(self) -> None:
+        world = large_fleet()
+        world.is_partitioned = lambda a, b: FIRST_ROUTER in (a.instance_id, b.instance_id)
+        world.run(2 * DETECTION_SECONDS)
+        suspected = [
+            member
+            for member in world.fleets[FIRST_ROUTER].live_members()
+            if member.health is not MemberHealth.ALIVE
+        ]
+        assert len(suspected) <= 3
+        world.is_partitioned = lambda a, b: False
+        world.run(DETECTION_SECONDS)
+        assert {len(view) for view in world.views()} == {len(world.fleets) - 1}
--- a/tests/test_platform_weights.py
+++ b/tests/test_platform_weights.py
@@ -13,7 +13,7 @@
 from egretrouter_platform._engine import PlatformEngine, PlatformOrigin
 from egretrouter_platform._store import PlatformStore
 
-from egretrouter.core.direct import FleetMember, FleetRole
+from egretrouter.core.direct import FleetMember, FleetRole, Greeting, Revisions
 from egretrouter.core.identifiers import InstanceId, RegionId, ServiceName, ZoneId
 from egretrouter.direct._agent import DirectAgent
 from tests.platform_standins import OriginStandin, StandinServer, StoreStandin, configuration
@@ -214,7 +214,8 @@
             started_ms=1,
             serving="m/0",
         )
-        fleet.record_member(other, now_seconds=time.monotonic())
+        greeting = Greeting(sender=other, revisions=Revisions())
+        fleet.handle_greeting(greeting, now_seconds=time.monotonic())
         drain = asyncio.create_task(world.agent.drain())
         await asyncio.sleep(0.2)
         assert fleet.own.leaving
