Let one process of a zone list first when all start together

After the loss of all processes, routers had no configuration for many seconds, or never got one.

Cause: a process that has nothing lists everything at the store at once. When all start together, 111 listings of 394 KB fill the links between regions, run into their timeout of 1.5 s and begin anew.

A new process first reads the list of processes (or waits 0.3 s if the store does not answer), and lists only if it ranks first in its zone; the others take the state from it, and list themselves after a second and a bit more for each rank if it does not come.

--- a/egretrouter/direct/_fleet_service.py
+++ b/egretrouter/direct/_fleet_service.py
@@ -1,6 +1,7 @@
 """Exchange membership, revisions and load reports with the other processes by datagrams."""
 
 import asyncio
+import contextlib
 import random
 import time
 from collections.abc import Callable, Iterable
@@ -100,6 +101,7 @@
         self._settings = settings
         self._store = store
         self._rng = rng
+        self._joined = asyncio.Event()
         self._transport: asyncio.DatagramTransport
 
     async def on_start(self) -> None:
@@ -115,6 +117,12 @@
         """Close the datagram socket."""
         self._transport.close()
 
+    async def wait_until_joined(self, limit_seconds: float) -> None:
+        """Wait until the members of the store's list are known, or until the limit."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit_seconds):
+                await self._joined.wait()
+
     def live_members(self, role: FleetRole | None = None) -> list[FleetMember]:
         """Return the other processes that have not failed."""
         return self.fleet.live_members(role=role)
@@ -215,6 +223,7 @@
                 log_event("fleet:registration_failed", error=str(error))
                 await self.sleep(REGISTER_RETRY_SECONDS * (0.5 + self._rng.random()))
             else:
+                self._joined.set()
                 return
 
     def snapshot(self) -> dict[str, Any]:
--- a/egretrouter/direct/_store_watch.py
+++ b/egretrouter/direct/_store_watch.py
@@ -23,6 +23,10 @@
 RETRY_LIMIT_SECONDS = 1.6
 WATCHERS_PER_ZONE = 1
 RANK_SECONDS = 0.3
+JOIN_LIMIT_SECONDS = 0.3
+FIRST_LISTING_SECONDS = 1.0
+FIRST_LISTING_RANK_SECONDS = 0.1
+FIRST_LISTING_STEP_SECONDS = 0.05
 POLL_SECONDS = 1.0
 WEIGHTS_POLL_SECONDS = 4.0
 
@@ -88,6 +92,7 @@
 
     async def _watch(self, kind: StateKind) -> None:
         """Watch a kind at the store while this process is one of its watchers."""
+        await self._wait_for_peers(kind)
         failures = 0
         revision: int | None = None
         outage = False
@@ -125,6 +130,17 @@
                     log_event("store:watch_behind", kind=kind.value, events=len(changes.events))
                     revision = None
 
+    async def _wait_for_peers(self, kind: StateKind) -> None:
+        """Give the process that ranks first the time to load a kind and pass it on.
+
+        If all processes start together and each lists everything, the listings fill the links.
+        """
+        await self._fleet.wait_until_joined(JOIN_LIMIT_SECONDS)
+        left_seconds = FIRST_LISTING_SECONDS + FIRST_LISTING_RANK_SECONDS * self.rank()
+        while left_seconds > 0 and not self._sink.is_loaded(kind) and not self.is_watcher(kind):
+            await self.sleep(FIRST_LISTING_STEP_SECONDS)
+            left_seconds -= FIRST_LISTING_STEP_SECONDS
+
     async def _poll(self, kind: StateKind) -> None:
         """List a kind periodically in one process of each zone.
 
--- a/tests/test_shared_state_spread.py
+++ b/tests/test_shared_state_spread.py
@@ -68,3 +68,15 @@
             return longest_delay_seconds(world, published)
 
         assert run_virtual(main) <= CONFIGURATION_SECONDS
+
+    def test_listings_of_a_common_start_fill_the_links(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def main(loop: VirtualLoop) -> float:
+            world = SharedStateWorld(loop, monkeypatch, seed=1)
+            world.store.publish(build_table(1, routes=LARGE_ROUTES))
+            await world.start(zones=3, routers=24, agents=13)
+            await asyncio.sleep(SETTLE_SECONDS)
+            return longest_delay_seconds(world, {1: 0.0})
+
+        assert run_virtual(main) <= CONFIGURATION_SECONDS
