List less often where a listing takes long

The zone of the store is not the only one that polls: each other zone listed the whole configuration once a second over its link to the store's region, 383 KB/s or 24 in 100 of the link between two regions with 1,650 routes, beside calls and weights.

A listing may now take a tenth of the time between listings, up to 3 s between two. The zone nearest to the store goes on listing every second, and tells the others what a watch missed.

--- a/egretrouter/direct/_store_watch.py
+++ b/egretrouter/direct/_store_watch.py
@@ -1,6 +1,7 @@
 """Watch and list the shared state at the store, in few processes of each zone."""
 
 import random
+import time
 from typing import Any, Protocol
 
 from mode import Service
@@ -29,6 +30,9 @@
 FIRST_LISTING_STEP_SECONDS = 0.05
 POLL_SECONDS = 1.0
 WEIGHTS_POLL_SECONDS = 4.0
+# Where a listing takes long because the link is narrow, listings may use this share of it.
+POLL_LINK_SHARE = 0.1
+POLL_LIMIT_SECONDS = 3.0
 
 
 class StateSink(Protocol):
@@ -144,14 +148,17 @@
     async def _poll(self, kind: StateKind) -> None:
         """List a kind periodically in one process of each zone.
 
-        A watch can miss changes without an error, and ends only long after them.
+        A watch can miss changes without an error, and ends only long after them. A zone with a
+        narrow link to the store lists less often; it learns of missed changes from the others.
         """
-        period = WEIGHTS_POLL_SECONDS if kind is StateKind.WEIGHTS else POLL_SECONDS
+        shortest = WEIGHTS_POLL_SECONDS if kind is StateKind.WEIGHTS else POLL_SECONDS
+        period = shortest
         outage = False
         while not self.should_stop:
             await self.sleep(period * (0.9 + 0.2 * self._rng.random()))
             if self.rank() > 0 or not self._sink.is_loaded(kind):
                 continue
+            started = time.monotonic()
             try:
                 await self._list(kind, after_outage=outage)
             except BackendError as error:
@@ -160,6 +167,8 @@
                 await self.sleep(RETRY_LIMIT_SECONDS * self._rng.random())
             else:
                 outage = False
+                listing_seconds = time.monotonic() - started
+                period = max(shortest, min(POLL_LIMIT_SECONDS, listing_seconds / POLL_LINK_SHARE))
 
     async def _list(self, kind: StateKind, *, after_outage: bool) -> int:
         listing = await self._store.list_state(kind)
--- a/tests/shared_state_world.py
+++ b/tests/shared_state_world.py
@@ -21,7 +21,7 @@
 )
 from egretrouter.core.errors import BackendUnavailableError
 from egretrouter.core.identifiers import InstanceId, RegionId, ServiceName, ZoneId
-from egretrouter.direct import _fleet_service, _shared_state
+from egretrouter.direct import _fleet_service, _shared_state, _store_watch
 from egretrouter.direct._fleet_service import FleetService
 from egretrouter.direct._peer_state import StateReplies
 from egretrouter.direct._shared_state import SharedStateService
@@ -207,7 +207,7 @@
 
     def __init__(self, loop: VirtualLoop, monkeypatch: pytest.MonkeyPatch, *, seed: int) -> None:
         clock = SimpleNamespace(monotonic=loop.time, time=loop.time)
-        for module in (_fleet_service, _shared_state):
+        for module in (_fleet_service, _shared_state, _store_watch):
             monkeypatch.setattr(module, "time", clock)
         self.network = loop.network
         self.network.region_bits_per_second = REGION_BITS_PER_SECOND
--- a/tests/test_shared_state_spread.py
+++ b/tests/test_shared_state_spread.py
@@ -13,7 +13,7 @@
 SETTLE_SECONDS = 16.0
 LARGE_ROUTES = 1650
 
-StartFleet = Callable[[VirtualLoop], Awaitable[SharedStateWorld]]
+StartFleet = Callable[..., Awaitable[SharedStateWorld]]
 
 
 async def publish_series(
@@ -34,19 +34,20 @@
     return max(world.in_force_seconds(version)[-1] - when for version, when in published.items())
 
 
-class TestConfigurationSpread:
-    """Guard against confirmed changes that are not in force in time in a large fleet."""
+@pytest.fixture
+def large_fleet(monkeypatch: pytest.MonkeyPatch) -> StartFleet:
+    async def start(loop: VirtualLoop, *, routes: int = 240) -> SharedStateWorld:
+        world = SharedStateWorld(loop, monkeypatch, seed=1)
+        world.store.publish(build_table(1, routes=routes))
+        await world.start(zones=3, routers=24, agents=13)
+        await asyncio.sleep(SETTLE_SECONDS)
+        return world
+
+    return start
 
-    @pytest.fixture
-    def large_fleet(self, monkeypatch: pytest.MonkeyPatch) -> StartFleet:
-        async def start(loop: VirtualLoop) -> SharedStateWorld:
-            world = SharedStateWorld(loop, monkeypatch, seed=1)
-            world.store.publish(build_table(1, routes=240))
-            await world.start(zones=3, routers=24, agents=13)
-            await asyncio.sleep(SETTLE_SECONDS)
-            return world
 
-        return start
+class TestConfigurationSpread:
+    """Guard against confirmed changes that are not in force in time in a large fleet."""
 
     def test_large_configuration_is_late_in_a_large_fleet(self, large_fleet: StartFleet) -> None:
         async def main(loop: VirtualLoop) -> float:
@@ -69,14 +70,30 @@
 
         assert run_virtual(main) <= CONFIGURATION_SECONDS
 
-    def test_listings_of_a_common_start_fill_the_links(
-        self, monkeypatch: pytest.MonkeyPatch
-    ) -> None:
+    def test_listings_of_a_common_start_fill_the_links(self, large_fleet: StartFleet) -> None:
         async def main(loop: VirtualLoop) -> float:
-            world = SharedStateWorld(loop, monkeypatch, seed=1)
-            world.store.publish(build_table(1, routes=LARGE_ROUTES))
-            await world.start(zones=3, routers=24, agents=13)
-            await asyncio.sleep(SETTLE_SECONDS)
+            world = await large_fleet(loop, routes=LARGE_ROUTES)
             return longest_delay_seconds(world, {1: 0.0})
 
         assert run_virtual(main) <= CONFIGURATION_SECONDS
+
+
+class TestLinkUse:
+    """Guard against a large configuration that takes the links from calls and weights."""
+
+    MEASURE_SECONDS = 10.0
+    # A tenth of the link for listings, and the datagrams beside them.
+    LARGEST_SHARE = 0.13
+
+    def test_polls_of_a_large_configuration_fill_a_link_between_regions(
+        self, large_fleet: StartFleet
+    ) -> None:
+        async def main(loop: VirtualLoop) -> float:
+            world = await large_fleet(loop, routes=LARGE_ROUTES)
+            link = world.network.region_link("r0", "r1")
+            before = link.sent_bytes
+            await asyncio.sleep(self.MEASURE_SECONDS)
+            used_bits = (link.sent_bytes - before) * 8
+            return used_bits / self.MEASURE_SECONDS / link.bits_per_second
+
+        assert run_virtual(main) <= self.LARGEST_SHARE
