End a call at its route's timeout while its body arrives

Cause: the time limit of a call began only once its body was read; the body had a fixed limit.

The body now has at most what is left of the route's timeout and the caller's deadline, then the call is refused with 408, which it has not run. Both cases of the new test failed before (no answer within 3 s on a route with 0.8 s).

--- a/egretrouter/direct/_callers.py
+++ b/egretrouter/direct/_callers.py
@@ -115,7 +115,11 @@
         workspace = self._authenticate(routes, route, headers)
         limit = headers.deadline_seconds
         timeout = route.timeout_seconds if limit is None else min(limit, route.timeout_seconds)
-        content = await read_body(request, routes.table.limits.body_bytes)
+        content = await read_body(
+            request,
+            limit_bytes=routes.table.limits.body_bytes,
+            limit_seconds=arrived + timeout - time.monotonic(),
+        )
         late = self._is_late(route, headers)
         service = routes.get_service(choose_service(route, self._rng))
         if service.engine is not None:
--- a/egretrouter/direct/_refusals.py
+++ b/egretrouter/direct/_refusals.py
@@ -66,7 +66,7 @@
         raise Refusal(431, f"the headers have {size} bytes, {limit_bytes} are allowed")
 
 
-async def read_body(request: web.BaseRequest, limit_bytes: int) -> bytes:
+async def read_body(request: web.BaseRequest, *, limit_bytes: int, limit_seconds: float) -> bytes:
     """Read a request's body.
 
     Raises Refusal if it exceeds the limit or does not arrive in time.
@@ -75,7 +75,7 @@
         return b""
     content = bytearray()
     try:
-        async with asyncio.timeout(BODY_TIMEOUT_SECONDS):
+        async with asyncio.timeout(min(limit_seconds, BODY_TIMEOUT_SECONDS)):
             async for data in request.content.iter_any():
                 content += data
                 if len(content) > limit_bytes:
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -257,6 +257,23 @@
         assert status == 413
         assert not any(engine.requests for engine in world.engines)
 
+    @pytest.mark.parametrize("headers", [{}, {"X-Deadline-Ms": "400"}])
+    async def test_slow_body_outlasts_the_timeout_of_its_route(
+        self, world: PlatformWorld, headers: dict[str, str]
+    ) -> None:
+        """A call whose body did not arrive was answered only after 5 s, whatever its route."""
+        caller_left = asyncio.Event()
+
+        async def body() -> AsyncIterator[bytes]:
+            yield b"begun"
+            await caller_left.wait()
+
+        async with asyncio.timeout(3.0):
+            status, answer, _ = await world.call("/sale/x", data=body(), headers=headers)
+        caller_left.set()
+        assert (status, json.loads(answer)["outcome"]) == (408, "not_run")
+        assert not any(engine.requests for engine in world.engines)
+
     async def test_disconnect_of_the_caller_cancels_the_call(self, world: PlatformWorld) -> None:
         cancelled = asyncio.Event()
 
