Bound the time of a body on the product's own path too

A caller of the product's own router whose body stopped arriving held its place without any limit, and the deadline of its call began only after its body: the same cause as on the direct path.

Where the service is not known before the body is read, the caller's deadline or max_body_seconds (30) bounds the body. The new test failed before: no answer within 5 s for a call with a deadline of 0.3 s.

--- a/egretrouter/core/settings.py
+++ b/egretrouter/core/settings.py
@@ -189,6 +189,8 @@
 
     max_header_bytes: int = Field(default=16 * 1024, ge=1024, le=MEBIBYTE)
     max_body_bytes: int = Field(default=8 * MEBIBYTE, ge=1024, le=256 * MEBIBYTE)
+    max_body_seconds: float = Field(default=30.0, gt=0, le=3600)
+    """How long a body may take to arrive if the caller sets no deadline."""
     max_json_depth: int = Field(default=32, ge=1, le=200)
     max_streams: int = Field(default=512, ge=1, le=100_000)
     """Maximum number of concurrently open streamed answers."""
--- a/egretrouter/daemons/_callers.py
+++ b/egretrouter/daemons/_callers.py
@@ -204,8 +204,12 @@
             raise TooManyStreamsError(f"{self._limits.max_streams} calls are open already")
 
     async def _handle_model_call(self, request: web.Request, request_id: str) -> web.StreamResponse:
+        started = time.monotonic()
         workspace = self._authenticator.authenticate(request)
-        content = await read_body(request, limits=self._limits)
+        limit_seconds = read_positive_number(
+            request, DEADLINE_HEADER, default=self._limits.max_body_seconds
+        )
+        content = await read_body(request, limits=self._limits, limit_seconds=limit_seconds)
         body = parse_model_body(content, limits=self._limits)
         target = self._catalog.find_model(body.model)
         if target is None:
@@ -230,18 +234,21 @@
             repeatable_answer=target.service.endpoint.resumes_streams and target.adapter is None,
         )
         call = self._build_call(
-            request, request_id, workspace, target.service, content, route, rules
+            request, request_id, workspace, target.service, content, route, rules, started
         )
         call = msgspec.structs.replace(call, priority=call.priority or body.priority)
         return await self._run_call(request, call, prompt_tokens + body.answer_tokens)
 
     async def _handle_plain_call(self, request: web.Request, request_id: str) -> web.StreamResponse:
+        started = time.monotonic()
         workspace = self._authenticator.authenticate(request)
         service = self._catalog.find_plain_service(host=request.host, path=request.path)
         if service is None:
             raise NotFoundError(f"no service has host {request.host!r} or path {request.path!r}")
         _check_allowed(service, workspace)
-        content = await read_body(request, limits=self._limits)
+        content = await read_body(
+            request, limits=self._limits, limit_seconds=_allowed_seconds(request, service)
+        )
         headers = {name.lower(): value for name, value in request.headers.items()}
         key = request.headers.get("Idempotency-Key")
         if key is not None:
@@ -251,7 +258,9 @@
         )
         rules = AttemptRules(idempotent=idempotent, keyed=key is not None and not idempotent)
         route = RouteRequest(service=ServiceName(service.name), request_bytes=len(content))
-        call = self._build_call(request, request_id, workspace, service, content, route, rules)
+        call = self._build_call(
+            request, request_id, workspace, service, content, route, rules, started
+        )
         if rules.keyed:
             call = msgspec.structs.replace(call, idempotency_key=key)
         return await self._run_call(request, call, 0)
@@ -265,11 +274,10 @@
         content: bytes,
         route: RouteRequest,
         rules: AttemptRules,
+        started_seconds: float,
     ) -> RoutedCall:
-        allowed_seconds = read_positive_number(
-            request, DEADLINE_HEADER, default=service.deadline_seconds
-        )
-        left_seconds = min(allowed_seconds, service.deadline_seconds)
+        deadline_seconds = started_seconds + _allowed_seconds(request, service)
+        left_seconds = max(0.0, deadline_seconds - time.monotonic())
         headers = [
             (name, value)
             for name, value in forwarded_headers(request.headers.items())
@@ -285,7 +293,7 @@
             content=content,
             route=msgspec.structs.replace(route, deadline_seconds=left_seconds),
             rules=rules,
-            deadline_at_seconds=time.monotonic() + left_seconds,
+            deadline_at_seconds=deadline_seconds,
             priority=int(read_positive_number(request, PRIORITY_HEADER, default=1.0)) - 1,
         )
 
@@ -390,6 +398,12 @@
     return stream.failure.outcome.value if stream.failure is not None else "refused"
 
 
+def _allowed_seconds(request: web.Request, service: ModelServiceFile | PlainServiceFile) -> float:
+    """Return how long a call may take from its arrival to its answer."""
+    wanted = read_positive_number(request, DEADLINE_HEADER, default=service.deadline_seconds)
+    return min(wanted, service.deadline_seconds)
+
+
 def _check_allowed(service: ModelServiceFile | PlainServiceFile, workspace: WorkspaceId) -> None:
     if service.workspaces and workspace not in service.workspaces:
         log_message("router:forbidden", service=service.name, workspace=workspace)
--- a/egretrouter/daemons/_requests.py
+++ b/egretrouter/daemons/_requests.py
@@ -1,5 +1,6 @@
 """Parse callers' requests and check them against the limits."""
 
+import asyncio
 import hashlib
 import re
 
@@ -58,6 +59,13 @@
     name = "body-too-large"
 
 
+class SlowBodyError(RequestError):
+    """The body did not arrive within the time of the call."""
+
+    status = 408
+    name = "slow-request"
+
+
 class HeadersTooLargeError(RequestError):
     """The headers together are larger than the limit."""
 
@@ -194,15 +202,18 @@
     return number
 
 
-async def read_body(request: web.Request, *, limits: CallerLimits) -> bytes:
+async def read_body(request: web.Request, *, limits: CallerLimits, limit_seconds: float) -> bytes:
     """Read a request's body.
 
-    Raises TooLargeError above the limit.
+    Raises TooLargeError or SlowBodyError above a limit.
     """
     if (request.content_length or 0) > limits.max_body_bytes:
         raise TooLargeError(f"the body is larger than {limits.max_body_bytes} bytes")
     try:
-        return await request.read()
+        async with asyncio.timeout(limit_seconds):
+            return await request.read()
+    except TimeoutError as error:
+        raise SlowBodyError(f"the body did not arrive within {limit_seconds:g} seconds") from error
     except web.HTTPRequestEntityTooLarge as error:
         raise TooLargeError(f"the body is larger than {limits.max_body_bytes} bytes") from error
 
--- a/tests/test_daemon_calls.py
+++ b/tests/test_daemon_calls.py
@@ -13,6 +13,7 @@
 from egretrouter.daemons import RouterService
 from egretrouter.daemons._call_driver import WINDOW_BYTES
 from egretrouter.daemons._caller_stream import MAX_BUFFERED_ANSWER_BYTES
+from egretrouter.daemons._requests import DEADLINE_HEADER
 from egretrouter.demo import Fleet, FleetOptions
 from tests.helpers import wait_until
 from tests.scripted_service import EVENTS, LARGE, ScriptedService
@@ -234,6 +235,21 @@
         await wait_until(lambda: fleet.router.handler.open_calls == 0)
         await wait_until(lambda: fleet.total("cancelled") == 1)
 
+    async def test_slow_body_outlasts_the_deadline_of_its_call(self, fleet: ScriptedFleet) -> None:
+        caller_left = asyncio.Event()
+
+        async def body() -> AsyncIterator[bytes]:
+            yield b"begun"
+            await caller_left.wait()
+
+        headers = {DEADLINE_HEADER: "0.3"}
+        async with asyncio.timeout(5.0), aiohttp.ClientSession() as session:
+            response = await session.post(f"{fleet.url}/x", data=body(), headers=headers)
+            problem = await response.json(content_type=None)
+        caller_left.set()
+        assert (response.status, problem["outcome"]) == (408, "not_run")
+        assert fleet.total("requests") == 0
+
     async def test_disconnected_caller_cancels_its_call_at_the_endpoint(
         self, fleet: ScriptedFleet, session: aiohttp.ClientSession
     ) -> None:
