Compress parts of a configuration between processes of the product's own path

The same class of fault as in the shared state of the direct path: a part of a configuration, up to 1 MB, passed uncompressed to each process that fetches it from the peer that announced it. Parts have content addresses and only changed ones are fetched, so it was never seen to break a bound here.

A peer that does not say that it reads compressed parts gets plain ones; a test has both.

--- a/egretrouter/daemons/_control.py
+++ b/egretrouter/daemons/_control.py
@@ -69,10 +69,11 @@
 from egretrouter.core.membership import Tick as MembershipTick
 from egretrouter.protocol import egretrouter_pb2 as pb
 from egretrouter.protocol import egretrouter_pb2_grpc as pb_grpc
-from egretrouter.transport._rpc import ChannelPool
+from egretrouter.transport import ChannelPool, DeflatedContents, inflate
 
 GOSSIP_TIMEOUT_SECONDS = 1.0
 FETCH_TIMEOUT_SECONDS = 2.0
+MAX_DEFLATED_PARTS = 32
 CONFIGURATION_TICK_SECONDS = 0.5
 LIST_SECONDS = 10.0
 FIRST_LIST_SECONDS = 1.0
@@ -109,6 +110,7 @@
         self._channels = channels
         self._rng = rng
         self._watch: asyncio.Task[None] | None = None
+        self._deflated_parts = DeflatedContents(max_contents=MAX_DEFLATED_PARTS)
         self._background_tasks: set[asyncio.Task[None]] = set()
 
     def set_facts(self, facts: Facts) -> None:
@@ -186,9 +188,14 @@
         for digest in request.wanted_digests:
             content = self.configuration.get_part(Digest(digest))
             if content is not None:
-                reply.parts.add(digest=digest, content=content)
+                reply.parts.append(self._build_part(digest, content, request.accepts_deflate))
         return reply
 
+    def _build_part(self, digest: str, content: bytes, deflated: bool) -> pb.ConfigurationPart:
+        if deflated:
+            content = self._deflated_parts.get(digest, lambda: content)
+        return pb.ConfigurationPart(digest=digest, content=content, deflated=deflated)
+
     def _dispatch_to_membership(self, message: MembershipMessage) -> None:
         for command in self.membership.handle(message, now_seconds=time.monotonic()):
             self._execute_membership_command(command)
@@ -336,7 +343,8 @@
             else:
                 reply = await self._request_from_peer(source, command.digests)
                 for part in reply.parts:
-                    self._dispatch_part(Digest(part.digest), part.content, source, missing)
+                    content = inflate(part.content) if part.deflated else part.content
+                    self._dispatch_part(Digest(part.digest), content, source, missing)
         except (BackendError, grpc.aio.AioRpcError) as error:
             log_message("control:parts_failed", source=source, error=type(error).__name__)
         if missing:
@@ -355,7 +363,9 @@
         address = self._find_address(peer)
         stub = pb_grpc.PeersStub(self._channels.channel(address))
         request = pb.ConfigurationRequest(
-            known_generation=self.configuration.generation, wanted_digests=digests
+            known_generation=self.configuration.generation,
+            wanted_digests=digests,
+            accepts_deflate=True,
         )
         reply: pb.ConfigurationReply = await stub.FetchConfiguration(
             request, metadata=self._channels.metadata, timeout=FETCH_TIMEOUT_SECONDS
--- a/egretrouter/direct/_peer_state.py
+++ b/egretrouter/direct/_peer_state.py
@@ -1,7 +1,6 @@
 """Encode the shared state for peers, and fetch it from them."""
 
 import time
-import zlib
 from typing import Protocol
 
 import grpc
@@ -13,11 +12,9 @@
 from egretrouter.direct._logs import log_event
 from egretrouter.protocol import egretrouter_pb2 as pb
 from egretrouter.protocol import egretrouter_pb2_grpc as pb_grpc
-from egretrouter.transport import MESSAGE_LIMIT_BYTES, ChannelPool
+from egretrouter.transport import ChannelPool, DeflatedContents, deflate, inflate
 
 PEER_TIMEOUT_SECONDS = 1.5
-# Higher levels save little: names of hosts and paths do not repeat, the rest does at any level.
-DEFLATE_LEVEL = 1
 
 
 class SharedState(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
@@ -38,30 +35,28 @@
 
 
 class StateReplies:
-    """Build replies to peers, and keep the one with the newest configuration."""
+    """Build replies to peers."""
 
     def __init__(self, source: StateSource) -> None:
         self._source = source
-        self._kept_version: int | None = None
-        self._kept_reply = pb.StateReply()
+        self._configurations = DeflatedContents(max_contents=1)
 
     def build(self, request: pb.StateRequest) -> pb.StateReply:
         """Build a reply with the requested kinds, compressed if the peer accepts that."""
         state = self._source.export_state({k for k in StateKind if k.value in request.kinds})
-        if not request.accepts_deflate:
-            return pb.StateReply(state=msgspec.msgpack.encode(state))
-        table = state.configuration
-        if table is None or state != SharedState(configuration=table):
-            return _deflated_reply(state)
-        # A version has one content, and many peers ask for a new one within a second.
-        if table.version != self._kept_version:
-            self._kept_version, self._kept_reply = table.version, _deflated_reply(state)
-        return self._kept_reply
 
+        def encode() -> bytes:
+            return msgspec.msgpack.encode(state)
 
-def _deflated_reply(state: SharedState) -> pb.StateReply:
-    data = zlib.compress(msgspec.msgpack.encode(state), DEFLATE_LEVEL)
-    return pb.StateReply(state=data, deflated=True)
+        if not request.accepts_deflate:
+            return pb.StateReply(state=encode())
+        table = state.configuration
+        if table is not None and state == SharedState(configuration=table):
+            # A version has one content, and many peers ask for a new one within a second.
+            data = self._configurations.get(table.version, encode)
+        else:
+            data = deflate(encode())
+        return pb.StateReply(state=data, deflated=True)
 
 
 def decode_reply(reply: pb.StateReply) -> SharedState:
@@ -69,21 +64,13 @@
 
     Raises MalformedAnswerError.
     """
+    data = inflate(reply.state) if reply.deflated else reply.state
     try:
-        data = _inflate(reply.state) if reply.deflated else reply.state
         return msgspec.msgpack.decode(data, type=SharedState)
-    except (zlib.error, msgspec.MsgspecError) as error:
+    except msgspec.MsgspecError as error:
         raise MalformedAnswerError(f"shared state of a peer: {error}") from error
 
 
-def _inflate(data: bytes) -> bytes:
-    decompressor = zlib.decompressobj()
-    content = decompressor.decompress(data, MESSAGE_LIMIT_BYTES)
-    if not decompressor.eof:
-        raise zlib.error(f"incomplete, or more than {MESSAGE_LIMIT_BYTES} bytes")
-    return content
-
-
 class PeerStateClient:
     """Fetch shared state from peers."""
 
--- a/tests/test_recovery.py
+++ b/tests/test_recovery.py
@@ -16,8 +16,10 @@
 from egretrouter.core.weights import Manifest
 from egretrouter.daemons import AgentService, RouterService
 from egretrouter.demo import Fleet, FleetOptions, read_parts
+from egretrouter.protocol import egretrouter_pb2 as pb
 from egretrouter.publishing import publish
 from egretrouter.standins import Outage, expected_answer
+from egretrouter.transport import inflate
 
 EXAMPLES = Path(__file__).parent.parent / "egretrouter" / "examples"
 WAIT_SECONDS = 30.0
@@ -163,6 +165,19 @@
         await eventually(lambda: set(SERVICES) <= router.served_services())
         assert await answers(fleet, router)
 
+    @pytest.mark.parametrize("accepts_deflate", [True, False])
+    async def test_parts_are_compressed_for_peers_that_accept_it(
+        self, fleet: ServingFleet, accepts_deflate: bool
+    ) -> None:
+        control = next(iter(fleet.routers.values())).control
+        assert control.configuration.configuration is not None
+        digests = control.configuration.configuration.index.parts.values()
+        request = pb.ConfigurationRequest(wanted_digests=digests, accepts_deflate=accepts_deflate)
+        reply = control.build_configuration_reply(request)
+        assert {part.deflated for part in reply.parts} == {accepts_deflate}
+        contents = [inflate(p.content) if accepts_deflate else p.content for p in reply.parts]
+        assert contents == [control.configuration.get_part(digest) for digest in digests]
+
     async def test_a_whole_zone_restarts(self, fleet: ServingFleet) -> None:
         fleet.object_api.outage = Outage.DROP
         orders, sent_bytes = fleet.orders(), fleet.origin.sent_bytes
