--- a/egretrouter/core/direct/_fleet.py
+++ b/egretrouter/core/direct/_fleet.py
@@ -139,16 +139,17 @@
             return
         elif member.health is not entry.member.health:
             self._changed.append(member)
+            if member.health is not MemberHealth.ALIVE:
+                # A report comes without what the member says of itself.
+                member = msgspec.structs.replace(entry.member, health=member.health)
         entry.member, entry.changed_seconds = member, now_seconds
+        self._has_news = True
         if member.health is MemberHealth.ALIVE:
             self._unhealthy.pop(member.instance_id, None)
         else:
             self._unhealthy[member.instance_id] = entry
         entry.relays_left = math.ceil(RELAYS_PER_DIGIT * math.log10(len(self._entries) + 2))
 
-    def _set_health(self, entry: _Entry, health: MemberHealth, *, now_seconds: float) -> None:
-        self._merge(msgspec.structs.replace(entry.member, health=health), now_seconds=now_seconds)
-
     def advance(self, *, now_seconds: float) -> list[Send]:
         """Return what follows from changes, unanswered probes and unrefuted suspicions."""
         self._end_suspicions(now_seconds)
@@ -200,9 +201,8 @@
         probed = self._probes.start_round(self._members_not_failed(), now_seconds=now_seconds)
         sends = [_probe(target) for target in probed]
         sends.append(Send(targets=self._round_targets(max(0, FANOUT - len(probed)))))
-        failed = [
-            e.member for e in self._entries.values() if e.member.health is MemberHealth.FAILED
-        ]
+        unhealthy = [entry.member for entry in self._unhealthy.values()]
+        failed = [member for member in unhealthy if member.health is MemberHealth.FAILED]
         if failed:
             # A member that has returned, or whose zone is no longer cut off, objects.
             member = self._rng.choice(failed)
--- a/tests/test_direct_core.py
+++ b/tests/test_direct_core.py
@@ -402,6 +402,13 @@
         self.greet(fleet, self.member("b"), suspicion, now_seconds=1.0)
         assert fleet.own.overrides(suspicion)
 
+    def test_report_keeps_what_the_member_says_of_itself(self) -> None:
+        fleet = self.fleet("a", self.member("b", serving="m/1"))
+        report = self.member("b", health=MemberHealth.SUSPECT)
+        self.greet(fleet, self.member("c"), report, now_seconds=1.0)
+        [member] = [m for m in fleet.live_members() if m.instance_id == "b"]
+        assert (member.serving, member.health) == ("m/1", MemberHealth.SUSPECT)
+
     def test_update_is_sent_to_every_zone(self) -> None:
         fleet = self.fleet(
             "a",
--- a/tests/test_fleet_gossip.py
+++ b/tests/test_fleet_gossip.py
@@ -7,7 +7,7 @@
 from tests.fleet_world import STARTED_MS, FleetWorld
 
 SETTLE_SECONDS = 10.0
-DETECTION_SECONDS = 6.0
+DETECTION_SECONDS = 5.0
 CONTROL_BYTES_PER_SECOND = 16 * 1024
 FIRST_ROUTER = InstanceId("router-z0-000")
 
@@ -46,7 +46,7 @@
         changed = world.fleets[FIRST_ROUTER]
         changed.update_own(serving="model/2")
         world.greet(changed, [changed.announcement()])
-        world.run(3.0)
+        world.run(1.5)
         others = [fleet for fleet in world.running() if fleet is not changed]
         serving = {
             member.serving
