Move the admission of calls out of the callers' handler

Reading a request, its checks against the configuration and the time its body may take are a job of their own now. Nothing changes in what is answered.

--- a/egretrouter/direct/_callers.py
+++ b/egretrouter/direct/_callers.py
@@ -11,29 +11,22 @@
 from egretrouter.core.direct import (
     CallKind,
     Choice,
-    DirectCall,
-    EventSplitter,
     NextStep,
     NoEndpointAvailable,
     Placement,
     RepeatBudget,
-    Route,
-    RouteIndex,
     SendEnded,
     SendOutcome,
-    Workspace,
-    choose_service,
 )
 from egretrouter.core.errors import Outcome
 from egretrouter.direct._active_call import ActiveCall
+from egretrouter.direct._admission import CallAdmission
 from egretrouter.direct._choices import EndpointChoices
 from egretrouter.direct._logs import log_event
 from egretrouter.direct._metrics import CallMetrics
 from egretrouter.direct._refusals import (
     Refusal,
-    check_header_size,
     problem_answer,
-    read_body,
 )
 from egretrouter.direct._sends import CompleteAnswer, OpenAnswer, OutgoingCall, Sender, SendError
 from egretrouter.direct._shared_state import SharedStateService
@@ -45,7 +38,6 @@
 # An event stream is resumed at another endpoint after this many allowed gaps without data.
 STALL_GAPS = 4.0
 MIN_STALL_SECONDS = 1.0
-NO_CONFIGURATION_RETRY_SECONDS = 0.5
 
 
 class CallerHandler:
@@ -70,10 +62,8 @@
         self._sender = sender
         self._dialect = dialect
         self._metrics = metrics
-        self._rng = rng
+        self._admission = CallAdmission(state=state, rng=rng)
         self._choices = EndpointChoices(state=state, placement=placement, rng=rng)
-        self._longest_deadlines: dict[str, float] = {}
-        """The longest deadline that callers have set, by route."""
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one request and return the response."""
@@ -82,7 +72,9 @@
         headers = CallHeaders(call_id=request.headers.get("X-Request-Id", ""))
         try:
             headers = self._dialect.read_call(request.headers)
-            call = await self._admit(request, headers, arrived)
+            call = await self._admission.admit(request, headers, arrived_seconds=arrived)
+            if call.service.engine is not None:
+                self._placement.record_arrival(now_seconds=arrived)
             response = await self._run(call)
         except CallHeadersError as error:
             response = self._refuse(request, headers, Refusal(400, str(error)))
@@ -98,66 +90,6 @@
             response.force_close()
         return response
 
-    async def _admit(
-        self, request: web.BaseRequest, headers: CallHeaders, arrived: float
-    ) -> ActiveCall:
-        routes = self._state.routes
-        if routes is None or not self._state.complete:
-            raise Refusal(
-                503, "no configuration yet", retry_after_seconds=NO_CONFIGURATION_RETRY_SECONDS
-            )
-        check_header_size(request, routes.table.limits.header_bytes)
-        route = routes.find_route(
-            request.headers.get("Host", ""), request.raw_path.partition("?")[0]
-        )
-        if route is None:
-            raise Refusal(404, f"no route for {request.headers.get('Host')}{request.path}")
-        workspace = self._authenticate(routes, route, headers)
-        limit = headers.deadline_seconds
-        timeout = route.timeout_seconds if limit is None else min(limit, route.timeout_seconds)
-        content = await read_body(
-            request,
-            limit_bytes=routes.table.limits.body_bytes,
-            limit_seconds=arrived + timeout - time.monotonic(),
-        )
-        late = self._is_late(route, headers)
-        service = routes.get_service(choose_service(route, self._rng))
-        if service.engine is not None:
-            self._placement.record_arrival(now_seconds=arrived)
-        return ActiveCall(
-            late=late,
-            request=request,
-            headers=headers,
-            route=route,
-            workspace=workspace,
-            service=service,
-            content=content,
-            arrived_seconds=arrived,
-            deadline_seconds=arrived + timeout,
-            progress=DirectCall(route),
-            cutter=EventSplitter(last_id=headers.resume_after),
-        )
-
-    def _is_late(self, route: Route, headers: CallHeaders) -> bool:
-        """Return whether this is a retry past the latency target.
-
-        A retry has less time left than the longest deadline that callers set on the route.
-        """
-        left = headers.deadline_seconds
-        if left is None:
-            return False
-        longest = max(left, self._longest_deadlines.get(route.name, 0.0))
-        self._longest_deadlines[route.name] = longest
-        return longest - left > route.latency_target_seconds
-
-    def _authenticate(
-        self, routes: RouteIndex, route: Route, headers: CallHeaders
-    ) -> Workspace | None:
-        workspace = routes.find_workspace(headers.key)
-        if routes.keys_required and workspace is None and not route.public:
-            raise Refusal(401, "the key is unknown")
-        return workspace
-
     async def _run(self, call: ActiveCall) -> web.StreamResponse:
         try:
             async with asyncio.timeout_at(
