Move staging and loading of weights out of the agent

Moving chunks between its memory and the stage of its engine, and the order to load them, need only the engine and the memory. Nothing changes in what they do.

--- a/egretrouter/direct/_agent.py
+++ b/egretrouter/direct/_agent.py
@@ -11,7 +11,6 @@
 
 from egretrouter.backends import (
     EngineState,
-    OrderAnswer,
     StagedEngine,
     StateKind,
     StateStore,
@@ -27,10 +26,8 @@
 )
 from egretrouter.core.errors import (
     BackendError,
-    CorruptedChunkError,
-    LostAnswerError,
 )
-from egretrouter.core.identifiers import ChunkIndex, Digest, ModelName, VersionName
+from egretrouter.core.identifiers import Digest, ModelName, VersionName
 from egretrouter.core.rollout import VersionReference
 from egretrouter.core.weights import ChunkMemory, Manifest, Peer
 from egretrouter.daemons._copies import CopyService
@@ -42,6 +39,7 @@
 from egretrouter.direct._manifests import ManifestFinder
 from egretrouter.direct._process import DirectProcess
 from egretrouter.direct._settings import DirectSettings
+from egretrouter.direct._staging import WeightStaging
 from egretrouter.protocol import egretrouter_pb2 as pb
 
 REPORT_SECONDS = 0.1
@@ -108,6 +106,7 @@
         )
         self.copies.on_ready = self._record_complete
         self._engine = engine
+        self._staging = WeightStaging(engine, memory=self.copies.memory)
         self._manifest_finder = ManifestFinder(
             origin=origin,
             fleet=self.fleet,
@@ -323,7 +322,7 @@
             self._manifests[model, version] = manifest
             self._switches[model].copy_seconds = copy_seconds(self.settings, manifest)
             self._announce_copies()
-            await self._reuse_staged_chunks(model, manifest, digest)
+            await self._staging.reuse_staged(model, manifest, digest)
         if (model, version) not in self._active_copies:
             # The copy was paused while the manifest was obtained.
             return
@@ -341,76 +340,16 @@
             )
         )
 
-    async def _reuse_staged_chunks(
-        self, model: ModelName, manifest: Manifest, digest: Digest
-    ) -> None:
-        """Add chunks that are already staged at the engine's instance to the chunk memory."""
-        memory = self.copies.memory
-        memory.reserve(digest, weight_bytes=manifest.weight_bytes)
-        reused = 0
-        for number in range(len(manifest.chunks)):
-            index = ChunkIndex(number)
-            try:
-                content = await self._engine.read_staged(model, index)
-                if content is None:
-                    break
-                manifest.verify_chunk(index, content)
-            except CorruptedChunkError:
-                # A mismatch of the first chunk means that another version is staged.
-                if number == 0:
-                    break
-                continue
-            except BackendError as error:
-                log_event("weights:staged_unreadable", model=model, error=str(error))
-                break
-            memory.put(digest, index, content)
-            reused += 1
-        if reused:
-            log_event("weights:staged_found", model=model, chunks=reused)
-
     def _record_complete(self, digest: Digest) -> None:
         self._complete.add(digest)
 
     async def _load_version(self, model: ModelName, version: int, state: EngineState) -> None:
-        """Stage the chunks, verify them by reading them back, and order the engine to load."""
         manifest = self._manifests[model, version]
         if manifest.digest not in self._complete:
             return
-        started = time.monotonic()
-        for number, content in enumerate(self.copies.memory.contents(manifest.digest)):
-            index = ChunkIndex(number)
-            if not await self._is_staged(model, manifest, index):
-                await self._engine.stage(model, index, content)
-        for number in range(len(manifest.chunks)):
-            if not await self._is_staged(model, manifest, ChunkIndex(number)):
-                log_event("weights:staging_spoilt", model=model, chunk=number)
-                return
-        try:
-            answer = await self._engine.load(model, version, orders=state.orders, interrupt=False)
-        except LostAnswerError as error:
-            # The engine's next report shows whether the order was accepted.
-            log_event("weights:order_lost", model=model, version=version, error=str(error))
-            return
-        log_event(
-            "weights:ordered",
-            model=model,
-            version=version,
-            answer=answer.value,
-            staging_seconds=round(time.monotonic() - started, 3),
-        )
-        if answer is OrderAnswer.ACCEPTED:
+        if await self._staging.load(model, version, manifest, state):
             self._engine_state = msgspec.structs.replace(state, busy=True)
 
-    async def _is_staged(self, model: ModelName, manifest: Manifest, index: ChunkIndex) -> bool:
-        content = await self._engine.read_staged(model, index)
-        if content is None:
-            return False
-        try:
-            manifest.verify_chunk(index, content)
-        except CorruptedChunkError:
-            return False
-        return True
-
     def dump(self) -> dict[str, Any]:
         """Return the state of the process for the state dump."""
         return {
