Hand the watch over when the store does not answer the watcher

No change reached anyone while the store refused or ignored just the processes that watched it, though it answered all others.

Cause: the watcher of a zone was chosen by whether it lives, not by whether the store answers it. Where the watchers of all zones are among the processes that the store turns away, nobody lists anything.

A watcher whose calls to the store fail twice in a row says so in its record, the next one of its zone takes over, and the first tries the store every 1.6 s or so and takes the watch back when it answers.

--- a/egretrouter/core/direct/_fleet.py
+++ b/egretrouter/core/direct/_fleet.py
@@ -273,18 +273,15 @@
         return same_zone + self._pick_one_per_zone(other_zones)
 
     def watch_rank(self) -> int:
-        """Return this process's rank among those of its zone that may watch the store.
-
-        Routers rank before agents because they need more of the store's state.
-        """
-        own = (self.own.role is FleetRole.AGENT, self.own.instance_id)
+        """Return this process's rank among those of its zone that may watch the store."""
+        own = _watch_order(self.own)
         return sum(
             1
             for member in self.live_members()
             if member.zone == self.own.zone
             and not member.leaving
             and member.health is MemberHealth.ALIVE
-            and (member.role is FleetRole.AGENT, member.instance_id) < own
+            and _watch_order(member) < own
         )
 
 
@@ -297,3 +294,8 @@
 
 def _probe(target: FleetMember) -> Send:
     return Send(targets=(target,), wants_answer=True)
+
+
+def _watch_order(member: FleetMember) -> tuple[bool, bool, InstanceId]:
+    # Routers go before agents because they need more of the store's state.
+    return member.store_lost, member.role is FleetRole.AGENT, member.instance_id
--- a/egretrouter/core/direct/_members.py
+++ b/egretrouter/core/direct/_members.py
@@ -40,6 +40,8 @@
     serving: str = ""
     """The model and version that an agent's engine serves, as MODEL/VERSION."""
     health: MemberHealth = MemberHealth.ALIVE
+    store_lost: bool = False
+    """Whether the store does not answer this process."""
 
     def overrides(self, other: "FleetMember") -> bool:
         """Return whether this record is to replace another one of the same process."""
--- a/egretrouter/direct/_store_watch.py
+++ b/egretrouter/direct/_store_watch.py
@@ -1,5 +1,6 @@
 """Watch and list the shared state at the store, in few processes of each zone."""
 
+import contextlib
 import random
 import time
 from typing import Any, Protocol
@@ -22,6 +23,7 @@
 WATCH_LIMIT_SECONDS = 25.0
 RETRY_FIRST_SECONDS = 0.1
 RETRY_LIMIT_SECONDS = 1.6
+LOST_FAILURES = 2
 WATCHERS_PER_ZONE = 1
 RANK_SECONDS = 0.3
 JOIN_LIMIT_SECONDS = 0.3
@@ -74,12 +76,15 @@
         self._watch_seconds = min(WATCH_LIMIT_SECONDS, WATCH_HISTORY_SHARE * history_seconds)
         self._elected = False
         """Whether this process was among its zone's watchers when that was last checked."""
+        self._failures = 0
+        """Calls to the store that failed in a row, of any kind."""
 
     async def on_start(self) -> None:
         """Start to watch and poll each kind."""
         for kind in self._kinds:
             self.add_future(self._watch(kind))
             self.add_future(self._poll(kind))
+        self.add_future(self._try_lost_store())
 
     def is_watcher(self, kind: StateKind) -> bool:
         """Return whether this process watches a kind at the store."""
@@ -117,6 +122,7 @@
                 revision = None
             except BackendError as error:
                 failures += 1
+                self._record_failure()
                 log_event("store:lost", kind=kind.value, failures=failures, error=str(error))
                 # After one failure the watch continues from its last revision. After more, the
                 # store may have been unavailable and registrations may have expired.
@@ -125,6 +131,7 @@
                 delay = min(RETRY_FIRST_SECONDS * 2.0 ** (failures - 1), RETRY_LIMIT_SECONDS)
                 await self.sleep(delay * (0.5 + self._rng.random()))
             else:
+                self._record_success()
                 if failures:
                     log_event("store:regained", kind=kind.value, failures=failures)
                 failures = 0
@@ -163,6 +170,7 @@
                 await self._list(kind, after_outage=outage)
             except BackendError as error:
                 outage = True
+                self._record_failure()
                 log_event("store:poll_failed", kind=kind.value, error=str(error))
                 await self.sleep(RETRY_LIMIT_SECONDS * self._rng.random())
             else:
@@ -172,9 +180,33 @@
 
     async def _list(self, kind: StateKind, *, after_outage: bool) -> int:
         listing = await self._store.list_state(kind)
+        self._record_success()
         self._sink.apply_listing(kind, listing, after_outage=after_outage)
         return listing.revision
 
+    def _record_failure(self) -> None:
+        """Leave the watch to another process of the zone if the store may answer that one."""
+        self._failures += 1
+        if self._failures >= LOST_FAILURES and self.rank() == 0:
+            self._set_store_lost(True)
+
+    def _record_success(self) -> None:
+        self._failures = 0
+        self._set_store_lost(False)
+
+    def _set_store_lost(self, lost: bool) -> None:
+        if self._fleet.fleet.own.store_lost is not lost:
+            log_event("state:watch_handed_over" if lost else "state:watch_possible")
+            self._fleet.announce(store_lost=lost)
+
+    async def _try_lost_store(self) -> None:
+        """Find out when the store answers again, while other processes watch."""
+        while not self.should_stop:
+            await self.sleep(RETRY_LIMIT_SECONDS * (0.5 + self._rng.random()))
+            if self._fleet.fleet.own.store_lost:
+                with contextlib.suppress(BackendError):
+                    await self._list(StateKind.WEIGHTS, after_outage=True)
+
 
 def _is_behind(changes: StateChanges) -> bool:
     """Return whether most of the changes were superseded by others before they arrived.
--- a/tests/test_shared_state_spread.py
+++ b/tests/test_shared_state_spread.py
@@ -11,7 +11,10 @@
 CONFIGURATION_SECONDS = 3.0
 """A confirmed change is in force at every router within this time."""
 SETTLE_SECONDS = 16.0
+TAKEOVER_SECONDS = 4.0
 LARGE_ROUTES = 1650
+ROUTERS = 24
+"""Routers of each zone."""
 
 StartFleet = Callable[..., Awaitable[SharedStateWorld]]
 
@@ -39,7 +42,7 @@
     async def start(loop: VirtualLoop, *, routes: int = 240) -> SharedStateWorld:
         world = SharedStateWorld(loop, monkeypatch, seed=1)
         world.store.publish(build_table(1, routes=routes))
-        await world.start(zones=3, routers=24, agents=13)
+        await world.start(zones=3, routers=ROUTERS, agents=13)
         await asyncio.sleep(SETTLE_SECONDS)
         return world
 
@@ -77,12 +80,17 @@
 
         assert run_virtual(main) <= CONFIGURATION_SECONDS
 
-    def test_zone_whose_watcher_gets_no_answer_from_the_store(
-        self, large_fleet: StartFleet
+    @pytest.mark.parametrize("watchers", [1, 3])
+    def test_store_does_not_answer_the_watchers(
+        self, large_fleet: StartFleet, watchers: int
     ) -> None:
+        """Changes stopped while the store answered all processes but those that watched."""
+
         async def main(loop: VirtualLoop) -> float:
             world = await large_fleet(loop)
-            world.store.unreachable.add(world.routers[-24])
+            first_routers = world.routers[::ROUTERS]
+            world.store.unreachable.update(first_routers[:watchers])
+            await asyncio.sleep(TAKEOVER_SECONDS)
             published = await publish_series(
                 world, loop, count=5, gap_seconds=3.0, routes=LARGE_ROUTES
             )
