Probe a quiet zone through two of its members at once

Cause: the other zones took up to 5 s to notice, because each process probed one zone at a time, one member after the other, and agents went on asking unreachable ones for chunks.

A zone that was not heard for a second is probed through two of its members at once, and counts as cut off when neither answers two attempts; any greeting from it ends that. Probes and answers carry news only.

--- a/egretrouter/core/direct/_fleet.py
+++ b/egretrouter/core/direct/_fleet.py
@@ -45,6 +45,8 @@
     """Records that the greeting must contain."""
     wants_answer: bool = False
     wants_verification: bool = False
+    only_news: bool = False
+    """Whether to leave out records that did not change lately, to spare links between regions."""
 
 
 class _Entry:
@@ -98,7 +100,7 @@
         """Record what a greeting says, and return the greetings to send in response."""
         sender = greeting.sender
         self._merge(sender, now_seconds=now_seconds)
-        self._probes.record_answer(sender)
+        self._probes.record_greeting(sender, now_seconds=now_seconds)
         sends = []
         for member in greeting.others:
             if member.instance_id == self.own.instance_id:
@@ -114,7 +116,7 @@
             # instance had a later clock; its objection ends that everywhere.
             sends.append(Send(targets=(sender,), about=(entry.member,)))
         elif greeting.wants_answer:
-            sends.append(Send(targets=(sender,)))
+            sends.append(Send(targets=(sender,), only_news=sender.zone != self.own.zone))
         return sends
 
     def _defend(self, reported: FleetMember, reporter: FleetMember) -> list[Send]:
@@ -176,14 +178,9 @@
         sends = []
         for overdue in self._probes.take_overdue(now_seconds=now_seconds):
             if overdue.repeats:
-                sends.append(_probe(overdue.target))
-            elif overdue.target.zone == self.own.zone and not self._probes.isolated:
-                # For others a failed member looks like one whose zone is cut off.
-                sends += self._suspect(overdue.target.instance_id, now_seconds)
-        if self._probes.doubts_a_zone:
-            members = self._members_not_failed()
-            doubted = self._probes.continue_doubt(members, now_seconds=now_seconds)
-            sends += [_probe(target) for target in doubted]
+                sends.append(_probe(*overdue.targets))
+            elif overdue.targets[0].zone == self.own.zone and not self._probes.isolated:
+                sends += self._suspect(overdue.targets[0].instance_id, now_seconds)
         return sends
 
     def _suspect(self, instance_id: InstanceId, now_seconds: float) -> list[Send]:
@@ -200,7 +197,7 @@
         """Return the greetings to send in this round, one of them a probe."""
         probed = self._probes.start_round(self._members_not_failed(), now_seconds=now_seconds)
         sends = [_probe(target) for target in probed]
-        sends.append(Send(targets=self._round_targets(max(0, FANOUT - len(probed)))))
+        sends.append(Send(targets=self._round_targets(FANOUT - 1)))
         unhealthy = [entry.member for entry in self._unhealthy.values()]
         failed = [member for member in unhealthy if member.health is MemberHealth.FAILED]
         if failed:
@@ -244,7 +241,7 @@
         for entry in reports[:RELAYED_SUSPICIONS] + changes[:RELAYED_MEMBERS]:
             entry.relays_left -= len(send.targets)
             chosen.setdefault(entry.member.instance_id, _without_details(entry.member))
-        if len(chosen) < RELAYED_MEMBERS:
+        if len(chosen) < RELAYED_MEMBERS and not send.only_news:
             # Failed members too, for those that missed the report.
             members = [entry.member for entry in self._entries.values()]
             for member in self._sample(members, RELAYED_MEMBERS - len(chosen)):
@@ -292,8 +289,8 @@
     return msgspec.structs.replace(member, copies=(), serving="")
 
 
-def _probe(target: FleetMember) -> Send:
-    return Send(targets=(target,), wants_answer=True)
+def _probe(*targets: FleetMember) -> Send:
+    return Send(targets=targets, wants_answer=True, only_news=True)
 
 
 def _watch_order(member: FleetMember) -> tuple[bool, bool, InstanceId]:
--- a/egretrouter/core/direct/_probes.py
+++ b/egretrouter/core/direct/_probes.py
@@ -1,4 +1,4 @@
-"""Probe other processes in turn, to find members and zones that no longer answer."""
+"""Probe other processes, to find members and zones that no longer answer."""
 
 import random
 from collections.abc import Sequence
@@ -10,55 +10,55 @@
 
 PROBE_TIMEOUT_SECONDS = 0.3
 PROBE_ATTEMPTS = 2
-# Another zone is probed once in so many rounds, because links between regions are narrow.
-REMOTE_PROBE_ROUNDS = 2
-# After this many failed probes in a row, the fault is not one of single members.
-FAILURES_OF_A_ZONE = 3
+# A zone that has not been heard for this long is probed, through several of its members.
+QUIET_ZONE_SECONDS = 1.0
+ZONE_PROBES = 2
+# After this many failed probes in a row, the process itself is cut off.
+ISOLATION_FAILURES = 3
 
 
 class _Probe(msgspec.Struct, kw_only=True):
-    target: FleetMember
+    zone: ZoneId
+    targets: tuple[FleetMember, ...]
     sent_seconds: float
     attempts: int = 1
 
 
 class OverdueProbe(msgspec.Struct, frozen=True, kw_only=True):
-    """Name a member that did not answer in time, and whether to give it another attempt."""
+    """Name members that did not answer in time, and whether to give them another attempt."""
 
-    target: FleetMember
+    targets: tuple[FleetMember, ...]
     repeats: bool
 
 
 class ProbeSchedule:
-    """Choose the members to probe, and decide when a probe has failed."""
+    """Choose the members to probe, and decide when a probe has failed.
+
+    A member of the own zone is probed for itself; members of another zone are probed only to find
+    out whether any of them answers.
+    """
 
     def __init__(self, *, instance_id: InstanceId, zone: ZoneId, rng: random.Random) -> None:
         self._instance_id = instance_id
         self._zone = zone
         self._rng = rng
         self._rounds = 0
-        self._zone_turns: list[ZoneId] = []
-        """Other zones left to probe before each of them has had its turn."""
-        self._open: dict[bool, _Probe] = {}
-        """The unanswered probes, of this zone (False) and of another one (True)."""
-        self._failures: dict[ZoneId, int] = {}
-        """Failed probes of each zone since one of its members last sent a greeting."""
-        self._doubted_zone: ZoneId | None = None
-        """The other zone of the last failed probe, which is probed again at once."""
+        self._open: dict[ZoneId, _Probe] = {}
+        """The unanswered probe of each zone."""
+        self._heard_seconds: dict[ZoneId, float] = {}
+        """When a member of each other zone last sent a greeting, or the zone became known."""
+        self._unreachable: set[ZoneId] = set()
+        self._failures = 0
+        """Failed probes since a member of the own zone last sent a greeting."""
 
     @property
     def isolated(self) -> bool:
         """Return whether this process itself seems to be cut off from its zone."""
-        return self._failures.get(self._zone, 0) >= FAILURES_OF_A_ZONE
-
-    @property
-    def doubts_a_zone(self) -> bool:
-        """Return whether the last probe of another zone failed, and the zone must be probed on."""
-        return self._doubted_zone is not None
+        return self._failures >= ISOLATION_FAILURES
 
     def is_reachable(self, zone: ZoneId) -> bool:
         """Return whether members of a zone answer."""
-        return zone == self._zone or self._failures.get(zone, 0) < FAILURES_OF_A_ZONE
+        return zone not in self._unreachable
 
     def start_round(
         self, members: Sequence[FleetMember], *, now_seconds: float
@@ -66,27 +66,16 @@
         """Begin the probes of one round and return their targets."""
         self._rounds += 1
         own = [member for member in members if member.zone == self._zone]
-        targets = []
-        if own and False not in self._open:
-            targets.append(self._begin(self._pick_in_zone(own), now_seconds))
-        if self._rounds % REMOTE_PROBE_ROUNDS == 0:
-            targets += self._probe_zone(self._next_zone(members), members, now_seconds)
+        targets: list[FleetMember] = []
+        if own and self._zone not in self._open:
+            targets += self._begin(self._zone, [self._pick_in_zone(own)], now_seconds)
+        zone = self._quietest_zone(members, now_seconds)
+        if zone is not None:
+            candidates = [member for member in members if member.zone == zone]
+            chosen = self._rng.sample(candidates, min(ZONE_PROBES, len(candidates)))
+            targets += self._begin(zone, chosen, now_seconds)
         return targets
 
-    def continue_doubt(
-        self, members: Sequence[FleetMember], *, now_seconds: float
-    ) -> list[FleetMember]:
-        """Begin the next probe of a zone whose last probe failed, without waiting for a round."""
-        return self._probe_zone(self._doubted_zone, members, now_seconds)
-
-    def _probe_zone(
-        self, zone: ZoneId | None, members: Sequence[FleetMember], now_seconds: float
-    ) -> list[FleetMember]:
-        candidates = [member for member in members if member.zone == zone]
-        if True in self._open or not candidates:
-            return []
-        return [self._begin(self._rng.choice(candidates), now_seconds)]
-
     def _pick_in_zone(self, members: list[FleetMember]) -> FleetMember:
         # Each member has one predecessor that probes it regularly, so that a failure is found in
         # time; the random ones find it where the predecessor failed as well.
@@ -95,29 +84,39 @@
         after = [member for member in members if member.instance_id > self._instance_id]
         return min(after or members, key=lambda member: member.instance_id)
 
-    def _next_zone(self, members: Sequence[FleetMember]) -> ZoneId | None:
-        if not self._zone_turns:
-            self._zone_turns = sorted({member.zone for member in members} - {self._zone})
-            self._rng.shuffle(self._zone_turns)
-        return self._zone_turns.pop() if self._zone_turns else None
-
-    def _begin(self, target: FleetMember, now_seconds: float) -> FleetMember:
-        self._open[target.zone != self._zone] = _Probe(target=target, sent_seconds=now_seconds)
-        return target
+    def _quietest_zone(self, members: Sequence[FleetMember], now_seconds: float) -> ZoneId | None:
+        zones = {member.zone for member in members} - {self._zone}
+        quiet = [
+            (heard, zone)
+            for zone in zones
+            if now_seconds - (heard := self._heard_seconds.setdefault(zone, now_seconds))
+            >= QUIET_ZONE_SECONDS
+            and zone not in self._open
+        ]
+        return min(quiet)[1] if quiet else None
+
+    def _begin(
+        self, zone: ZoneId, targets: list[FleetMember], now_seconds: float
+    ) -> list[FleetMember]:
+        self._open[zone] = _Probe(zone=zone, targets=tuple(targets), sent_seconds=now_seconds)
+        return targets
 
-    def record_answer(self, sender: FleetMember) -> None:
+    def record_greeting(self, sender: FleetMember, *, now_seconds: float) -> None:
         """Record that a member sent a greeting."""
-        self._failures.pop(sender.zone, None)
-        if self._doubted_zone == sender.zone:
-            self._doubted_zone = None
-        probe = self._open.get(sender.zone != self._zone)
-        if probe is not None and probe.target.instance_id == sender.instance_id:
-            del self._open[sender.zone != self._zone]
+        if sender.zone != self._zone:
+            self._heard_seconds[sender.zone] = now_seconds
+            self._unreachable.discard(sender.zone)
+            self._open.pop(sender.zone, None)
+            return
+        self._failures = 0
+        probe = self._open.get(self._zone)
+        if probe is not None and probe.targets[0].instance_id == sender.instance_id:
+            del self._open[self._zone]
 
     def take_overdue(self, *, now_seconds: float) -> list[OverdueProbe]:
         """Return the probes that were not answered in time, and end those without attempts left."""
         overdue = []
-        for is_remote, probe in list(self._open.items()):
+        for zone, probe in list(self._open.items()):
             if now_seconds - probe.sent_seconds < PROBE_TIMEOUT_SECONDS:
                 continue
             repeats = probe.attempts < PROBE_ATTEMPTS
@@ -125,12 +124,15 @@
                 probe.attempts += 1
                 probe.sent_seconds = now_seconds
             else:
-                del self._open[is_remote]
-                self._record_failure(probe.target.zone)
-            overdue.append(OverdueProbe(target=probe.target, repeats=repeats))
+                del self._open[zone]
+                self._record_failure(zone)
+            overdue.append(OverdueProbe(targets=probe.targets, repeats=repeats))
         return overdue
 
     def _record_failure(self, zone: ZoneId) -> None:
-        failures = self._failures[zone] = self._failures.get(zone, 0) + 1
-        if zone != self._zone:
-            self._doubted_zone = zone if failures < FAILURES_OF_A_ZONE else None
+        if zone == self._zone:
+            self._failures += 1
+        else:
+            self._unreachable.add(zone)
+            # The other quiet zones get their turn before this one is probed again.
+            self._heard_seconds[zone] += QUIET_ZONE_SECONDS
