--- a/egretrouter/core/direct/__init__.py
+++ b/egretrouter/core/direct/__init__.py
@@ -8,7 +8,7 @@
     WeightTargets,
 )
 from egretrouter.core.direct._events import EventSplitter
-from egretrouter.core.direct._fleet import Fleet, Send
+from egretrouter.core.direct._fleet import Fleet, SendGreeting
 from egretrouter.core.direct._members import (
     FleetMember,
     FleetRole,
@@ -74,7 +74,7 @@
     "Route",
     "RouteIndex",
     "RoutingTable",
-    "Send",
+    "SendGreeting",
     "SendEnded",
     "SendOutcome",
     "Service",
--- a/egretrouter/core/direct/_fleet.py
+++ b/egretrouter/core/direct/_fleet.py
@@ -1,7 +1,7 @@
 """Track the system's other processes by gossip and probes.
 
 A process counts as live until probes find that it does not answer, not only as long as news of it
-arrives: in a large fleet news of one process is too rare for that. What a process sends grows
+arrives: in a large fleet news of one process is too rare for that. What a process greetings grows
 with the number of changes, not with the number of processes. Each zone probes its own members;
 of another zone a process finds out only whether any of it answers.
 """
@@ -37,7 +37,7 @@
 REMOTE_SHARE = 0.3
 
 
-class Send(msgspec.Struct, frozen=True, kw_only=True):
+class SendGreeting(msgspec.Struct, frozen=True, kw_only=True):
     """Request to send a greeting to some members."""
 
     targets: tuple[FleetMember, ...]
@@ -96,38 +96,40 @@
         changed, self._changed = self._changed, []
         return changed
 
-    def handle_greeting(self, greeting: Greeting, *, now_seconds: float) -> list[Send]:
+    def handle_greeting(self, greeting: Greeting, *, now_seconds: float) -> list[SendGreeting]:
         """Record what a greeting says, and return the greetings to send in response."""
         sender = greeting.sender
         self._merge(sender, now_seconds=now_seconds)
         self._probes.record_greeting(sender, now_seconds=now_seconds)
-        sends = []
+        greetings = []
         for member in greeting.others:
             if member.instance_id == self.own.instance_id:
-                sends += self._defend(member, sender)
+                greetings += self._defend(member, sender)
             else:
                 self._merge(member, now_seconds=now_seconds)
         if greeting.wants_verification:
             suspects = [m for m in greeting.others if m.health is MemberHealth.SUSPECT]
-            sends += [Send(targets=(m,), about=(m,)) for m in suspects]
+            greetings += [SendGreeting(targets=(m,), about=(m,)) for m in suspects]
         entry = self._entries.get(sender.instance_id)
         if entry is not None and entry.member.overrides(sender):
             # The sender does not know that it is suspected, or that a former process of its
             # instance had a later clock; its objection ends that everywhere.
-            sends.append(Send(targets=(sender,), about=(entry.member,)))
+            greetings.append(SendGreeting(targets=(sender,), about=(entry.member,)))
         elif greeting.wants_answer:
-            sends.append(Send(targets=(sender,), only_news=sender.zone != self.own.zone))
-        return sends
+            greetings.append(
+                SendGreeting(targets=(sender,), only_news=sender.zone != self.own.zone)
+            )
+        return greetings
 
-    def _defend(self, reported: FleetMember, reporter: FleetMember) -> list[Send]:
+    def _defend(self, reported: FleetMember, reporter: FleetMember) -> list[SendGreeting]:
         """Object to a report about this process that is not its own."""
         if not reported.overrides(self.own):
             suspected = reported.health is not MemberHealth.ALIVE
-            return [Send(targets=(reporter,))] if suspected else []
+            return [SendGreeting(targets=(reporter,))] if suspected else []
         self.own = msgspec.structs.replace(
             self.own, started_ms=reported.started_ms, revision=reported.revision + 1
         )
-        return [Send(targets=(reporter,)), self.announcement()]
+        return [SendGreeting(targets=(reporter,)), self.announcement()]
 
     def _merge(self, member: FleetMember, *, now_seconds: float) -> None:
         """Store a record that overrides the known one, and relay it soon."""
@@ -152,15 +154,15 @@
             self._unhealthy[member.instance_id] = entry
         entry.relays_left = math.ceil(RELAYS_PER_DIGIT * math.log10(len(self._entries) + 2))
 
-    def advance(self, *, now_seconds: float) -> list[Send]:
+    def advance(self, *, now_seconds: float) -> list[SendGreeting]:
         """Return what follows from changes, unanswered probes and unrefuted suspicions."""
         self._end_suspicions(now_seconds)
-        sends = self._check_probes(now_seconds)
+        greetings = self._check_probes(now_seconds)
         if self._has_news:
             # Changes are relayed at once; waiting for the next round would add seconds.
-            sends.append(Send(targets=self._round_targets(FANOUT)))
+            greetings.append(SendGreeting(targets=self._round_targets(FANOUT)))
             self._has_news = False
-        return sends
+        return greetings
 
     def _end_suspicions(self, now_seconds: float) -> None:
         for instance_id, entry in list(self._unhealthy.items()):
@@ -174,16 +176,16 @@
                 del self._entries[instance_id]
                 del self._unhealthy[instance_id]
 
-    def _check_probes(self, now_seconds: float) -> list[Send]:
-        sends = []
+    def _check_probes(self, now_seconds: float) -> list[SendGreeting]:
+        greetings = []
         for overdue in self._probes.take_overdue(now_seconds=now_seconds):
             if overdue.repeats:
-                sends.append(_probe(*overdue.targets))
+                greetings.append(_probe(*overdue.targets))
             elif overdue.targets[0].zone == self.own.zone and not self._probes.isolated:
-                sends += self._suspect(overdue.targets[0].instance_id, now_seconds)
-        return sends
+                greetings += self._suspect(overdue.targets[0].instance_id, now_seconds)
+        return greetings
 
-    def _suspect(self, instance_id: InstanceId, now_seconds: float) -> list[Send]:
+    def _suspect(self, instance_id: InstanceId, now_seconds: float) -> list[SendGreeting]:
         entry = self._entries.get(instance_id)
         if entry is None or entry.member.health is not MemberHealth.ALIVE:
             return []
@@ -191,20 +193,20 @@
         self._merge(suspect, now_seconds=now_seconds)
         others = [member for member in self.live_members() if member.instance_id != instance_id]
         verifiers = tuple(self._sample(others, VERIFIERS))
-        return [Send(targets=verifiers, about=(suspect,), wants_verification=True)]
+        return [SendGreeting(targets=verifiers, about=(suspect,), wants_verification=True)]
 
-    def gossip(self, *, now_seconds: float) -> list[Send]:
+    def gossip(self, *, now_seconds: float) -> list[SendGreeting]:
         """Return the greetings to send in this round, one of them a probe."""
         probed = self._probes.start_round(self._members_not_failed(), now_seconds=now_seconds)
-        sends = [_probe(target) for target in probed]
-        sends.append(Send(targets=self._round_targets(FANOUT - 1)))
+        greetings = [_probe(target) for target in probed]
+        greetings.append(SendGreeting(targets=self._round_targets(FANOUT - 1)))
         unhealthy = [entry.member for entry in self._unhealthy.values()]
         failed = [member for member in unhealthy if member.health is MemberHealth.FAILED]
         if failed:
             # A member that has returned, or whose zone is no longer cut off, objects.
             member = self._rng.choice(failed)
-            sends.append(Send(targets=(member,), about=(member,)))
-        return sends
+            greetings.append(SendGreeting(targets=(member,), about=(member,)))
+        return greetings
 
     def _round_targets(self, count: int) -> tuple[FleetMember, ...]:
         same_zone, other_zones = self._split_by_zone(self.live_members())
@@ -213,24 +215,24 @@
             targets.append(self._rng.choice(other_zones))
         return tuple(targets)
 
-    def announcement(self) -> Send:
+    def announcement(self) -> SendGreeting:
         """Return the greeting that spreads a change of this process's state or record."""
         same_zone, other_zones = self._split_by_zone(self.live_members())
         targets = self._sample(same_zone, UPDATE_FANOUT) + self._pick_one_per_zone(other_zones)
-        return Send(targets=tuple(targets))
+        return SendGreeting(targets=tuple(targets))
 
-    def build_greeting(self, send: Send, revisions: Revisions) -> Greeting:
-        """Build the greeting of a send, with the newest changes of other members."""
+    def build_greeting(self, command: SendGreeting, revisions: Revisions) -> Greeting:
+        """Build a greeting with the newest changes of other members."""
         return Greeting(
             sender=self.own,
             revisions=revisions,
-            others=self._pick_others(send),
-            wants_answer=send.wants_answer,
-            wants_verification=send.wants_verification,
+            others=self._pick_others(command),
+            wants_answer=command.wants_answer,
+            wants_verification=command.wants_verification,
         )
 
-    def _pick_others(self, send: Send) -> tuple[FleetMember, ...]:
-        chosen = {member.instance_id: member for member in send.about}
+    def _pick_others(self, command: SendGreeting) -> tuple[FleetMember, ...]:
+        chosen = {member.instance_id: member for member in command.about}
         # The newest go first, so that a change does not queue behind those of a mass restart.
         news = sorted(
             (entry for entry in self._entries.values() if entry.relays_left > 0),
@@ -239,9 +241,9 @@
         reports = [e for e in news if e.member.health is not MemberHealth.ALIVE]
         changes = [e for e in news if e.member.health is MemberHealth.ALIVE]
         for entry in reports[:RELAYED_SUSPICIONS] + changes[:RELAYED_MEMBERS]:
-            entry.relays_left -= len(send.targets)
+            entry.relays_left -= len(command.targets)
             chosen.setdefault(entry.member.instance_id, _without_details(entry.member))
-        if len(chosen) < RELAYED_MEMBERS and not send.only_news:
+        if len(chosen) < RELAYED_MEMBERS and not command.only_news:
             # Failed members too, for those that missed the report.
             members = [entry.member for entry in self._entries.values()]
             for member in self._sample(members, RELAYED_MEMBERS - len(chosen)):
@@ -289,8 +291,8 @@
     return msgspec.structs.replace(member, copies=(), serving="")
 
 
-def _probe(*targets: FleetMember) -> Send:
-    return Send(targets=targets, wants_answer=True, only_news=True)
+def _probe(*targets: FleetMember) -> SendGreeting:
+    return SendGreeting(targets=targets, wants_answer=True, only_news=True)
 
 
 def _watch_order(member: FleetMember) -> tuple[bool, bool, InstanceId]:
--- a/egretrouter/direct/_fleet_service.py
+++ b/egretrouter/direct/_fleet_service.py
@@ -19,7 +19,7 @@
     LoadReport,
     MemberHealth,
     Revisions,
-    Send,
+    SendGreeting,
 )
 from egretrouter.core.errors import BackendError
 from egretrouter.core.identifiers import InstanceId
@@ -155,15 +155,17 @@
     def _send(self, data: bytes, address: str) -> None:
         self._transport.sendto(data, (address, self._settings.gossip_port))
 
-    def _greet(self, sends: Iterable[Send]) -> None:
-        for send in sends:
-            greeting = self.fleet.build_greeting(send, self.revisions())
+    def _greet(self, commands: Iterable[SendGreeting]) -> None:
+        for command in commands:
+            greeting = self.fleet.build_greeting(command, self.revisions())
             data = _encode(GreetingNote(greeting=greeting))
-            for member in send.targets:
+            for member in command.targets:
                 self._send(data, member.address)
 
     def _greet_seeds(self) -> None:
-        greeting = self.fleet.build_greeting(Send(targets=(), wants_answer=True), self.revisions())
+        greeting = self.fleet.build_greeting(
+            SendGreeting(targets=(), wants_answer=True), self.revisions()
+        )
         data = _encode(GreetingNote(greeting=greeting))
         for seed in self._settings.seed_addresses:
             if seed != self._settings.address:
--- a/tests/fleet_world.py
+++ b/tests/fleet_world.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from egretrouter.core.direct import Fleet, FleetMember, FleetRole, Greeting, Revisions, Send
+from egretrouter.core.direct import Fleet, FleetMember, FleetRole, Greeting, Revisions, SendGreeting
 from egretrouter.core.identifiers import InstanceId, RegionId, ZoneId
 
 TICK_SECONDS = 0.15
@@ -73,11 +73,11 @@
     def watchers(self) -> list[FleetMember]:
         return [fleet.own for fleet in self.running() if fleet.watch_rank() == 0]
 
-    def greet(self, fleet: Fleet, sends: Iterable[Send]) -> None:
-        for send in sends:
-            greeting = fleet.build_greeting(send, Revisions())
+    def greet(self, fleet: Fleet, commands: Iterable[SendGreeting]) -> None:
+        for command in commands:
+            greeting = fleet.build_greeting(command, Revisions())
             size = len(self._encode(greeting))
-            for target in send.targets:
+            for target in command.targets:
                 self.sent_bytes += size
                 self._deliver(greeting, target)
 
--- a/tests/test_direct_core.py
+++ b/tests/test_direct_core.py
@@ -30,8 +30,8 @@
     Route,
     RouteIndex,
     RoutingTable,
-    Send,
     SendEnded,
+    SendGreeting,
     SendOutcome,
     Target,
     Workspace,
@@ -377,7 +377,7 @@
 
     def greet(
         self, fleet: Fleet, sender: FleetMember, *others: FleetMember, now_seconds: float
-    ) -> list[Send]:
+    ) -> list[SendGreeting]:
         greeting = Greeting(sender=sender, revisions=Revisions(), others=others)
         return fleet.handle_greeting(greeting, now_seconds=now_seconds)
 
