Take the ports of tests from outside the kernel's range

A port that a test found free and released could be given to another process before the test's own bound it (KNOWN-RED.txt: once "address already in use", once an OSError of create_server). The fault was seen twice and cannot be triggered at will, so its entry stays.

--- a/features/support/processes.py
+++ b/features/support/processes.py
@@ -3,7 +3,6 @@
 import asyncio
 import json
 import signal
-import socket
 import sys
 import tempfile
 from pathlib import Path
@@ -13,6 +12,7 @@
 
 from egretrouter.core.weights import Manifest
 from egretrouter.standins import EngineStandin, InstanceListStandin, ObjectApiStandin, OriginStandin
+from tests.helpers import free_ports
 
 ROOT = Path(__file__).parent.parent.parent
 EXIT_SECONDS = 30.0
@@ -77,7 +77,8 @@
             "instance_id": name,
             "zone": "z1",
             "region": "r1",
-            "operators": {"port": self._free_port()},
+            # Only the operators' port is chosen in advance; the process reports its others there.
+            "operators": {"port": free_ports(1)[0]},
             "platform": {
                 "object_store_url": self.object_api.url,
                 "origin_url": self.origin.url,
@@ -93,12 +94,6 @@
         self.instance_list.add(name, zone="z1", role=role, address=state["peer_address"])
         self.ports[name] = state.get("callers_port", settings["operators"]["port"])
 
-    def _free_port(self) -> int:
-        # Only the operators' port is chosen in advance; the process reports its other ports there.
-        with socket.socket() as reserved:
-            reserved.bind(("127.0.0.1", 0))
-            return int(reserved.getsockname()[1])
-
     async def _spawn(self, *arguments: str) -> asyncio.subprocess.Process:
         return await asyncio.create_subprocess_exec(
             sys.executable,
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -1,7 +1,13 @@
 """Provide functions that several test modules use."""
 
 import asyncio
+import random
+import socket
 from collections.abc import Callable
+from contextlib import ExitStack
+
+RESERVED_PORTS = range(20_000, 32_000)
+"""Ports that the kernel assigns to nobody, because its own range begins above them."""
 
 
 async def wait_until(condition: Callable[[], bool]) -> None:
@@ -11,3 +17,22 @@
             return
         await asyncio.sleep(0.01)
     raise AssertionError("the condition did not become true")
+
+
+def free_ports(count: int) -> tuple[int, ...]:
+    """Return consecutive free ports for TCP and UDP that the kernel assigns to nobody.
+
+    Another process can take them only by asking for just these.
+    """
+    while True:
+        first = random.SystemRandom().randrange(RESERVED_PORTS.start, RESERVED_PORTS.stop - count)
+        ports = tuple(range(first, first + count))
+        with ExitStack() as stack:
+            try:
+                for port in ports:
+                    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                        reserved = stack.enter_context(socket.socket(type=kind))
+                        reserved.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+            return ports
--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -2,7 +2,6 @@
 
 import asyncio
 import random
-import socket
 from typing import Any
 
 import aiohttp
@@ -13,23 +12,11 @@
 from egretrouter.core.identifiers import InstanceId, RegionId, ZoneId
 from egretrouter.direct import Bounds, DirectSettings
 from egretrouter.direct._router import DirectRouter
+from tests.helpers import free_ports
 from tests.platform_standins import EngineStandin, StoreStandin, configuration, registration
 
 
-def free_ports() -> tuple[int, int]:
-    """Return two consecutive ports that are currently free."""
-    while True:
-        with socket.socket() as first, socket.socket() as second:
-            first.bind(("127.0.0.1", 0))
-            port = first.getsockname()[1]
-            try:
-                second.bind(("127.0.0.1", port + 1))
-            except OSError:
-                continue
-            return port, port + 1
-
-
-def settings(store: str, ports: tuple[int, int], **changes: Any) -> DirectSettings:
+def settings(store: str, ports: tuple[int, ...], **changes: Any) -> DirectSettings:
     """Return the settings of a process on loopback."""
     values: dict[str, Any] = {
         "instance_id": InstanceId("front-1"),
@@ -72,7 +59,7 @@
             await self.add_engine(f"i-{number}")
         self._session = aiohttp.ClientSession()
         self.router = DirectRouter(
-            settings(self.store.address, free_ports()),
+            settings(self.store.address, free_ports(2)),
             store=PlatformStore(self._session, address=self.store.address),
             dialect=PlatformDialect(),
             rng=random.Random(1),
--- a/tests/test_platform_weights.py
+++ b/tests/test_platform_weights.py
@@ -16,8 +16,9 @@
 from egretrouter.core.direct import FleetMember, FleetRole, Greeting, Revisions
 from egretrouter.core.identifiers import InstanceId, RegionId, ServiceName, ZoneId
 from egretrouter.direct._agent import DirectAgent
+from tests.helpers import free_ports
 from tests.platform_standins import OriginStandin, StandinServer, StoreStandin, configuration
-from tests.platform_world import free_ports, settings
+from tests.platform_world import settings
 
 CHUNKS = [bytes([number]) * 4096 for number in range(16)]
 ENGINE = {
@@ -98,7 +99,7 @@
         self.agent = DirectAgent(
             settings(
                 self.store.address,
-                free_ports(),
+                free_ports(2),
                 instance_id=InstanceId("side-1"),
                 engine=self.engine.address,
                 engine_service=ServiceName("llm"),
