--- a/egretrouter/direct/_store_watch.py
+++ b/egretrouter/direct/_store_watch.py
@@ -1,6 +1,5 @@
 """Watch and list the shared state at the store, in few processes of each zone."""
 
-import contextlib
 import random
 import time
 from typing import Any, Protocol
@@ -203,9 +202,12 @@
         """Find out when the store answers again, while other processes watch."""
         while not self.should_stop:
             await self.sleep(RETRY_LIMIT_SECONDS * (0.5 + self._rng.random()))
-            if self._fleet.fleet.own.store_lost:
-                with contextlib.suppress(BackendError):
-                    await self._list(StateKind.WEIGHTS, after_outage=True)
+            if not self._fleet.fleet.own.store_lost:
+                continue
+            try:
+                await self._list(StateKind.WEIGHTS, after_outage=True)
+            except BackendError as error:
+                log_event("store:poll_failed", kind=StateKind.WEIGHTS.value, error=str(error))
 
 
 def _is_behind(changes: StateChanges) -> bool:
