--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -4,7 +4,7 @@
 import hashlib
 import json
 from collections.abc import Awaitable, Callable
-from typing import Any
+from typing import Any, Self
 
 from aiohttp import web
 
@@ -17,11 +17,12 @@
     def __init__(self) -> None:
         self.address = ""
         self._server: asyncio.Server | None = None
+        self._handler: web.Server | None = None
 
-    async def start(self) -> "StandinServer":
+    async def start(self) -> Self:
         loop = asyncio.get_running_loop()
-        handler = web.Server(self.handle, access_log=None, handler_cancellation=True)
-        self._server = await loop.create_server(handler, "127.0.0.1", 0)
+        self._handler = web.Server(self.handle, access_log=None, handler_cancellation=True)
+        self._server = await loop.create_server(self._handler, "127.0.0.1", 0)
         self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
         return self
 
@@ -29,6 +30,15 @@
         if self._server is not None:
             self._server.close()
 
+    def abort(self) -> None:
+        """End as a process that crashes: every connection is cut, and new ones are refused."""
+        assert self._server is not None
+        assert self._handler is not None
+        self._server.close()
+        for connection in self._handler.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         raise NotImplementedError
 
@@ -121,6 +131,9 @@
         self.requests: list[tuple[web.BaseRequest, bytes]] = []
         self.executed: list[str] = []
         self.respond: Respond | None = None
+        self.crashing_part = ""
+        """A part of prompts that crashes the engine when it begins to write on it."""
+        self.on_crash: Callable[[EngineStandin], None] = lambda engine: None
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         content = await request.read()
@@ -131,9 +144,25 @@
             response = await self.respond(request, content)
             if response is not None:
                 return response
+        if self.crashing_part and self.crashing_part in _shared_parts(request):
+            return await self._crash(request)
+        if request.path.startswith("/text/"):
+            return await self.send_events(request, range(1, 6))
         self.executed.append(request.headers["X-Attempt-Id"])
         return web.Response(body=b"done " + content, headers=self.receipt_headers(request))
 
+    async def _crash(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Send the head of an answer, then crash before the first event."""
+        response = web.StreamResponse(
+            headers={"Content-Type": "text/event-stream", **self.receipt_headers(request)}
+        )
+        response.enable_chunked_encoding()
+        await response.prepare(request)
+        await asyncio.sleep(0.01)
+        self.abort()
+        self.on_crash(self)
+        return response
+
     def receipt_headers(self, request: web.BaseRequest) -> dict[str, str]:
         return {
             "X-Attempt-Id": request.headers["X-Attempt-Id"],
@@ -162,6 +191,11 @@
         return response
 
 
+def _shared_parts(request: web.BaseRequest) -> list[str]:
+    prefix = request.headers.get("X-Prompt-Prefix", "")
+    return [part.partition(":")[0] for part in prefix.split(",")[:-1]]
+
+
 class OriginStandin(StandinServer):
     """Serve chunks and a manifest, which can be corrupted."""
 
--- /dev/null
+++ b/tests/test_crashing_parts.py
@@ -0,0 +1,62 @@
+"""Test calls with a part in their prompts that crashes every engine that runs them."""
+
+from collections.abc import AsyncIterator, Sequence
+
+import pytest
+
+from tests.platform_fleet import PlatformFleet
+
+CRASHING, SHARED, OTHER = "bad0", "c0de", "fee1"
+FIRST_PARTS = [f"{number:04x}" for number in range(5)]
+MAX_CRASHES = 5
+"""After this many crashes the users allow calls with the part only for seconds more."""
+
+
+@pytest.fixture
+async def fleet() -> AsyncIterator[PlatformFleet]:
+    opened = PlatformFleet()
+    await opened.start()
+    opened.let_part_crash(CRASHING)
+    yield opened
+    await opened.stop()
+
+
+async def spread_crashing_calls(fleet: PlatformFleet, *, first_parts: Sequence[str]) -> None:
+    """Send a call with the crashing part for each first part, and a sound one after it."""
+    for number, first in enumerate(first_parts):
+        await fleet.call(number % 3, parts=[first, CRASHING])
+        await fleet.call(number % 3, parts=[OTHER])
+        await fleet.wait_until_recovered()
+
+
+class TestCrashingPart:
+    """Guard against calls that crash engine after engine."""
+
+    @pytest.mark.known_red
+    async def test_part_crashes_engine_after_engine(self, fleet: PlatformFleet) -> None:
+        await spread_crashing_calls(fleet, first_parts=[SHARED] * 9)
+        assert fleet.crashed <= MAX_CRASHES
+
+    @pytest.mark.known_red
+    async def test_held_part_is_refused_at_once_as_not_run(self, fleet: PlatformFleet) -> None:
+        await spread_crashing_calls(fleet, first_parts=FIRST_PARTS)
+        before = fleet.requests()
+        answers = [await fleet.call(number, parts=[CRASHING]) for number in range(3)]
+        assert [answer.status for answer in answers] == [503] * 3
+        assert all(b'"not_run"' in answer.content for answer in answers)
+        assert fleet.requests() == before
+
+    async def test_calls_with_the_other_parts_are_refused(self, fleet: PlatformFleet) -> None:
+        await spread_crashing_calls(fleet, first_parts=[SHARED] * 5)
+        answers = [await fleet.call(number, parts=[SHARED]) for number in range(3)]
+        assert [answer.status for answer in answers] == [200] * 3
+
+    @pytest.mark.known_red
+    async def test_started_router_sends_calls_with_a_held_part(self, fleet: PlatformFleet) -> None:
+        await spread_crashing_calls(fleet, first_parts=FIRST_PARTS)
+        crashed = fleet.crashed
+        await fleet.start_router()
+        await fleet.call(3, parts=[OTHER])
+        answer = await fleet.call(3, parts=[CRASHING])
+        assert answer.status == 503
+        assert fleet.crashed == crashed
