Log the parts of the prompt and the events of each send that ended

After engines had ended one after the other, the logs of routers could not tell whether the calls that broke had a part of their prompts in common, nor which of them had got an event. A call's headers now carry the parts that other calls may share, and call:send_ended names them with the events that the endpoint had sent. A header that can't be read is a typed error, as for the token counts. python -m pytest tests/test_platform_calls.py tests/test_platform_dialect.py

--- a/egretrouter/backends/_direct_ports.py
+++ b/egretrouter/backends/_direct_ports.py
@@ -15,7 +15,13 @@
     WeightVersion,
 )
 from egretrouter.core.errors import BackendError, ValidationError
-from egretrouter.core.identifiers import ChunkIndex, EndpointId, ModelName, WorkspaceId
+from egretrouter.core.identifiers import (
+    ChunkIndex,
+    EndpointId,
+    ModelName,
+    PromptPartId,
+    WorkspaceId,
+)
 
 
 class HistoryGoneError(BackendError):
@@ -107,6 +113,8 @@
     expected_answer_tokens: int = 0
     resume_after: str | None = None
     """Id of the last event that the caller received."""
+    shared_parts: tuple[PromptPartId, ...] = ()
+    """The parts of the prompt that other calls may have too, in order."""
 
 
 class SendHeaders(msgspec.Struct, frozen=True, kw_only=True):
--- a/egretrouter/core/identifiers.py
+++ b/egretrouter/core/identifiers.py
@@ -11,6 +11,7 @@
 VersionName = NewType("VersionName", str)
 EndpointId = NewType("EndpointId", str)
 CallId = NewType("CallId", str)
+PromptPartId = NewType("PromptPartId", str)
 PublicationId = NewType("PublicationId", str)
 
 Digest = NewType("Digest", str)
--- a/egretrouter/direct/_active_call.py
+++ b/egretrouter/direct/_active_call.py
@@ -24,6 +24,13 @@
     tried: set[EndpointId] = msgspec.field(default_factory=set)
     late: bool = False
     """Whether the caller had waited longer than the latency target before this attempt."""
+    events_before_send: int = 0
+    """How many events had been forwarded when the call was last sent to an endpoint."""
     response: web.StreamResponse | None = None
     version: int | None = None
     """The version of the weights that the answer started on."""
+
+    @property
+    def events_since_send(self) -> int:
+        """Return how many events the last endpoint that the call was sent to has sent."""
+        return self.cutter.events - self.events_before_send
--- a/egretrouter/direct/_callers.py
+++ b/egretrouter/direct/_callers.py
@@ -142,6 +142,8 @@
             outcome=error.outcome.value,
             reason=error.reason,
             next=step.value,
+            events=call.events_since_send,
+            parts=call.headers.shared_parts,
             seconds=_elapsed_seconds(call.arrived_seconds),
         )
         return step
@@ -153,6 +155,7 @@
             return self._end_call(call, call.progress.abort(), 504, "the time is up")
         endpoint = choice.endpoint
         call.tried.add(endpoint.endpoint_id)
+        call.events_before_send = call.cutter.events
         if call.progress.sends == 0:
             self._budget.record_call(call.service.name, now_seconds=now)
         self._placement.record_send(endpoint.endpoint_id, now_seconds=now)
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -243,6 +243,8 @@
             ("/open/x", {"X-Api-Key": "stolen"}, 200),
             ("/sale/x", {"X-Deadline-Ms": "soon"}, 400),
             ("/sale/x", {"X-Token-Count": "many"}, 400),
+            ("/sale/x", {"X-Prompt-Prefix": "5c1e07a2:many"}, 400),
+            ("/sale/x", {"X-Prompt-Prefix": "5c1e07a2:40,91BD3F06:410"}, 200),
             ("/sale/x", {"X-Padding": "x" * 5000}, 431),
         ],
     )
--- /dev/null
+++ b/tests/test_platform_dialect.py
@@ -0,0 +1,28 @@
+"""Test what the adapter reads from callers' headers."""
+
+import pytest
+from egretrouter_platform._dialect import PlatformDialect
+
+from egretrouter.backends import CallHeadersError
+
+
+class TestPromptParts:
+    """Guard against parts of prompts that are misread."""
+
+    @pytest.mark.parametrize(
+        ("value", "expected"),
+        [
+            (None, ()),
+            ("e4402b7d:250", ()),
+            ("5C1E07A2:800,91bd3f06:410,e4402b7d:250", ("5c1e07a2", "91bd3f06")),
+            ("5c1e07a2:800, 91bd3f06:410", ("5c1e07a2",)),
+        ],
+    )
+    def test_last_part_is_not_shared(self, value: str | None, expected: tuple[str, ...]) -> None:
+        headers = {"X-Attempt-Id": "c-1"} | ({} if value is None else {"X-Prompt-Prefix": value})
+        assert PlatformDialect().read_call(headers).shared_parts == expected
+
+    @pytest.mark.parametrize("value", ["5c1e07a2", ":800,5c1e07a2:40", "5c1e07a2:-1", "a:1,,b:2"])
+    def test_malformed_parts_are_rejected_with_the_value(self, value: str) -> None:
+        with pytest.raises(CallHeadersError, match=value):
+            PlatformDialect().read_call({"X-Attempt-Id": "c-1", "X-Prompt-Prefix": value})
