--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -3,6 +3,7 @@
 import asyncio
 import hashlib
 import json
+import time
 from collections.abc import Awaitable, Callable
 from typing import Any, Self
 
@@ -134,10 +135,14 @@
         self.crashing_part = ""
         """A part of prompts that crashes the engine when it begins to write on it."""
         self.on_crash: Callable[[EngineStandin], None] = lambda engine: None
+        self.limit_per_second: float | None = None
+        """The limit that the engine names in its answers; it takes everything all the same."""
+        self.arrived_seconds: list[float] = []
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         content = await request.read()
         self.requests.append((request, content))
+        self.arrived_seconds.append(time.monotonic())
         if request.headers.get("X-Expect-Instance") not in (None, self.endpoint_id):
             return web.Response(status=421)
         if self.respond is not None:
@@ -164,10 +169,20 @@
         return response
 
     def receipt_headers(self, request: web.BaseRequest) -> dict[str, str]:
-        return {
+        headers = {
             "X-Attempt-Id": request.headers["X-Attempt-Id"],
             "X-Engine-Stamp": f"stamp-{self.endpoint_id}",
         }
+        if self.limit_per_second is not None:
+            headers["Server-Limit"] = str(self.limit_per_second)
+        return headers
+
+    def most_in_window(self, window_seconds: float) -> int:
+        """Return the most requests that arrived within any window of some length."""
+        return max(
+            sum(1 for other in self.arrived_seconds if 0 <= other - first < window_seconds)
+            for first in self.arrived_seconds
+        )
 
     async def send_events(
         self, request: web.BaseRequest, ids: range, *, complete: bool = True
