Log the limits that engines name in their answers

Nothing in the logs told whether a router had been told of a limit, so an ignored limit could not be told from one that each router kept for itself.

--- a/egretrouter/backends/_direct_ports.py
+++ b/egretrouter/backends/_direct_ports.py
@@ -138,6 +138,8 @@
     """Whether the endpoint states that the call has not run and never will."""
     load: LoadReport | None = None
     version: int | None = None
+    limit_per_second: float | None = None
+    """The rate of calls that the endpoint accepts from all routers together, if it names one."""
 
 
 class CallDialect(Protocol):
--- a/egretrouter/direct/_callers.py
+++ b/egretrouter/direct/_callers.py
@@ -169,6 +169,13 @@
         self._placement.record_send(endpoint.endpoint_id, now_seconds=now)
         try:
             answer = await self._open(call, choice, left)
+            if answer.answer.limit_per_second is not None:
+                log_event(
+                    "call:limit_named",
+                    call=call.headers.call_id,
+                    endpoint=endpoint.endpoint_id,
+                    limit_per_second=answer.answer.limit_per_second,
+                )
             try:
                 if answer.answer.load is not None:
                     self._placement.record_report(
--- a/tests/test_platform_boundary.py
+++ b/tests/test_platform_boundary.py
@@ -7,7 +7,7 @@
 # Headers, paths, fields and variables that only the platform defines.
 PLATFORM_NAMES = re.compile(
     r"X-Attempt-Id|X-Engine-|X-Tenant|X-Expect-|X-Deadline-Ms|X-Not-Run|X-Token-Count"
-    r"|X-Prompt-Prefix|X-Weight-Versions|egretrouter/(readyz|objects|report|order|stage|piece)"
+    r"|X-Prompt-Prefix|Server-Limit|X-Weight-Versions|egretrouter/(readyz|objects|report|order|stage|piece)"
     r"|target_latency_ms|store_revision|serializable|EGRETROUTER_CONFIG"
 )
 
--- a/tests/test_platform_dialect.py
+++ b/tests/test_platform_dialect.py
@@ -1,4 +1,4 @@
-"""Test what the adapter reads from callers' headers."""
+"""Test what the adapter reads from headers."""
 
 import pytest
 from egretrouter_platform._dialect import PlatformDialect
@@ -26,3 +26,15 @@
     def test_malformed_parts_are_rejected_with_the_value(self, value: str) -> None:
         with pytest.raises(CallHeadersError, match=value):
             PlatformDialect().read_call({"X-Attempt-Id": "c-1", "X-Prompt-Prefix": value})
+
+
+class TestLimits:
+    """Guard against limits of engines that are misread."""
+
+    @pytest.mark.parametrize(
+        ("value", "expected"),
+        [("2.3", 2.3), ("0", 0.0), ("nan", None), ("-1", None), ("inf", None), ("many", None)],
+    )
+    def test_limit_that_cannot_be_read_is_none(self, value: str, expected: float | None) -> None:
+        answer = PlatformDialect().read_answer(200, {"Server-Limit": value})
+        assert answer.limit_per_second == expected
