Let the exchange about crashing parts carry other news too

RelayQueue and NewsService hold it once; the guard of a router's calls talks to the quarantine itself. The exchange waits for news instead of looking for some twenty times a second. python -m pytest tests/test_crashing_parts.py tests/test_quarantine.py

--- a/egretrouter/core/direct/_quarantine.py
+++ b/egretrouter/core/direct/_quarantine.py
@@ -12,6 +12,7 @@
 
 import msgspec
 
+from egretrouter.core.direct._relay_queue import RelayQueue
 from egretrouter.core.identifiers import EndpointId, PromptPartId
 
 SUSPECT_CRASHES = 2
@@ -30,8 +31,6 @@
 MAX_PARTS = 512
 MAX_CRASHES_PER_PART = 8
 MAX_SOUND_PARTS = 4096
-RELAYS = 3
-"""How often a process passes on what it has learned about a part."""
 
 
 class EndpointRun(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -108,9 +107,7 @@
         """The same for parts that had been in broken calls, to tell those who missed it."""
         self._progress_seconds = float("-inf")
         """When an endpoint last wrote an answer to any call of this process."""
-        self._findings: set[PromptPartId] = set()
-        """Parts of which this process learned something first."""
-        self._relays: dict[PromptPartId, int] = {}
+        self._queue: RelayQueue[PromptPartId] = RelayQueue()
         self._changes: list[PartChange] = []
 
     def record_crash(
@@ -119,7 +116,7 @@
         """Record that an endpoint ended before it had written on a call with these parts."""
         for part in parts:
             if self._add_crash(part, run, now_seconds):
-                self._findings.add(part)
+                self._queue.add_finding(part)
 
     def record_progress(self, parts: Collection[PromptPartId], *, now_seconds: float) -> None:
         """Record that an endpoint writes on a call with these parts, which are thus sound."""
@@ -127,7 +124,7 @@
         for part in parts:
             if part in self._records:
                 self._clear(part, now_seconds)
-                self._findings.add(part)
+                self._queue.add_finding(part)
             self._sound[part] = now_seconds
             self._sound.move_to_end(part)
         while self._sound and (
@@ -251,7 +248,7 @@
         """Apply what another process knows, and pass on what was new."""
         for item in news:
             if self._merge_part(item, now_seconds):
-                self._relays[item.part] = RELAYS
+                self._queue.add_relay(item.part)
 
     def _merge_part(self, news: PartNews, now_seconds: float) -> bool:
         """Return whether others are to hear of the part."""
@@ -273,19 +270,11 @@
 
     def take_findings(self, *, now_seconds: float) -> list[PartNews]:
         """Return what this process learned first since the last call."""
-        parts, self._findings = self._findings, set()
-        for part in parts:
-            self._relays.setdefault(part, RELAYS)
-        return self._news(parts, now_seconds)
+        return self._news(self._queue.take_findings(), now_seconds)
 
     def take_relays(self, *, limit: int, now_seconds: float) -> list[PartNews]:
         """Return what is to be passed on, parts with most crashes first."""
-        parts = sorted(self._relays, key=lambda part: -self._count(part))[:limit]
-        for part in parts:
-            self._relays[part] -= 1
-            if not self._relays[part]:
-                del self._relays[part]
-        return self._news(parts, now_seconds)
+        return self._news(self._queue.take_relays(limit=limit, urgency=self._count), now_seconds)
 
     def all_news(self, *, now_seconds: float) -> list[PartNews]:
         """Return all that is known, for a process that joins."""
--- a/egretrouter/direct/_fleet_service.py
+++ b/egretrouter/direct/_fleet_service.py
@@ -27,8 +27,8 @@
 from egretrouter.direct._notes import (
     GreetingNote,
     LoadNote,
+    NewsNote,
     Note,
-    PartNote,
     decode_note,
     encode_note,
 )
@@ -86,7 +86,7 @@
         self.revisions: Callable[[], Revisions] = Revisions
         self.on_revisions: list[Callable[[FleetMember, Revisions], None]] = []
         self.on_load: list[Callable[[str, LoadReport], None]] = []
-        self.on_parts: list[Callable[[PartNote], None]] = []
+        self.on_news: list[Callable[[NewsNote], None]] = []
         self._settings = settings
         self._store = store
         self._rng = rng
@@ -186,9 +186,9 @@
             self._relay(note)
 
     @_handle_note.register
-    def _handle_parts(self, note: PartNote) -> None:
-        for on_parts in self.on_parts:
-            on_parts(note)
+    def _handle_news(self, note: NewsNote) -> None:
+        for on_news in self.on_news:
+            on_news(note)
 
     @_handle_note.register
     def _handle_greeting(self, note: GreetingNote) -> None:
--- /dev/null
+++ b/egretrouter/direct/_news_service.py
@@ -0,0 +1,122 @@
+"""Share with the other processes what calls have shown about endpoints."""
+
+import asyncio
+import contextlib
+import random
+import time
+from collections.abc import Iterable
+from typing import Any
+
+from mode import Service
+
+from egretrouter.core.direct import FleetMember, PartNews, PartQuarantine
+from egretrouter.direct._fleet_service import FleetService
+from egretrouter.direct._logs import log_event
+from egretrouter.direct._notes import NewsNote
+
+SPREAD_SECONDS = 0.05
+REPAIR_SECONDS = 1.0
+"""How often a process sends some of what it knows to a few others, which may have missed it."""
+# A datagram of this many items fits into a few packets.
+ITEMS_PER_NOTE = 8
+JOIN_SECONDS = 0.8
+JOIN_POLL_SECONDS = 0.1
+JOIN_PEERS = 3
+
+
+class NewsService(Service):
+    """Keep what this process knows in step with what the others know."""
+
+    def __init__(self, *, fleet: FleetService, rng: random.Random, **kwargs: Any) -> None:
+        super().__init__(**kwargs)
+        self.quarantine = PartQuarantine()
+        self.settled = False
+        """Whether this process knows what the others knew when it started."""
+        self._has_news = asyncio.Event()
+        self._fleet = fleet
+        self._rng = rng
+        fleet.on_news.append(self._handle_note)
+
+    def spread_findings(self) -> None:
+        """Send at once what this process has learned first."""
+        parts = self.quarantine.take_findings(now_seconds=time.monotonic())
+        if parts:
+            self._send(self._fleet.fleet.announcement().targets, parts=parts)
+            self._has_news.set()
+        self._log_changes()
+
+    def _send(self, targets: Iterable[FleetMember], *, parts: Iterable[PartNews]) -> None:
+        note = NewsNote(sender_address=self._fleet.fleet.own.address, parts=tuple(parts))
+        self._fleet.send_note(note, [member.address for member in targets])
+
+    def _handle_note(self, note: NewsNote) -> None:
+        self.quarantine.merge(note.parts, now_seconds=time.monotonic())
+        self._log_changes()
+        self._has_news.set()
+        if note.wants_all:
+            self._answer(note.sender_address)
+        if note.completes_all and not self.settled:
+            self._settle("peer")
+
+    def _answer(self, address: str) -> None:
+        parts = self.quarantine.all_news(now_seconds=time.monotonic())
+        starts = range(0, max(1, len(parts)), ITEMS_PER_NOTE)
+        for start in starts:
+            note = NewsNote(
+                sender_address=self._fleet.fleet.own.address,
+                parts=tuple(parts[start : start + ITEMS_PER_NOTE]),
+                completes_all=self.settled and start == starts[-1],
+            )
+            self._fleet.send_note(note, [address])
+
+    def _log_changes(self) -> None:
+        for change in self.quarantine.take_changes():
+            log_event("parts:held" if change.held else "parts:released", part=change.part)
+
+    @Service.task
+    async def _join(self) -> None:
+        """Ask other processes for what they know, as they may have learned it long ago."""
+        question = NewsNote(sender_address=self._fleet.fleet.own.address, wants_all=True)
+        deadline = time.monotonic() + JOIN_SECONDS
+        while not self.settled and time.monotonic() < deadline:
+            members = self._fleet.live_members()
+            chosen = self._rng.sample(members, min(JOIN_PEERS, len(members)))
+            self._fleet.send_note(question, [member.address for member in chosen])
+            await self.sleep(JOIN_POLL_SECONDS)
+        if not self.settled:
+            self._settle("alone")
+
+    def _settle(self, source: str) -> None:
+        self.settled = True
+        log_event("news:settled", source=source)
+
+    @Service.task
+    async def _spread(self) -> None:
+        """Pass on what others found, and repair what lost datagrams left out."""
+        repaired = time.monotonic()
+        while not self.should_stop:
+            await self._wait_for_news(repaired + REPAIR_SECONDS - time.monotonic())
+            now = time.monotonic()
+            parts = self.quarantine.take_relays(limit=ITEMS_PER_NOTE, now_seconds=now)
+            if parts:
+                # The same news is passed on more than once.
+                self._has_news.set()
+            if now - repaired >= REPAIR_SECONDS:
+                repaired = now
+                self.quarantine.expire(now_seconds=now)
+                known = self.quarantine.all_news(now_seconds=now)
+                parts += self._rng.sample(known, min(ITEMS_PER_NOTE, len(known)))
+            if parts:
+                self._send(self._fleet.fleet.relay_targets(), parts=parts)
+
+    async def _wait_for_news(self, limit_seconds: float) -> None:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(limit_seconds):
+                await self._has_news.wait()
+        self._has_news.clear()
+        # What arrives at about the same time goes out together.
+        await self.sleep(SPREAD_SECONDS)
+
+    def snapshot(self) -> dict[str, object]:
+        """Return the state for the state dump."""
+        return {"settled": self.settled, "parts": self.quarantine.snapshot()}
--- a/egretrouter/direct/_notes.py
+++ b/egretrouter/direct/_notes.py
@@ -20,17 +20,17 @@
     greeting: Greeting
 
 
-class PartNote(msgspec.Struct, frozen=True, kw_only=True, tag="parts", array_like=True):
-    """Carry what a process knows of parts of prompts."""
+class NewsNote(msgspec.Struct, frozen=True, kw_only=True, tag="news", array_like=True):
+    """Carry what calls have shown about endpoints."""
 
     sender_address: str
-    news: tuple[PartNews, ...] = ()
+    parts: tuple[PartNews, ...] = ()
     wants_all: bool = False
     """Whether the sender has just started and asks for all that the receiver knows."""
     completes_all: bool = False
     """Whether this is the last note of such an answer, from a process that has learned it all."""
 
 
-Note = LoadNote | GreetingNote | PartNote
+Note = LoadNote | GreetingNote | NewsNote
 encode_note = msgspec.msgpack.Encoder().encode
 decode_note = msgspec.msgpack.Decoder(Note).decode
--- a/egretrouter/direct/_part_guard.py
+++ b/egretrouter/direct/_part_guard.py
@@ -1,12 +1,23 @@
 """Keep calls away from endpoints that a part of their prompts would crash."""
 
 import asyncio
+import time
 
 import msgspec
 
-from egretrouter.core.direct import Endpoint, EndpointRun, PartStanding, SendOutcome
+from egretrouter.core.direct import (
+    Endpoint,
+    EndpointRun,
+    FleetRole,
+    PartStanding,
+    SendOutcome,
+)
+from egretrouter.core.identifiers import PromptPartId
+from egretrouter.core.membership import highest_ranked
 from egretrouter.direct._active_call import ActiveCall
-from egretrouter.direct._quarantine_service import QuarantineService
+from egretrouter.direct._fleet_service import FleetService
+from egretrouter.direct._logs import log_event
+from egretrouter.direct._news_service import NewsService
 
 PROOF_EVENTS = 2
 """Events after which an endpoint has survived the beginning of an answer."""
@@ -23,8 +34,10 @@
 class PartGuard:
     """Report crashes and answers of one router's calls, and apply what all routers know."""
 
-    def __init__(self, quarantine: QuarantineService) -> None:
-        self._quarantine = quarantine
+    def __init__(self, *, news: NewsService, fleet: FleetService) -> None:
+        self._news = news
+        self._quarantine = news.quarantine
+        self._fleet = fleet
         self._checks: dict[EndpointRun, asyncio.Task[bool]] = {}
 
     def find_hold(self, call: ActiveCall) -> PartHeld | None:
@@ -32,9 +45,17 @@
         parts = call.headers.shared_parts
         if self._quarantine.standing(parts) is not PartStanding.HELD:
             return None
-        seconds = self._quarantine.hold_seconds(parts)
+        seconds = self._quarantine.hold_seconds(
+            parts, is_owner=self._is_owner, now_seconds=time.monotonic()
+        )
         return PartHeld(retry_after_seconds=seconds) if seconds > 0 else None
 
+    def _is_owner(self, part: PromptPartId) -> bool:
+        own = self._fleet.fleet.own
+        routers = [own, *self._fleet.live_members(FleetRole.ROUTER)]
+        staying = [member.instance_id for member in routers if not member.leaving]
+        return highest_ranked(f"part/{part}", staying, 1) == [own.instance_id]
+
     def may_repeat(self, call: ActiveCall, outcome: SendOutcome) -> bool:
         """Return whether another endpoint may get the call after a send with this outcome."""
         if outcome is not SendOutcome.BROKEN:
@@ -44,7 +65,7 @@
     def record_send(self, call: ActiveCall) -> None:
         """Record that the call is sent to an endpoint."""
         call.endpoint_wrote = False
-        self._quarantine.record_send(call.headers.shared_parts)
+        self._quarantine.record_send(call.headers.shared_parts, now_seconds=time.monotonic())
 
     def record_events(self, call: ActiveCall) -> None:
         """Record that the endpoint writes on the call, once it has sent enough events."""
@@ -54,7 +75,8 @@
     def record_answer(self, call: ActiveCall) -> None:
         """Record that the endpoint wrote on the call."""
         call.endpoint_wrote = True
-        self._quarantine.record_progress(call.headers.shared_parts)
+        self._quarantine.record_progress(call.headers.shared_parts, now_seconds=time.monotonic())
+        self._news.spread_findings()
 
     async def record_broken(self, call: ActiveCall, endpoint: Endpoint) -> None:
         """Find out whether the endpoint ended in a call on which it had not written."""
@@ -63,7 +85,9 @@
             return
         run = EndpointRun(endpoint_id=endpoint.endpoint_id, started_ms=endpoint.started_ms)
         if await self._has_ended(run, endpoint.address):
-            self._quarantine.record_crash(parts, run)
+            log_event("parts:endpoint_ended", parts=parts, endpoint=run.endpoint_id)
+            self._quarantine.record_crash(parts, run, now_seconds=time.monotonic())
+            self._news.spread_findings()
 
     async def _has_ended(self, run: EndpointRun, address: str) -> bool:
         """Return whether an endpoint refuses connections; calls that broke together ask once."""
--- a/egretrouter/direct/_process.py
+++ b/egretrouter/direct/_process.py
@@ -14,8 +14,8 @@
 from egretrouter.direct._fleet_service import FleetService
 from egretrouter.direct._logs import log_event
 from egretrouter.direct._metrics import RenderedMetrics
+from egretrouter.direct._news_service import NewsService
 from egretrouter.direct._peer_state import StateReplies
-from egretrouter.direct._quarantine_service import QuarantineService
 from egretrouter.direct._settings import DirectSettings
 from egretrouter.direct._shared_state import SharedStateService
 from egretrouter.protocol import egretrouter_pb2 as pb
@@ -62,7 +62,7 @@
             watched_kinds=self.watched_kinds,
             rng=rng,
         )
-        self.quarantine = QuarantineService(fleet=self.fleet, rng=rng)
+        self.news = NewsService(fleet=self.fleet, rng=rng)
         self.state_replies = StateReplies(self.shared_state)
         self._peer_server: Any = None
         self._servers: list[asyncio.Server] = []
@@ -77,7 +77,7 @@
         await self._peer_server.start()
         await self.add_runtime_dependency(self.fleet)
         await self.add_runtime_dependency(self.shared_state)
-        await self.add_runtime_dependency(self.quarantine)
+        await self.add_runtime_dependency(self.news)
         await self.listen(
             web.Server(
                 lambda request: self._handle_operator_request(request, metrics), access_log=None
@@ -113,7 +113,7 @@
             "role": self.role.value,
             "fleet": self.fleet.snapshot(),
             "state": self.shared_state.snapshot(),
-            "quarantine": self.quarantine.snapshot(),
+            "news": self.news.snapshot(),
         }
 
     async def drain(self) -> None:
@@ -126,7 +126,7 @@
         """Stop the services and close the sockets."""
         for server in self._servers:
             server.close()
-        await self.quarantine.stop()
+        await self.news.stop()
         await self.shared_state.stop()
         await self.fleet.stop()
         if self._peer_server is not None:
--- a/egretrouter/direct/_router.py
+++ b/egretrouter/direct/_router.py
@@ -70,7 +70,7 @@
             sender=Sender(self._session, dialect),
             dialect=dialect,
             metrics=self.metrics,
-            guard=PartGuard(self.quarantine),
+            guard=PartGuard(news=self.news, fleet=self.fleet),
             rng=rng,
         )
         self._callers_server: web.Server
@@ -102,11 +102,7 @@
     @property
     def ready(self) -> bool:
         """Return whether the load balancer should send calls to this router."""
-        return (
-            self.shared_state.complete
-            and self.quarantine.settled
-            and not self.call_handler.draining
-        )
+        return self.shared_state.complete and self.news.settled and not self.call_handler.draining
 
     async def _handle_readiness_check(self, request: web.BaseRequest) -> web.StreamResponse:
         if request.path != self._readiness_path:
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -9,12 +9,12 @@
     EVIDENCE_SECONDS,
     HOLD_CRASHES,
     MAX_PARTS,
-    RELAYS,
     SOUND_SECONDS,
     SUSPECT_CRASHES,
     TRIAL_FACTOR,
     TRIAL_SECONDS,
 )
+from egretrouter.core.direct._relay_queue import RELAYS
 from egretrouter.core.identifiers import EndpointId, PromptPartId
 
 CRASHING, SHARED, OTHER, THIRD = (PromptPartId(f"{n:04x}") for n in range(4))
