--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -13,6 +13,12 @@
 from tests.platform_standins import configuration
 from tests.platform_world import PlatformWorld
 
+UNFRAMED_STREAM = (
+    b"HTTP/1.1 200 OK\r\nX-Engine-Stamp: s\r\nX-Attempt-Id: c-1\r\n"
+    b"Content-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n"
+)
+"""The head and the first event of an answer without length or chunks."""
+
 
 @pytest.fixture
 async def world() -> AsyncIterator[PlatformWorld]:
@@ -194,6 +200,35 @@
         first = next(e for e in world.engines if "Last-Event-Id" not in e.requests[0][0].headers)
         assert headers["X-Engine-Stamp"] == f"stamp-{first.endpoint_id}"
 
+    async def test_unframed_stream_ends_with_its_connection(self, world: PlatformWorld) -> None:
+        async def respond(request: web.BaseRequest, _: bytes) -> web.StreamResponse:
+            return await raw_answer(request, UNFRAMED_STREAM + b"id: 2\ndata: b\n\n", reset=False)
+
+        for engine in world.engines:
+            engine.respond = respond
+        status, body, _ = await world.call("/text/x")
+        assert (status, body) == (200, b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+
+    async def test_unframed_stream_that_ends_inside_an_event_is_complete(
+        self, world: PlatformWorld
+    ) -> None:
+        sent = []
+
+        async def respond(request: web.BaseRequest, _: bytes) -> web.StreamResponse | None:
+            sent.append(request.headers.get("Last-Event-Id"))
+            if len(sent) == 1:
+                return await raw_answer(request, UNFRAMED_STREAM + b"id: 2\nda", reset=False)
+            return await world.engines[0].send_events(request, range(2, 4))
+
+        for engine in world.engines:
+            engine.respond = respond
+        status, body, _ = await world.call("/text/x")
+        assert status == 200
+        assert body == b"id: 1\ndata: a\n\n" + b"".join(
+            b"id: %d\ndata: event %d\n\n" % (n, n) for n in (2, 3)
+        )
+        assert sent == [None, "1"]
+
     async def test_stream_that_cannot_resume_ends_with_an_error(self, world: PlatformWorld) -> None:
         async def respond(request: web.BaseRequest, _: bytes) -> web.StreamResponse:
             engine = next(e for e in world.engines if any(r is request for r, _ in e.requests))
