Bound the size of an event, and search its end only once

An engine that sends an event without end kept a router busy: each read searched all that had come so far, so 6.4 MB in reads of 16 KB took 15.9 s of processor time beside other load, in which no other call went on. Only new bytes are searched. tests/test_direct_core.py: test_event_without_end_fills_the_memory (before, nothing bounded an event).

--- a/egretrouter/core/direct/_events.py
+++ b/egretrouter/core/direct/_events.py
@@ -2,7 +2,11 @@
 
 import re
 
+from egretrouter.core.errors import EventTooLargeError
+
+MAX_EVENT_BYTES = 1024 * 1024
 _END_OF_EVENT = re.compile(rb"\r?\n\r?\n")
+MAX_END_BYTES = 4
 _ID_LINE = re.compile(rb"(?m)^id:[ ]?([^\r\n]*)")
 
 
@@ -18,7 +22,9 @@
         self.last_id = last_id
         self.events = 0
         self._last_number = _parse_number(last_id.encode()) if last_id is not None else None
-        self._pending = b""
+        self._pending = bytearray()
+        self._searched_bytes = 0
+        """How much of the pending bytes holds no end of an event."""
 
     @property
     def has_partial_event(self) -> bool:
@@ -26,25 +32,35 @@
         return bool(self._pending.strip())
 
     def feed(self, data: bytes) -> bytes:
-        """Add bytes from the stream and return the events that are now complete."""
-        buffer = self._pending + data if self._pending else data
+        """Add bytes from the stream and return the events that are now complete.
+
+        Raises EventTooLargeError.
+        """
+        pending = self._pending
+        pending += data
         start = 0
         new_events: list[bytes] = []
-        for end in _END_OF_EVENT.finditer(buffer):
-            event = buffer[start : end.end()]
+        for end in _END_OF_EVENT.finditer(pending, self._searched_bytes):
+            event = bytes(pending[start : end.end()])
             start = end.end()
             if self._record_event(event):
                 new_events.append(event)
-        self._pending = buffer[start:]
+        del pending[:start]
+        if len(pending) > MAX_EVENT_BYTES:
+            raise EventTooLargeError(f"an event has more than {MAX_EVENT_BYTES} bytes")
+        # The next bytes may complete an end of which all but the last byte has arrived.
+        self._searched_bytes = max(0, len(pending) - MAX_END_BYTES + 1)
         return b"".join(new_events)
 
     def discard_partial_event(self) -> None:
         """Discard an incomplete event before another endpoint resumes the stream."""
-        self._pending = b""
+        self._pending.clear()
+        self._searched_bytes = 0
 
     def take_trailing_bytes(self) -> bytes:
         """Return and clear the bytes after the last event of a stream that ended normally."""
-        trailing, self._pending = self._pending, b""
+        trailing = bytes(self._pending)
+        self.discard_partial_event()
         return trailing
 
     def _record_event(self, event: bytes) -> bool:
--- a/egretrouter/core/errors.py
+++ b/egretrouter/core/errors.py
@@ -111,3 +111,7 @@
 
 class ProtocolError(EgretrouterError):
     """A peer process sent a message that violates the protocol."""
+
+
+class EventTooLargeError(EgretrouterError):
+    """An endpoint sent an event that exceeds the size of any event."""
--- a/egretrouter/direct/_callers.py
+++ b/egretrouter/direct/_callers.py
@@ -19,6 +19,7 @@
     Choice,
     Endpoint,
     EndpointRun,
+    EventSplitter,
     NextStep,
     NoEndpointAvailable,
     Placement,
@@ -26,7 +27,7 @@
     SendEnded,
     SendOutcome,
 )
-from egretrouter.core.errors import Outcome
+from egretrouter.core.errors import EventTooLargeError, Outcome
 from egretrouter.direct._active_call import ActiveCall
 from egretrouter.direct._admission import CallAdmission
 from egretrouter.direct._choices import EndpointChoices
@@ -296,7 +297,7 @@
                 raise
             if not data:
                 break
-            events = call.cutter.feed(data)
+            events = _feed(call.cutter, data)
             if events:
                 self._guard.record_events(call)
                 await self._write(call, answer, events)
@@ -377,6 +378,13 @@
         )
 
 
+def _feed(splitter: EventSplitter, data: bytes) -> bytes:
+    try:
+        return splitter.feed(data)
+    except EventTooLargeError as error:
+        raise SendError(SendOutcome.BROKEN, str(error)) from error
+
+
 def _version_expired(choice: Choice) -> SendError:
     return SendError(
         SendOutcome.EXPIRED, f"version {choice.version} was ruled out while the call queued"
--- a/tests/test_direct_core.py
+++ b/tests/test_direct_core.py
@@ -37,6 +37,8 @@
     Workspace,
     choose_service,
 )
+from egretrouter.core.direct._events import MAX_EVENT_BYTES
+from egretrouter.core.errors import EventTooLargeError
 from egretrouter.core.identifiers import (
     EndpointId,
     InstanceId,
@@ -142,6 +144,19 @@
         assert splitter.last_id == "2"
         assert splitter.has_partial_event
 
+    def test_event_without_end_fills_the_memory(self) -> None:
+        splitter = EventSplitter()
+        piece = b"x" * (MAX_EVENT_BYTES // 4)
+        for _ in range(4):
+            assert splitter.feed(piece) == b""
+        with pytest.raises(EventTooLargeError, match=str(MAX_EVENT_BYTES)):
+            splitter.feed(b"x")
+
+    def test_large_content_of_small_events_passes(self) -> None:
+        stream = b"".join(b"id: %d\ndata: a\n\n" % number for number in range(100_000))
+        assert EventSplitter().feed(stream) == stream
+        assert len(stream) > MAX_EVENT_BYTES
+
     def test_resumed_stream_repeats_no_event(self) -> None:
         splitter = EventSplitter(last_id="4")
         assert splitter.feed(b"id: 4\ndata: x\n\nid: 5\ndata: y\n\nid: 6") == b"id: 5\ndata: y\n\n"
