Judge the parts of a prompt by answers of their own service only

Found on reading the code again: where no call is answered at all, parts are not held, because the cause must be another one, such as weights that crash every engine. But any service's answer counted, so with plain services or another model at work every part of the broken service would have been held for two minutes and more.

--- a/egretrouter/core/direct/__init__.py
+++ b/egretrouter/core/direct/__init__.py
@@ -27,7 +27,7 @@
     first_event_seconds,
     service_seconds,
 )
-from egretrouter.core.direct._quarantine import PartNews, PartQuarantine, PartStanding
+from egretrouter.core.direct._quarantine import PartNews, PartQuarantine, PartStanding, Prompt
 from egretrouter.core.direct._records import (
     CallerLimits,
     CallKind,
@@ -77,6 +77,7 @@
     "PartQuarantine",
     "PartStanding",
     "Placement",
+    "Prompt",
     "RepeatBudget",
     "Replica",
     "Revisions",
--- a/egretrouter/core/direct/_quarantine.py
+++ b/egretrouter/core/direct/_quarantine.py
@@ -7,14 +7,14 @@
 """
 
 from collections import OrderedDict
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Iterable
 from enum import Enum
 
 import msgspec
 
 from egretrouter.core.direct._endpoint_run import EndpointRun
 from egretrouter.core.direct._relay_queue import RelayQueue
-from egretrouter.core.identifiers import PromptPartId
+from egretrouter.core.identifiers import PromptPartId, ServiceName
 
 SUSPECT_CRASHES = 2
 HOLD_CRASHES = 3
@@ -34,6 +34,13 @@
 MAX_SOUND_PARTS = 4096
 
 
+class Prompt(msgspec.Struct, frozen=True, kw_only=True):
+    """Name a call's service and the parts of its prompt that other calls may have too."""
+
+    service: ServiceName
+    parts: tuple[PromptPartId, ...] = ()
+
+
 class Crash(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Report that an endpoint ended before it had written on a part."""
 
@@ -51,7 +58,7 @@
 
 
 class PartStanding(Enum):
-    """List how a call with some parts is to be treated."""
+    """List how a call is to be treated because of the parts of its prompt."""
 
     CLEAR = "clear"
     SUSPECT = "suspect"
@@ -99,23 +106,21 @@
         """When an endpoint last wrote on a part, of the last SOUND_SECONDS."""
         self._cleared: OrderedDict[PromptPartId, float] = OrderedDict()
         """The same for parts that had been in broken calls, to tell those who missed it."""
-        self._progress_seconds = float("-inf")
-        """When an endpoint last wrote an answer to any call of this process."""
+        self._progress_seconds: dict[ServiceName, float] = {}
+        """When an endpoint of a service last wrote on any call of this process."""
         self._queue: RelayQueue[PromptPartId] = RelayQueue()
         self._changes: list[PartChange] = []
 
-    def record_crash(
-        self, parts: Collection[PromptPartId], run: EndpointRun, *, now_seconds: float
-    ) -> None:
-        """Record that an endpoint ended before it had written on a call with these parts."""
-        for part in parts:
+    def record_crash(self, prompt: Prompt, run: EndpointRun, *, now_seconds: float) -> None:
+        """Record that an endpoint ended before it had written on a prompt."""
+        for part in prompt.parts:
             if self._add_crash(part, run, now_seconds):
                 self._queue.add_finding(part)
 
-    def record_progress(self, parts: Collection[PromptPartId], *, now_seconds: float) -> None:
-        """Record that an endpoint writes on a call with these parts, which are thus sound."""
-        self._progress_seconds = now_seconds
-        for part in parts:
+    def record_progress(self, prompt: Prompt, *, now_seconds: float) -> None:
+        """Record that an endpoint writes on a prompt, whose parts are thus sound."""
+        self._progress_seconds[prompt.service] = now_seconds
+        for part in prompt.parts:
             if part in self._records:
                 self._clear(part, now_seconds)
                 self._queue.add_finding(part)
@@ -181,11 +186,11 @@
             if not record.crashes:
                 del self._records[part]
 
-    def standing(self, parts: Collection[PromptPartId]) -> PartStanding:
-        """Return how to treat a call with these parts."""
-        if self._held(parts):
+    def standing(self, prompt: Prompt) -> PartStanding:
+        """Return how to treat a call with this prompt."""
+        if self._held(prompt):
             return PartStanding.HELD
-        if any(self._count(part) >= SUSPECT_CRASHES for part in parts):
+        if any(self._count(part) >= SUSPECT_CRASHES for part in prompt.parts):
             return PartStanding.SUSPECT
         return PartStanding.CLEAR
 
@@ -193,49 +198,50 @@
         record = self._records.get(part)
         return record.count if record is not None else 0
 
-    def _held(self, parts: Collection[PromptPartId]) -> list[PromptPartId]:
+    def _held(self, prompt: Prompt) -> list[PromptPartId]:
         return [
             part
-            for part in parts
-            if self._count(part) >= HOLD_CRASHES and self._is_to_blame(part, parts)
+            for part in prompt.parts
+            if self._count(part) >= HOLD_CRASHES and self._is_to_blame(part, prompt)
         ]
 
-    def _is_to_blame(self, part: PromptPartId, parts: Collection[PromptPartId]) -> bool:
+    def _is_to_blame(self, part: PromptPartId, prompt: Prompt) -> bool:
         """Return whether enough of the part's crashes have no better explanation.
 
         A part that is in all calls with the crashing one has the same crashes. Calls without the
         crashing part must go on, and show that it is sound.
         """
         crashes = self._records[part].crashes
-        if self._progress_seconds <= min(crashes.values()):
-            # Where no call is answered at all, the parts of prompts are not the cause.
+        answered = self._progress_seconds.get(prompt.service, float("-inf"))
+        if answered <= min(crashes.values()):
+            # Where a service answers no call at all, the parts of prompts are not the cause.
             return False
         unexplained = set(crashes)
         for other, record in self._records.items():
-            if other not in parts and record.count >= len(crashes):
+            if other not in prompt.parts and record.count >= len(crashes):
                 unexplained -= record.crashes.keys()
         return len(unexplained) >= HOLD_CRASHES
 
     def hold_seconds(
         self,
-        parts: Collection[PromptPartId],
+        prompt: Prompt,
         *,
         is_owner: Callable[[PromptPartId], bool],
         now_seconds: float,
     ) -> float:
-        """Return how long a call with these parts is held; 0 if it may be sent now.
+        """Return how long a call with this prompt is held; 0 if it may be sent now.
 
         Once the time of a trial has come, only the owner of each held part sends a call.
         """
-        held = self._held(parts)
+        held = self._held(prompt)
         due = max((self._records[part].next_trial_seconds() for part in held), default=now_seconds)
         if due <= now_seconds and not all(is_owner(part) for part in held):
             return TRIAL_SECONDS
         return max(0.0, due - now_seconds)
 
-    def record_send(self, parts: Collection[PromptPartId], *, now_seconds: float) -> None:
+    def record_send(self, prompt: Prompt, *, now_seconds: float) -> None:
         """Record that a call is sent, which is a trial if any of its parts is held."""
-        for part in self._held(parts):
+        for part in self._held(prompt):
             self._records[part].trial_seconds = now_seconds
 
     def merge(self, news: Iterable[PartNews], *, now_seconds: float) -> None:
--- a/egretrouter/direct/_active_call.py
+++ b/egretrouter/direct/_active_call.py
@@ -4,7 +4,7 @@
 from aiohttp import web
 
 from egretrouter.backends import CallHeaders
-from egretrouter.core.direct import DirectCall, EventSplitter, Route, Service, Workspace
+from egretrouter.core.direct import DirectCall, EventSplitter, Prompt, Route, Service, Workspace
 from egretrouter.core.identifiers import EndpointId
 
 
@@ -32,6 +32,11 @@
     version: int | None = None
     """The version of the weights that the answer started on."""
 
+    @property
+    def prompt(self) -> Prompt:
+        """Return what tells the call's prompt from others."""
+        return Prompt(service=self.service.name, parts=self.headers.shared_parts)
+
     @property
     def events_since_send(self) -> int:
         """Return how many events the last endpoint that the call was sent to has sent."""
--- a/egretrouter/direct/_part_guard.py
+++ b/egretrouter/direct/_part_guard.py
@@ -42,11 +42,10 @@
 
     def find_hold(self, call: ActiveCall) -> PartHeld | None:
         """Return why the call must not be sent now, or None if it may."""
-        parts = call.headers.shared_parts
-        if self._quarantine.standing(parts) is not PartStanding.HELD:
+        if self._quarantine.standing(call.prompt) is not PartStanding.HELD:
             return None
         seconds = self._quarantine.hold_seconds(
-            parts, is_owner=self._is_owner, now_seconds=time.monotonic()
+            call.prompt, is_owner=self._is_owner, now_seconds=time.monotonic()
         )
         return PartHeld(retry_after_seconds=seconds) if seconds > 0 else None
 
@@ -60,12 +59,12 @@
         """Return whether another endpoint may get the call after a send with this outcome."""
         if outcome is not SendOutcome.BROKEN:
             return True
-        return self._quarantine.standing(call.headers.shared_parts) is PartStanding.CLEAR
+        return self._quarantine.standing(call.prompt) is PartStanding.CLEAR
 
     def record_send(self, call: ActiveCall) -> None:
         """Record that the call is sent to an endpoint."""
         call.endpoint_wrote = False
-        self._quarantine.record_send(call.headers.shared_parts, now_seconds=time.monotonic())
+        self._quarantine.record_send(call.prompt, now_seconds=time.monotonic())
 
     def record_events(self, call: ActiveCall) -> None:
         """Record that the endpoint writes on the call, once it has sent enough events."""
@@ -75,7 +74,7 @@
     def record_answer(self, call: ActiveCall) -> None:
         """Record that the endpoint wrote on the call."""
         call.endpoint_wrote = True
-        self._quarantine.record_progress(call.headers.shared_parts, now_seconds=time.monotonic())
+        self._quarantine.record_progress(call.prompt, now_seconds=time.monotonic())
         self._news.spread_findings()
 
     async def record_broken(self, call: ActiveCall, endpoint: Endpoint) -> None:
@@ -86,7 +85,7 @@
         run = EndpointRun.of(endpoint)
         if await self._has_ended(run, endpoint.address):
             log_event("parts:endpoint_ended", parts=parts, endpoint=run.endpoint_id)
-            self._quarantine.record_crash(parts, run, now_seconds=time.monotonic())
+            self._quarantine.record_crash(call.prompt, run, now_seconds=time.monotonic())
             self._news.spread_findings()
 
     async def _has_ended(self, run: EndpointRun, address: str) -> bool:
