Move the responses to callers out of the handler of calls

What a caller gets, and how the end of a call is recorded, is now in a class of its own; nothing else changed. python -m pytest tests/test_platform_calls.py passes.

--- a/egretrouter/direct/_callers.py
+++ b/egretrouter/direct/_callers.py
@@ -27,7 +27,7 @@
     SendEnded,
     SendOutcome,
 )
-from egretrouter.core.errors import EventTooLargeError, Outcome
+from egretrouter.core.errors import EventTooLargeError
 from egretrouter.direct._active_call import ActiveCall
 from egretrouter.direct._admission import CallAdmission
 from egretrouter.direct._choices import EndpointChoices
@@ -35,11 +35,9 @@
 from egretrouter.direct._metrics import CallMetrics
 from egretrouter.direct._news_service import NewsService
 from egretrouter.direct._part_guard import PartGuard, PartHeld
-from egretrouter.direct._refusals import (
-    Refusal,
-    problem_answer,
-)
-from egretrouter.direct._sends import CompleteAnswer, OpenAnswer, OutgoingCall, Sender, SendError
+from egretrouter.direct._refusals import Refusal
+from egretrouter.direct._responses import CallResponder
+from egretrouter.direct._sends import OpenAnswer, OutgoingCall, Sender, SendError
 from egretrouter.direct._shared_state import SharedStateService
 
 # An endpoint answers on its own when the deadline passes; its answer may arrive this much later.
@@ -67,7 +65,6 @@
         guard: PartGuard,
         rng: random.Random,
     ) -> None:
-        self.draining = False
         self.in_progress = 0
         self._state = state
         self._placement = placement
@@ -75,6 +72,7 @@
         self._sender = sender
         self._dialect = dialect
         self._metrics = metrics
+        self._responder = CallResponder(state=state, dialect=dialect, metrics=metrics)
         self._news = news
         self._guard = guard
         self._admission = CallAdmission(state=state, rng=rng)
@@ -82,6 +80,15 @@
             state=state, placement=placement, guard=guard, limits=news.limits, rng=rng
         )
 
+    @property
+    def draining(self) -> bool:
+        """Return whether the router is about to stop."""
+        return self._responder.draining
+
+    def start_draining(self) -> None:
+        """Close each connection after its next response."""
+        self._responder.draining = True
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one request and return the response."""
         arrived = time.monotonic()
@@ -94,9 +101,9 @@
                 self._placement.record_arrival(now_seconds=arrived)
             response = await self._run(call)
         except CallHeadersError as error:
-            response = self._refuse(request, headers, Refusal(400, str(error)))
+            response = self._responder.refuse(request, headers, Refusal(400, str(error)))
         except Refusal as refusal:
-            response = self._refuse(request, headers, refusal)
+            response = self._responder.refuse(request, headers, refusal)
         except asyncio.CancelledError:
             self._metrics.record_call("caller_left", time.monotonic() - arrived)
             log_event("call:caller_left", call=headers.call_id, seconds=_elapsed_seconds(arrived))
@@ -115,14 +122,14 @@
             ):
                 return await self._send_until_answered(call)
         except TimeoutError:
-            return self._end_call(call, call.progress.abort(), 504, "the time is up")
+            return self._responder.end_call(call, call.progress.abort(), 504, "the time is up")
 
     async def _send_until_answered(self, call: ActiveCall) -> web.StreamResponse:
         while True:
             choice = await self._choices.choose(call)
             if not isinstance(choice, Choice):
                 reason = _describe_unavailability(choice)
-                return self._end_call(
+                return self._responder.end_call(
                     call,
                     call.progress.abort(),
                     502,
@@ -136,9 +143,9 @@
                     await self._guard.record_broken(call, choice.endpoint)
                 step = self._handle_send_error(call, choice, error)
                 if step is NextStep.PASS_ON and error.complete is not None:
-                    return self._build_response(call, error.complete)
+                    return self._responder.pass_on(call, error.complete)
                 if step is not NextStep.SEND:
-                    return self._end_call(call, step, 502, error.reason)
+                    return self._responder.end_call(call, step, 502, error.reason)
 
     def _handle_send_error(self, call: ActiveCall, choice: Choice, error: SendError) -> NextStep:
         endpoint_id, now = choice.endpoint.endpoint_id, time.monotonic()
@@ -175,7 +182,7 @@
         now = time.monotonic()
         left = call.deadline_seconds - now
         if left < MIN_SEND_SECONDS:
-            return self._end_call(call, call.progress.abort(), 504, "the time is up")
+            return self._responder.end_call(call, call.progress.abort(), 504, "the time is up")
         endpoint = choice.endpoint
         call.tried.add(endpoint.endpoint_id)
         call.events_before_send = call.cutter.events
@@ -261,20 +268,7 @@
             raise SendError(SendOutcome.BROKEN, f"status {complete.status} instead of a stream")
         self._placement.record_success(choice.endpoint.endpoint_id)
         self._guard.record_answer(call)
-        return self._build_response(call, complete)
-
-    def _build_response(self, call: ActiveCall, complete: CompleteAnswer) -> web.StreamResponse:
-        status = complete.status
-        if status in (408, 421, 429, 503):
-            # Callers may take these statuses as proof that the call did not run, which the endpoint
-            # did not state.
-            return self._end_call(call, NextStep.FAIL, 502, f"the endpoint answered {status}")
-        self._record_finished(call, str(status))
-        return web.Response(
-            status=status,
-            body=complete.content,
-            headers=self._dialect.response_headers(complete.headers),
-        )
+        return self._responder.pass_on(call, complete)
 
     async def _stream(
         self, call: ActiveCall, choice: Choice, answer: OpenAnswer
@@ -300,83 +294,17 @@
             events = _feed(call.cutter, data)
             if events:
                 self._guard.record_events(call)
-                await self._write(call, answer, events)
+                await self._responder.write(call, answer, events)
         if call.cutter.has_partial_event:
             raise SendError(SendOutcome.BROKEN, "the stream ended inside an event")
-        await self._write(call, answer, call.cutter.take_trailing_bytes())
+        await self._responder.write(call, answer, call.cutter.take_trailing_bytes())
         assert call.response is not None
         await call.response.write_eof()
         self._placement.record_success(choice.endpoint.endpoint_id)
         self._guard.record_answer(call)
-        self._record_finished(call, "200")
+        self._responder.record_finished(call, "200")
         return call.response
 
-    async def _write(self, call: ActiveCall, answer: OpenAnswer, data: bytes) -> None:
-        if call.response is None:
-            headers = self._dialect.response_headers(answer.headers)
-            headers.popall("Content-Length", None)
-            call.response = web.StreamResponse(status=answer.status, headers=headers)
-            if self.draining:
-                call.response.force_close()
-            call.response.enable_chunked_encoding()
-            await call.response.prepare(call.request)
-            call.progress.answer_started = True
-            self._metrics.record_first_event(time.monotonic() - call.arrived_seconds)
-        if data:
-            await call.response.write(data)
-
-    def _end_call(
-        self,
-        call: ActiveCall,
-        step: NextStep,
-        status: int,
-        reason: str,
-        *,
-        retry_after_seconds: float | None = None,
-    ) -> web.StreamResponse:
-        """End a call for which there is no complete answer from an endpoint."""
-        if call.response is not None:
-            self._record_finished(call, "broken_off", reason=reason)
-            if call.request.transport is not None:
-                # Without the final chunk the caller can detect that the answer is incomplete.
-                call.request.transport.close()
-            return call.response
-        if step is NextStep.REFUSE:
-            refusal = Refusal(503, reason, retry_after_seconds=retry_after_seconds)
-        else:
-            refusal = Refusal(status, reason, outcome=Outcome.UNKNOWN)
-        self._record_finished(call, str(refusal.status), reason=reason)
-        return problem_answer(
-            refusal, self._dialect.local_answer_headers(call.headers), call.headers.call_id
-        )
-
-    def _refuse(
-        self, request: web.BaseRequest, headers: CallHeaders, refusal: Refusal
-    ) -> web.StreamResponse:
-        log_event(
-            "call:refused",
-            call=headers.call_id,
-            status=refusal.status,
-            reason=refusal.reason,
-            configuration=self._state.routes.table.version if self._state.routes else None,
-        )
-        self._metrics.record_call(str(refusal.status), 0.0)
-        return problem_answer(refusal, self._dialect.local_answer_headers(headers), headers.call_id)
-
-    def _record_finished(self, call: ActiveCall, result: str, *, reason: str = "") -> None:
-        seconds = time.monotonic() - call.arrived_seconds
-        self._metrics.record_call(result, seconds)
-        log_event(
-            "call:finished",
-            call=call.headers.call_id,
-            route=call.route.name,
-            result=result,
-            reason=reason,
-            sends=call.progress.sends,
-            events=call.cutter.events,
-            seconds=round(seconds, 3),
-        )
-
 
 def _feed(splitter: EventSplitter, data: bytes) -> bytes:
     try:
--- a/egretrouter/direct/_router.py
+++ b/egretrouter/direct/_router.py
@@ -144,7 +144,7 @@
     async def drain(self) -> None:
         """Fail the readiness checks, then wait for calls in progress within the grace period."""
         started = time.monotonic()
-        self.call_handler.draining = True
+        self.call_handler.start_draining()
         self.fleet.announce(leaving=True)
         # Idle connections are closed now and the others after their answer; otherwise callers would
         # keep using them until the process stops.
