Refuse calls that a stopping router has no time to finish

A router that drains now refuses a call, as not run and with an immediate Retry-After, if answers of that length usually take longer than it has left. tests/test_platform_calls.py: test_stopping_router_takes_a_call_that_it_has_no_ time_to_finish (before, such a router answered 200).

--- a/egretrouter/core/direct/__init__.py
+++ b/egretrouter/core/direct/__init__.py
@@ -24,6 +24,7 @@
     LoadReport,
     NoEndpointAvailable,
     Placement,
+    call_seconds,
     first_event_seconds,
     service_seconds,
 )
@@ -93,6 +94,7 @@
     "WeightTargets",
     "WeightVersion",
     "Workspace",
+    "call_seconds",
     "choose_service",
     "first_event_seconds",
     "service_seconds",
--- a/egretrouter/core/direct/_placement.py
+++ b/egretrouter/core/direct/_placement.py
@@ -380,6 +380,11 @@
     return 2 * profile.steps_per_pass * _step_seconds(profile) + 2 * _prefill_seconds(profile)
 
 
+def call_seconds(profile: EngineProfile, answer_tokens: int) -> float:
+    """Return the usual time until a full engine has sent an answer of some length."""
+    return first_event_seconds(profile) + answer_tokens * _step_seconds(profile)
+
+
 def service_seconds(profile: EngineProfile) -> float:
     """Return the usual time for which a call holds a slot on a full engine."""
     # Each new call delays the others in the batch while its prompt is prefilled.
--- a/egretrouter/direct/_callers.py
+++ b/egretrouter/direct/_callers.py
@@ -1,6 +1,7 @@
 """Handle callers' requests by sending them to endpoints."""
 
 import asyncio
+import math
 import random
 import time
 
@@ -26,6 +27,7 @@
     RepeatBudget,
     SendEnded,
     SendOutcome,
+    call_seconds,
 )
 from egretrouter.core.errors import EventTooLargeError
 from egretrouter.direct._active_call import ActiveCall
@@ -66,6 +68,7 @@
         rng: random.Random,
     ) -> None:
         self.in_progress = 0
+        self._stop_seconds = math.inf
         self._state = state
         self._placement = placement
         self._budget = budget
@@ -85,9 +88,14 @@
         """Return whether the router is about to stop."""
         return self._responder.draining
 
-    def start_draining(self) -> None:
-        """Close each connection after its next response."""
+    def start_draining(self, *, stop_seconds: float) -> None:
+        """Close each connection after its next response, and take only calls that end in time."""
         self._responder.draining = True
+        self._stop_seconds = stop_seconds
+
+    def _check_time_left(self, call: ActiveCall) -> None:
+        if time.monotonic() + _likely_seconds(call) > self._stop_seconds:
+            raise Refusal(503, "this router stops before the call can end", retry_after_seconds=0.0)
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one request and return the response."""
@@ -97,6 +105,7 @@
         try:
             headers = self._dialect.read_call(request.headers)
             call = await self._admission.admit(request, headers, arrived_seconds=arrived)
+            self._check_time_left(call)
             if call.service.engine is not None:
                 self._placement.record_arrival(now_seconds=arrived)
             response = await self._run(call)
@@ -306,6 +315,13 @@
         return call.response
 
 
+def _likely_seconds(call: ActiveCall) -> float:
+    """Return how long a call usually takes on a busy endpoint."""
+    if call.service.engine is None:
+        return call.route.latency_target_seconds
+    return call_seconds(call.service.engine, call.headers.answer_tokens)
+
+
 def _feed(splitter: EventSplitter, data: bytes) -> bytes:
     try:
         return splitter.feed(data)
--- a/egretrouter/direct/_router.py
+++ b/egretrouter/direct/_router.py
@@ -144,14 +144,14 @@
     async def drain(self) -> None:
         """Fail the readiness checks, then wait for calls in progress within the grace period."""
         started = time.monotonic()
-        self.call_handler.start_draining()
+        last = started + self.settings.bounds.grace_seconds - STOP_MARGIN_SECONDS
+        self.call_handler.start_draining(stop_seconds=last)
         self.fleet.announce(leaving=True)
         # Idle connections are closed now and the others after their answer; otherwise callers would
         # keep using them until the process stops.
         self._close_callers_connections()
         await asyncio.sleep(LEAVE_ROTATION_SECONDS)
         self._close_callers_connections()
-        last = started + self.settings.bounds.grace_seconds - STOP_MARGIN_SECONDS
         while time.monotonic() < last:
             if self.call_handler.in_progress == 0:
                 return
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -4,6 +4,7 @@
 import json
 import socket
 import struct
+import time
 from collections.abc import AsyncIterator
 
 import aiohttp
@@ -405,6 +406,18 @@
 class TestPlannedStop:
     """Guard against calls that a stopping router accepts and then aborts."""
 
+    @pytest.mark.parametrize(("seconds_left", "expected"), [(0.02, 503), (5.0, 200)])
+    async def test_stopping_router_takes_a_call_that_it_has_no_time_to_finish(
+        self, world: PlatformWorld, seconds_left: float, expected: int
+    ) -> None:
+        world.router.call_handler.start_draining(stop_seconds=time.monotonic() + seconds_left)
+        status, body, headers = await world.call("/sale/x")
+        assert status == expected
+        if expected == 503:
+            assert json.loads(body)["outcome"] == "not_run"
+            assert float(headers["Retry-After"]) < 0.1
+            assert not any(engine.requests for engine in world.engines)
+
     async def test_idle_connections_are_closed_and_running_calls_finish(
         self, world: PlatformWorld
     ) -> None:
