Run several routers as processes against both troubles

Three routers started as the platform starts them, two of which are killed and start again: held parts and named limits outlive the restarts.

--- a/tests/platform_fleet.py
+++ b/tests/platform_fleet.py
@@ -13,6 +13,7 @@
 
 from egretrouter.core.direct import FleetRole
 from egretrouter.core.identifiers import InstanceId
+from egretrouter.direct import DirectSettings
 from egretrouter.direct._router import DirectRouter
 from tests.helpers import free_ports, wait_until
 from tests.platform_standins import EngineStandin, StoreStandin, configuration, registration
@@ -80,19 +81,24 @@
         self.store.delete("servers", engine.endpoint_id)
         await self.start_engine()
 
-    async def start_router(self) -> DirectRouter:
-        """Start a router with an address of its own, because all use the same ports."""
-        number = len(self.routers) + 1
+    def router_settings(
+        self, number: int, *, callers_port: int = 0, readiness_port: int = 0
+    ) -> DirectSettings:
+        """Return the settings of a router; it has an address of its own, as all share ports."""
         address = f"127.0.0.{number}"
-        own = settings(
+        return settings(
             self.store.address,
             self._ports,
             instance_id=InstanceId(f"front-{number}"),
             address=address,
-            callers=f"{address}:0",
-            readiness=f"{address}:0",
+            callers=f"{address}:{callers_port}",
+            readiness=f"{address}:{readiness_port}",
             seeds=tuple(f"127.0.0.{other}:1" for other in range(1, number)),
         )
+
+    async def start_router(self) -> DirectRouter:
+        number = len(self.routers) + 1
+        own = self.router_settings(number)
         router = DirectRouter(
             own,
             store=PlatformStore(self._session, address=self.store.address),
@@ -125,8 +131,12 @@
 
     async def call(self, router: int, *, parts: Sequence[str]) -> Answer:
         """Make one streamed call whose prompt has some parts before one of its own."""
-        call_id = f"c-{next(self._call_numbers)}"
         own = self.routers[router]
+        return await self.call_at(f"{own.settings.address}:{own.callers_port}", parts=parts)
+
+    async def call_at(self, address: str, *, parts: Sequence[str]) -> Answer:
+        """Make such a call at the address of a router."""
+        call_id = f"c-{next(self._call_numbers)}"
         headers = {
             "Host": "a.example",
             "X-Attempt-Id": call_id,
@@ -134,7 +144,7 @@
             "X-Api-Key": "key-1",
             "X-Prompt-Prefix": ",".join(f"{part}:40" for part in (*parts, call_id.encode().hex())),
         }
-        url = URL(f"http://{own.settings.address}:{own.callers_port}/text/x", encoded=True)
+        url = URL(f"http://{address}/text/x", encoded=True)
         async with aiohttp.ClientSession() as session:
             try:
                 async with session.post(url, headers=headers) as response:
