--- a/benchmarks/router_model.py
+++ b/benchmarks/router_model.py
@@ -1,8 +1,7 @@
 """Model one router: a selector or baseline policy, limits and retries, without I/O."""
 
 import random
-from collections.abc import Callable
-from typing import TYPE_CHECKING
+from collections.abc import Callable, Iterable, Sequence
 
 import msgspec
 
@@ -15,8 +14,8 @@
     RandomChoice,
     RoundRobin,
 )
-from benchmarks.engine_model import EngineCall
-from benchmarks.scenario import CONNECT_FAILURE_SECONDS, ModelCall
+from benchmarks.engine_model import Clock, EngineCall, EngineModel
+from benchmarks.scenario import CONNECT_FAILURE_SECONDS, ModelCall, Scenario
 from egretrouter.core.identifiers import (
     CallId,
     EndpointId,
@@ -49,9 +48,6 @@
     RoutingMessage,
 )
 
-if TYPE_CHECKING:
-    from benchmarks.routing_model import RoutingModel
-
 
 class SelectorPolicy:
     """Adapt EndpointSelector to the interface of the baselines."""
@@ -87,10 +83,20 @@
 class RouterModel:
     """Pass messages between callers, one router's policy and limits, and the engines."""
 
-    def __init__(self, run: "RoutingModel", number: int) -> None:
+    def __init__(
+        self,
+        number: int,
+        *,
+        scenario: Scenario,
+        clock: Clock,
+        engines: Sequence[EngineModel],
+        workspaces: Iterable[WorkspaceId],
+    ) -> None:
         """Set up the policy and the limits."""
-        scenario = run.scenario
-        self.run = run
+        self.scenario = scenario
+        self.clock = clock
+        self.engines = engines
+        self.attempts = 0
         self.zone = number % scenario.zones
         generator = random.Random(f"{scenario.seed}/router/{number}")
         self.policy: Policy
@@ -113,12 +119,12 @@
             self.admission = Admission(concurrency=concurrency)
             workspaces = tuple(
                 WorkspaceLimits(
-                    workspace_id=WorkspaceId(name),
+                    workspace_id=workspace,
                     requests_per_second=1e6,
                     tokens_per_second=1e9,
                     concurrent_calls=10**6,
                 )
-                for name in run.workspace_loads
+                for workspace in workspaces
             )
             self.admission.handle(LimitsChanged(workspaces=workspaces), now_seconds=0.0)
             self.admission.handle(LiveRoutersCounted(routers=scenario.routers), now_seconds=0.0)
@@ -126,7 +132,7 @@
 
     def dispatch(self, message: RoutingMessage) -> None:
         """Pass a message to the policy."""
-        self.policy.handle(message, now_seconds=self.run.clock.now_seconds)
+        self.policy.handle(message, now_seconds=self.clock.now_seconds)
 
     def handle_arrival(self, call: ModelCall) -> None:
         """Admit a call, or send it at once if there are no limits."""
@@ -138,15 +144,15 @@
         message = CallArrived(
             call_id=call.call_id,
             workspace_id=call.workspace,
-            deadline_seconds=self.run.scenario.deadline_seconds,
+            deadline_seconds=self.scenario.deadline_seconds,
         )
-        self._execute(self.admission.handle(message, now_seconds=self.run.clock.now_seconds))
+        self._execute(self.admission.handle(message, now_seconds=self.clock.now_seconds))
 
     def _tick(self) -> None:
         assert self.admission is not None
-        now = self.run.clock.now_seconds
+        now = self.clock.now_seconds
         self._execute(self.admission.handle(LimitsTick(), now_seconds=now))
-        self.run.clock.call_later(0.1, self._tick)
+        self.clock.call_later(0.1, self._tick)
 
     def _execute(self, commands: list[LimitsCommand]) -> None:
         for command in commands:
@@ -158,11 +164,11 @@
                 self.calls.pop(command.call_id).refused = True
 
     def _send(self, call: ModelCall) -> None:
-        clock = self.run.clock
+        clock = self.clock
         request = call.request
-        if self.run.scenario.limits:
+        if self.scenario.limits:
             spent_seconds = clock.now_seconds - call.arrived_seconds
-            left_seconds = self.run.scenario.deadline_seconds - spent_seconds
+            left_seconds = self.scenario.deadline_seconds - spent_seconds
             request = msgspec.structs.replace(
                 request, deadline_seconds=left_seconds, urgent=call.urgent
             )
@@ -172,7 +178,7 @@
             self._release(call, overloaded=True)
             return
         call.attempts += 1
-        self.run.attempts += 1
+        self.attempts += 1
         sent_at = clock.now_seconds
         attempt_id = CallId(f"{call.call_id}/{call.attempts}")
         self.dispatch(
@@ -187,8 +193,8 @@
             )
         )
         number = int(endpoint_id[1:])
-        engine = self.run.engines[number]
-        latency_seconds = 0.0 if number % self.run.scenario.zones == self.zone else 0.002
+        engine = self.engines[number]
+        latency_seconds = 0.0 if number % self.scenario.zones == self.zone else 0.002
 
         def handle_first_token(cached_tokens: int) -> None:
             call.first_token_seconds = clock.now_seconds + latency_seconds
@@ -204,7 +210,7 @@
 
         def handle_failure() -> None:
             self.dispatch(CallFailed(call_id=attempt_id))
-            allowed = self.retries.try_spend() if self.run.scenario.retry_budget else True
+            allowed = self.retries.try_spend() if self.scenario.retry_budget else True
             if call.attempts < 3 and allowed:
                 excluded = call.request.excluded | {endpoint_id}
                 call.request = msgspec.structs.replace(call.request, excluded=excluded)
@@ -230,5 +236,5 @@
         self.calls.pop(call.call_id, None)
         if self.admission is not None:
             message = CallReleased(call_id=call.call_id, overloaded=overloaded)
-            now = self.run.clock.now_seconds
+            now = self.clock.now_seconds
             self._execute(self.admission.handle(message, now_seconds=now))
--- a/benchmarks/routing_model.py
+++ b/benchmarks/routing_model.py
@@ -30,7 +30,6 @@
         """Create the engines and routers and schedule the first events."""
         self.scenario = scenario
         self.clock = Clock()
-        self.attempts = 0
         self.calls: list[ModelCall] = []
         self.workspace_loads = scenario.workspace_loads or {"all": scenario.load}
         # Arrivals use separate random generators, so that every policy gets the same calls.
@@ -39,7 +38,17 @@
             EngineModel(self.clock, cache_blocks=scenario.cache_blocks)
             for _ in range(scenario.engines)
         ]
-        self.routers = [RouterModel(self, number) for number in range(scenario.routers)]
+        workspaces = [WorkspaceId(name) for name in self.workspace_loads]
+        self.routers = [
+            RouterModel(
+                number,
+                scenario=scenario,
+                clock=self.clock,
+                engines=self.engines,
+                workspaces=workspaces,
+            )
+            for number in range(scenario.routers)
+        ]
         self._report_random = random.Random(f"{scenario.seed}/reports")
         for number in range(scenario.engines):
             zone = number % scenario.zones
@@ -65,6 +74,11 @@
         self.clock.run(self.scenario.duration_seconds + 10.0)
         return self
 
+    @property
+    def attempts(self) -> int:
+        """Return how often routers sent a call to an engine."""
+        return sum(router.attempts for router in self.routers)
+
     def measured_calls(self, workspace: str | None = None) -> list[ModelCall]:
         """Return the calls that arrived after the warm-up."""
         start = self.scenario.warm_up_seconds
