Tell other routers that a service answers calls without a held part

A part is held only if its service has answered other calls since the first crash. The news of a part now says so, with the service.

--- a/egretrouter/core/direct/_endpoint_limits.py
+++ b/egretrouter/core/direct/_endpoint_limits.py
@@ -172,7 +172,7 @@
         return self._news(self._queue.take_relays(limit=limit), now_seconds)
 
     def all_news(self, *, now_seconds: float) -> list[LimitNews]:
-        """Return all that is known, for a process that joins."""
+        """Return all that is known."""
         return self._news(self._limits, now_seconds)
 
     def _news(self, runs: Iterable[EndpointRun], now_seconds: float) -> list[LimitNews]:
--- a/egretrouter/core/direct/_quarantine.py
+++ b/egretrouter/core/direct/_quarantine.py
@@ -23,6 +23,8 @@
 SOUND_SECONDS = 10.0
 # Unrelated crashes must not add up over a long time.
 EVIDENCE_SECONDS = 60.0
+# So long may a process be cut off and still hold a part that the others have found to be sound.
+CLEARED_SECONDS = 600.0
 # Each hop adds the time in transit to an age; less than this is no news.
 AGE_TOLERANCE_SECONDS = 1.0
 TRIAL_SECONDS = 120.0
@@ -52,6 +54,10 @@
     """Carry what a process knows of one part."""
 
     part: PromptPartId
+    service: ServiceName
+    """The service whose endpoints ended, or wrote on the part."""
+    others_answered: bool = False
+    """Whether the service has answered other calls since the first of the crashes."""
     crashes: tuple[Crash, ...] = ()
     sound_age_seconds: float | None = None
     """How long ago an endpoint wrote on the part; None if that is not known."""
@@ -74,8 +80,16 @@
     held: bool
 
 
+class _Sound(msgspec.Struct, frozen=True, kw_only=True):
+    service: ServiceName
+    at_seconds: float
+
+
 class _Record:
-    def __init__(self) -> None:
+    def __init__(self, service: ServiceName) -> None:
+        self.service = service
+        self.others_answered = False
+        """Whether the service has answered calls without the part since the first crash."""
         self.crashes: dict[EndpointRun, float] = {}
         """When each endpoint ended, on this process's clock."""
         self.trial_seconds = float("-inf")
@@ -84,6 +98,18 @@
     def count(self) -> int:
         return len(self.crashes)
 
+    def add(self, run: EndpointRun, at_seconds: float) -> bool:
+        """Add a crash and return whether it was new; the newest ones are kept."""
+        if run in self.crashes:
+            return False
+        if self.count >= MAX_CRASHES_PER_PART:
+            oldest = min(self.crashes, key=lambda run: self.crashes[run])
+            if at_seconds <= self.crashes[oldest]:
+                return False
+            del self.crashes[oldest]
+        self.crashes[run] = at_seconds
+        return True
+
     @property
     def last_seconds(self) -> float:
         return max(self.crashes.values())
@@ -104,25 +130,22 @@
         self._records: dict[PromptPartId, _Record] = {}
         self._sound: OrderedDict[PromptPartId, float] = OrderedDict()
         """When an endpoint last wrote on a part, of the last SOUND_SECONDS."""
-        self._cleared: OrderedDict[PromptPartId, float] = OrderedDict()
+        self._cleared: OrderedDict[PromptPartId, _Sound] = OrderedDict()
         """The same for parts that had been in broken calls, to tell those who missed it."""
-        self._progress_seconds: dict[ServiceName, float] = {}
-        """When an endpoint of a service last wrote on any call of this process."""
         self._queue: RelayQueue[PromptPartId] = RelayQueue()
         self._changes: list[PartChange] = []
 
     def record_crash(self, prompt: Prompt, run: EndpointRun, *, now_seconds: float) -> None:
         """Record that an endpoint ended before it had written on a prompt."""
         for part in prompt.parts:
-            if self._add_crash(part, run, now_seconds):
+            if self._add_crash(part, prompt.service, run, now_seconds):
                 self._queue.add_finding(part)
 
     def record_progress(self, prompt: Prompt, *, now_seconds: float) -> None:
         """Record that an endpoint writes on a prompt, whose parts are thus sound."""
-        self._progress_seconds[prompt.service] = now_seconds
         for part in prompt.parts:
             if part in self._records:
-                self._clear(part, now_seconds)
+                self._clear(part, _Sound(service=prompt.service, at_seconds=now_seconds))
                 self._queue.add_finding(part)
             self._sound[part] = now_seconds
             self._sound.move_to_end(part)
@@ -131,23 +154,32 @@
             or next(iter(self._sound.values())) < now_seconds - SOUND_SECONDS
         ):
             self._sound.popitem(last=False)
+        for part, record in self._records.items():
+            if record.service == prompt.service and not record.others_answered:
+                record.others_answered = True
+                self._queue.add_finding(part)
 
     def _sound_seconds(self, part: PromptPartId) -> float:
-        never = float("-inf")
-        return max(self._sound.get(part, never), self._cleared.get(part, never))
+        cleared = self._cleared.get(part)
+        return max(
+            self._sound.get(part, float("-inf")),
+            cleared.at_seconds if cleared is not None else float("-inf"),
+        )
 
-    def _add_crash(self, part: PromptPartId, run: EndpointRun, at_seconds: float) -> bool:
+    def _add_crash(
+        self, part: PromptPartId, service: ServiceName, run: EndpointRun, at_seconds: float
+    ) -> bool:
         """Add a crash unless the part is known to be sound, and return whether it was new."""
-        record = self._records.get(part)
         if at_seconds <= self._sound_seconds(part) + SOUND_SECONDS:
             return False
+        record = self._records.get(part)
         if record is None:
             self._make_room()
-            record = self._records[part] = _Record()
-        if run in record.crashes or record.count >= MAX_CRASHES_PER_PART:
+            record = self._records[part] = _Record(service)
+        was_held = record.count >= HOLD_CRASHES
+        if not record.add(run, at_seconds):
             return False
-        record.crashes[run] = at_seconds
-        if record.count == HOLD_CRASHES:
+        if record.count >= HOLD_CRASHES and not was_held:
             self._changes.append(PartChange(part=part, held=True))
         return True
 
@@ -156,28 +188,31 @@
             records = self._records
             del records[min(records, key=lambda part: records[part].weight())]
 
-    def _clear(self, part: PromptPartId, at_seconds: float) -> None:
+    def _clear(self, part: PromptPartId, sound: _Sound) -> None:
         """Drop the crashes up to a time at which the part was sound, and remember that time."""
-        self._remember_sound(part, at_seconds)
+        self._remember_sound(part, sound)
         record = self._records.get(part)
         if record is None:
             return
         was_held = record.count >= HOLD_CRASHES
-        until = at_seconds + SOUND_SECONDS
+        until = sound.at_seconds + SOUND_SECONDS
         record.crashes = {run: at for run, at in record.crashes.items() if at > until}
         if was_held and record.count < HOLD_CRASHES:
             self._changes.append(PartChange(part=part, held=False))
         if not record.crashes:
             del self._records[part]
 
-    def _remember_sound(self, part: PromptPartId, at_seconds: float) -> None:
-        self._cleared[part] = at_seconds
+    def _remember_sound(self, part: PromptPartId, sound: _Sound) -> None:
+        self._cleared[part] = sound
         self._cleared.move_to_end(part)
         if len(self._cleared) > MAX_PARTS:
             self._cleared.popitem(last=False)
 
     def expire(self, *, now_seconds: float) -> None:
         """Forget crashes that are too old to accuse a part that is not held."""
+        forgotten = now_seconds - CLEARED_SECONDS
+        while self._cleared and next(iter(self._cleared.values())).at_seconds < forgotten:
+            self._cleared.popitem(last=False)
         oldest = now_seconds - EVIDENCE_SECONDS
         for part, record in list(self._records.items()):
             if record.count >= HOLD_CRASHES:
@@ -211,14 +246,13 @@
         A part that is in all calls with the crashing one has the same crashes. Calls without the
         crashing part must go on, and show that it is sound.
         """
-        crashes = self._records[part].crashes
-        answered = self._progress_seconds.get(prompt.service, float("-inf"))
-        if answered <= min(crashes.values()):
+        accused = self._records[part]
+        if not accused.others_answered:
             # Where a service answers no call at all, the parts of prompts are not the cause.
             return False
-        unexplained = set(crashes)
+        unexplained = set(accused.crashes)
         for other, record in self._records.items():
-            if other not in prompt.parts and record.count >= len(crashes):
+            if other not in prompt.parts and record.count >= accused.count:
                 unexplained -= record.crashes.keys()
         return len(unexplained) >= HOLD_CRASHES
 
@@ -256,16 +290,20 @@
         if news.sound_age_seconds is not None:
             sound = now_seconds - news.sound_age_seconds
             if sound > self._sound_seconds(news.part) + AGE_TOLERANCE_SECONDS:
-                self._clear(news.part, sound)
+                self._clear(news.part, _Sound(service=news.service, at_seconds=sound))
                 changed = True
         for crash in news.crashes:
             at = now_seconds - crash.age_seconds
             if at <= self._sound_seconds(news.part) + SOUND_SECONDS:
                 # The sender does not know yet that the part is sound.
-                self._remember_sound(news.part, self._sound_seconds(news.part))
+                known = self._sound_seconds(news.part)
+                self._remember_sound(news.part, _Sound(service=news.service, at_seconds=known))
                 changed = True
             elif len(news.crashes) >= HOLD_CRASHES or crash.age_seconds < EVIDENCE_SECONDS:
-                changed |= self._add_crash(news.part, crash.run, at)
+                changed |= self._add_crash(news.part, news.service, crash.run, at)
+        record = self._records.get(news.part)
+        if record is not None and news.others_answered and not record.others_answered:
+            record.others_answered = changed = True
         return changed
 
     def take_findings(self, *, now_seconds: float) -> list[PartNews]:
@@ -277,26 +315,24 @@
         return self._news(self._queue.take_relays(limit=limit, urgency=self._count), now_seconds)
 
     def all_news(self, *, now_seconds: float) -> list[PartNews]:
-        """Return all that is known, for a process that joins."""
-        return self._news(
-            [*self._records, *self._cleared.keys() - self._records.keys()], now_seconds
-        )
+        """Return all that is known, parts with most crashes first."""
+        accused = sorted(self._records, key=self._count, reverse=True)
+        return self._news([*accused, *self._cleared.keys() - self._records.keys()], now_seconds)
 
     def _news(self, parts: Iterable[PromptPartId], now_seconds: float) -> list[PartNews]:
         found = []
         for part in parts:
-            record = self._records.get(part)
-            crashes = record.crashes.items() if record is not None else ()
-            sound = self._sound_seconds(part)
-            found.append(
-                PartNews(
-                    part=part,
-                    crashes=tuple(
-                        Crash(run=run, age_seconds=now_seconds - at) for run, at in crashes
-                    ),
-                    sound_age_seconds=now_seconds - sound if sound > float("-inf") else None,
+            record, cleared = self._records.get(part), self._cleared.get(part)
+            if record is not None:
+                found.append(_accusation(part, record, cleared, now_seconds))
+            elif cleared is not None:
+                found.append(
+                    PartNews(
+                        part=part,
+                        service=cleared.service,
+                        sound_age_seconds=now_seconds - cleared.at_seconds,
+                    )
                 )
-            )
         return found
 
     def take_changes(self) -> list[PartChange]:
@@ -310,3 +346,17 @@
             part: {"crashes": [run.endpoint_id for run in record.crashes]}
             for part, record in self._records.items()
         }
+
+
+def _accusation(
+    part: PromptPartId, record: _Record, cleared: _Sound | None, now_seconds: float
+) -> PartNews:
+    return PartNews(
+        part=part,
+        service=record.service,
+        others_answered=record.others_answered,
+        crashes=tuple(
+            Crash(run=run, age_seconds=now_seconds - at) for run, at in record.crashes.items()
+        ),
+        sound_age_seconds=None if cleared is None else now_seconds - cleared.at_seconds,
+    )
--- a/egretrouter/direct/_news_service.py
+++ b/egretrouter/direct/_news_service.py
@@ -135,13 +135,15 @@
                 repaired = now
                 self.quarantine.expire(now_seconds=now)
                 self.limits.expire(now_seconds=now)
-                parts += self._sample(self.quarantine.all_news(now_seconds=now))
-                limits += self._sample(self.limits.all_news(now_seconds=now))
+                parts += self._choose_repairs(self.quarantine.all_news(now_seconds=now))
+                limits += self._choose_repairs(self.limits.all_news(now_seconds=now))
             if parts or limits:
                 self._send(self._fleet.fleet.relay_targets(), parts=parts, limits=limits)
 
-    def _sample(self, known: list[_NewsT]) -> list[_NewsT]:
-        return self._rng.sample(known, min(ITEMS_PER_NOTE, len(known)))
+    def _choose_repairs(self, known: list[_NewsT]) -> list[_NewsT]:
+        """Choose the most important half of a note's items, and the other half at random."""
+        first, rest = known[: ITEMS_PER_NOTE // 2], known[ITEMS_PER_NOTE // 2 :]
+        return first + self._rng.sample(rest, min(ITEMS_PER_NOTE - len(first), len(rest)))
 
     async def _wait_for_news(self, limit_seconds: float) -> None:
         with contextlib.suppress(TimeoutError):
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -8,6 +8,7 @@
 from egretrouter.core.direct._quarantine import (
     EVIDENCE_SECONDS,
     HOLD_CRASHES,
+    MAX_CRASHES_PER_PART,
     MAX_PARTS,
     SOUND_SECONDS,
     SUSPECT_CRASHES,
@@ -175,6 +176,13 @@
         crash(quarantine, CRASHING, count=1, first=HOLD_CRASHES, at_seconds=300.0)
         assert hold_seconds(quarantine, 300.0) == pytest.approx(TRIAL_SECONDS * TRIAL_FACTOR)
 
+    def test_time_of_the_newest_crash_is_lost_among_many(self) -> None:
+        quarantine = PartQuarantine()
+        crash(quarantine, CRASHING, count=MAX_CRASHES_PER_PART)
+        crash(quarantine, CRASHING, count=1, first=99, at_seconds=10_000.0)
+        longest = TRIAL_SECONDS * TRIAL_FACTOR ** (MAX_CRASHES_PER_PART - HOLD_CRASHES)
+        assert hold_seconds(quarantine, 10_000.0) == pytest.approx(longest)
+
     def test_trial_that_is_answered_releases_the_part_everywhere(self) -> None:
         quarantines = [PartQuarantine() for _ in range(3)]
         crash(quarantines[0], CRASHING)
@@ -196,6 +204,12 @@
             quarantine.record_progress(prompt(), now_seconds=FIRST_SECONDS + 10)
         assert all(q.standing(prompt(CRASHING)) is PartStanding.HELD for q in quarantines)
 
+    def test_router_without_answers_sends_calls_with_a_held_part(self) -> None:
+        known, quiet = PartQuarantine(), PartQuarantine()
+        crash(known, CRASHING)
+        quiet.merge(known.take_findings(now_seconds=110.0), now_seconds=110.0)
+        assert quiet.standing(prompt(CRASHING)) is PartStanding.HELD
+
     def test_router_that_knows_better_clears_a_part_for_the_others(self) -> None:
         quarantines = [PartQuarantine() for _ in range(3)]
         quarantines[2].record_progress(prompt(SHARED), now_seconds=FIRST_SECONDS)
