Let only an answer show that a part of a prompt is sound

An engine's complete answer of any status below 500 cleared the parts of its call, also a refusal such as 400, for which nothing was written. tests/test_crashing_parts.py: test_rejected_call_counts_as_an_answer.

--- a/egretrouter/direct/_callers.py
+++ b/egretrouter/direct/_callers.py
@@ -276,7 +276,8 @@
         if call.progress.answer_started:
             raise SendError(SendOutcome.BROKEN, f"status {complete.status} instead of a stream")
         self._placement.record_success(choice.endpoint.endpoint_id)
-        self._guard.record_answer(call)
+        if complete.status < 300:
+            self._guard.record_answer(call)
         return self._responder.pass_on(call, complete)
 
     async def _stream(
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -3,7 +3,9 @@
 from collections.abc import AsyncIterator, Sequence
 
 import pytest
+from aiohttp import web
 
+from egretrouter.core.direct._quarantine import HOLD_CRASHES
 from tests.platform_fleet import PlatformFleet
 
 CRASHING, SHARED, OTHER = "bad0", "c0de", "fee1"
@@ -44,6 +46,20 @@
         assert all(b'"not_run"' in answer.content for answer in answers)
         assert fleet.requests() == before
 
+    async def test_rejected_call_counts_as_an_answer(self, fleet: PlatformFleet) -> None:
+        async def reject(request: web.BaseRequest, _: bytes) -> web.StreamResponse:
+            return web.Response(status=400, headers=fleet.engines[0].receipt_headers(request))
+
+        await spread_crashing_calls(fleet, first_parts=FIRST_PARTS[:1])
+        for engine in fleet.engines:
+            engine.respond = reject
+        answer = await fleet.call(0, parts=[CRASHING])
+        assert answer.status == 400
+        for engine in fleet.engines:
+            engine.respond = None
+        await spread_crashing_calls(fleet, first_parts=FIRST_PARTS[1:])
+        assert fleet.crashed <= HOLD_CRASHES
+
     async def test_calls_with_the_other_parts_are_refused(self, fleet: PlatformFleet) -> None:
         await spread_crashing_calls(fleet, first_parts=[SHARED] * 5)
         answers = [await fleet.call(number, parts=[SHARED]) for number in range(3)]
