Test that a mass crash of sound engines holds no parts

Four of six engines end at once, twice, under calls with the same parts that had got no event: calls with these parts are answered afterwards. python -m pytest tests/test_crashing_parts.py

--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -164,9 +164,13 @@
         response.enable_chunked_encoding()
         await response.prepare(request)
         await asyncio.sleep(0.01)
+        self.crash()
+        return response
+
+    def crash(self) -> None:
+        """End at once, whatever runs."""
         self.abort()
         self.on_crash(self)
-        return response
 
     def receipt_headers(self, request: web.BaseRequest) -> dict[str, str]:
         headers = {
--- a/tests/test_crashing_parts.py
+++ b/tests/test_crashing_parts.py
@@ -1,11 +1,13 @@
 """Test calls with a part in their prompts that crashes every engine that runs them."""
 
+import asyncio
 from collections.abc import AsyncIterator, Sequence
 
 import pytest
 from aiohttp import web
 
 from egretrouter.core.direct._quarantine import HOLD_CRASHES
+from tests.helpers import wait_until
 from tests.platform_fleet import PlatformFleet
 
 CRASHING, SHARED, OTHER = "bad0", "c0de", "fee1"
@@ -65,6 +67,31 @@
         answers = [await fleet.call(number, parts=[SHARED]) for number in range(3)]
         assert [answer.status for answer in answers] == [200] * 3
 
+    async def test_sound_parts_are_held_after_a_mass_crash(self, fleet: PlatformFleet) -> None:
+        fleet.let_part_crash("")
+
+        async def stay_silent(request: web.BaseRequest, _: bytes) -> web.StreamResponse:
+            await asyncio.sleep(30)
+            return web.Response()
+
+        for _ in range(2):
+            engines = fleet.engines[:4]
+            for engine in engines:
+                engine.respond = stay_silent
+            calls = [
+                asyncio.create_task(fleet.call(number % 3, parts=[SHARED, FIRST_PARTS[number % 2]]))
+                for number in range(12)
+            ]
+            await wait_until(lambda: sum(len(e.requests) for e in engines) >= 4)  # noqa: B023
+            for engine in engines:
+                engine.crash()
+            await asyncio.gather(*calls)
+            await fleet.wait_until_recovered()
+        for number in range(3):
+            for first in FIRST_PARTS[:2]:
+                answer = await fleet.call(number, parts=[SHARED, first])
+                assert answer.status == 200
+
     async def test_started_router_sends_calls_with_a_held_part(self, fleet: PlatformFleet) -> None:
         await spread_crashing_calls(fleet, first_parts=FIRST_PARTS)
         crashed = fleet.crashed
--- a/tests/test_named_limits.py
+++ b/tests/test_named_limits.py
@@ -73,8 +73,7 @@
         limited = fleet.engines[0]
         limited.limit_per_second = LIMIT_PER_SECOND
         await call_all(fleet, CALLS // 3)
-        limited.abort()
-        limited.on_crash(limited)
+        limited.crash()
         await fleet.wait_until_recovered()
         await call_all(fleet, CALLS // 3)
         await wait_until(lambda: len(fleet.engines) == 2)
