Bound the framing of answers on the product's own path too

The agent of the product's own path read the endless extension of a chunk until the call's time was up, as routers of the direct path did, and took an answer without length for complete when its connection was reset. The check of answers moves to egretrouter/transport, and both paths use it. tests/test_endless_answers.py: test_agent_reads_an_extension_until_the_time_is_ up failed before (67 MB read, 8 allowed).

--- a/egretrouter/daemons/_endpoint.py
+++ b/egretrouter/daemons/_endpoint.py
@@ -11,7 +11,7 @@
 from egretrouter.core.errors import CallNotRunError, CallUnknownError
 from egretrouter.core.identifiers import CallId
 from egretrouter.protocol import egretrouter_pb2 as pb
-from egretrouter.transport import HOP_BY_HOP_HEADERS
+from egretrouter.transport import HOP_BY_HOP_HEADERS, check_answers
 
 CONNECT_TIMEOUT_SECONDS = 2.0
 READ_BUFFER_BYTES = 256 * 1024
@@ -55,8 +55,10 @@
     trace.on_connection_create_end.append(connected)
     # A request on a connection that the endpoint is closing may be lost without an error, so each
     # call opens its own connection.
+    connector = aiohttp.TCPConnector(force_close=True, limit=0)
+    check_answers(connector, single=True)
     return aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(force_close=True, limit=0),
+        connector=connector,
         trace_configs=[trace],
         auto_decompress=False,
         read_bufsize=READ_BUFFER_BYTES,
--- a/egretrouter/transport/__init__.py
+++ b/egretrouter/transport/__init__.py
@@ -1,5 +1,6 @@
 """Provide gRPC between processes, and problem documents for callers."""
 
+from egretrouter.transport._answer_checks import check_answers
 from egretrouter.transport._deflate import DeflatedContents, deflate, inflate
 from egretrouter.transport._headers import HOP_BY_HOP_HEADERS
 from egretrouter.transport._problems import problem_body, problem_response
@@ -11,6 +12,7 @@
     "DeflatedContents",
     "PeerSecurity",
     "build_server",
+    "check_answers",
     "deflate",
     "inflate",
     "problem_body",
--- a/tests/test_endless_answers.py
+++ b/tests/test_endless_answers.py
@@ -5,6 +5,13 @@
 
 import pytest
 
+from egretrouter.core.identifiers import CallId
+from egretrouter.daemons._endpoint import (
+    EndpointClient,
+    TruncatedAnswerError,
+    endpoint_session,
+)
+from egretrouter.protocol import egretrouter_pb2 as pb
 from tests.platform_standins import registration
 from tests.platform_world import PlatformWorld
 
@@ -78,6 +85,21 @@
         assert status == 502
         assert endpoint.sent_bytes < MAX_READ_BYTES
 
+    async def test_agent_reads_an_extension_until_the_time_is_up(self) -> None:
+        head = HEAD + b"Transfer-Encoding: chunked\r\n\r\n5;"
+        endpoint = EndlessEndpoint(head, b"x")
+        address = await endpoint.start()
+        call = pb.CallOpen(method="POST", path="/v1/completions", content=b"{}")
+        async with endpoint_session() as session:
+            client = EndpointClient(base_url=f"http://{address}", session=session)
+            parts = client.run(
+                call, call_id=CallId("c-1"), timeout_seconds=20.0, on_connected=lambda: None
+            )
+            with pytest.raises(TruncatedAnswerError):
+                _ = [part async for part in parts]
+        endpoint.stop()
+        assert endpoint.sent_bytes < MAX_READ_BYTES
+
     async def test_chunks_of_one_byte_are_mostly_framing(self, world: PlatformWorld) -> None:
         content = b"1\r\nx\r\n" * 200_000 + b"0\r\n\r\n"
 
