--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -3,6 +3,8 @@
 import asyncio
 import hashlib
 import json
+import socket
+import struct
 import time
 from collections.abc import Awaitable, Callable
 from typing import Any, Self
@@ -123,6 +125,22 @@
                 continue
 
 
+async def raw_answer(request: web.BaseRequest, data: bytes, *, reset: bool) -> web.StreamResponse:
+    """Send raw bytes and close or reset the connection."""
+    transport = request.transport
+    assert transport is not None
+    transport.write(data)
+    if reset:
+        await asyncio.sleep(0.05)
+        # With a linger time of 0, closing the socket resets the connection.
+        sock = transport.get_extra_info("socket")
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        transport.abort()
+    else:
+        transport.close()
+    return web.Response()
+
+
 class EngineStandin(StandinServer):
     """Answer calls by a function of the test, and record the calls executed."""
 
