Let owners of a limit save up a second call

A limited engine got only 70 to 85 in 100 of the limit that it named: an owner's bucket of one call was full before its next call came.

--- a/egretrouter/core/direct/_endpoint_limits.py
+++ b/egretrouter/core/direct/_endpoint_limits.py
@@ -25,7 +25,8 @@
 # An endpoint that names less than this still gets a call now and then, whose answer tells whether
 # the limit is still in force.
 MIN_RATE_PER_SECOND = 0.1
-BURST_CALLS = 1.0
+BURST_CALLS = 2.0
+"""What an owner may save up, so that a call which comes late leaves no part of the limit unused."""
 # Each hop adds the time in transit to an age; less than this does not confirm a limit anew.
 AGE_TOLERANCE_SECONDS = 1.0
 
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -120,7 +120,7 @@
         world.tell_all()
         world.run(20.0)
         assert world.most_in_window() <= allowed(limit_per_second)
-        assert len(world.sent) >= 0.6 * limit_per_second * 20.0
+        assert len(world.sent) >= 0.85 * limit_per_second * 20.0
 
     @pytest.mark.parametrize("seed", range(3))
     def test_routers_that_change_exceed_the_limit(self, seed: int) -> None:
