Test what becomes of requests that a router reads between SIGTERM and its end

Callers saw streams that were cut 7.6 s after the SIGTERM of a router that had taken them 4.7 s after it, and may have seen requests that got neither an answer nor a refusal.

--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import aiohttp
+import msgspec
 from egretrouter_platform._dialect import PlatformDialect
 from egretrouter_platform._store import PlatformStore
 from yarl import URL
@@ -52,14 +53,16 @@
         self.router: DirectRouter
         self._session: aiohttp.ClientSession
 
-    async def start(self, *, engines: int = 2, **changes: Any) -> None:
+    async def start(self, *, engines: int = 2, grace_seconds: float = 8.0, **changes: Any) -> None:
         await self.store.start()
         self.store.put("config", "main", configuration(**changes))
         for number in range(engines):
             await self.add_engine(f"i-{number}")
         self._session = aiohttp.ClientSession()
+        own = settings(self.store.address, free_ports(2))
+        bounds = msgspec.structs.replace(own.bounds, grace_seconds=grace_seconds)
         self.router = DirectRouter(
-            settings(self.store.address, free_ports(2)),
+            msgspec.structs.replace(own, bounds=bounds),
             store=PlatformStore(self._session, address=self.store.address),
             dialect=PlatformDialect(),
             rng=random.Random(1),
