Believe a refusal only if it is for the call that was sent

Callers of other systems were told "not run, try again" for calls that an engine had run or was running, or such a call ran at a second engine: a faulty engine had sent an earlier refusal once more, in front of the answer that was due.

Cause: a statement that a call did not run was believed before the id of the answer was compared with that of the call. A connection of its own for each call keeps late answers of earlier calls away, but not those that an engine writes again itself. The load and the limit in such an answer were used, too.

Now the id is compared first. An answer for another call makes the send broken: the caller gets 502 as unknown, an idempotent call may be repeated, and load and limit are not used. A refusal without an id is believed as before, since the connection has carried no other call; docs/platform.md says so.

--- a/egretrouter/direct/_sends.py
+++ b/egretrouter/direct/_sends.py
@@ -129,12 +129,13 @@
 
     def _check_answer(self, call: OutgoingCall, response: aiohttp.ClientResponse) -> AnswerHeaders:
         answer = self._dialect.read_answer(response.status, response.headers)
+        # An answer for another call says nothing about this one or about the endpoint now.
+        if answer.call_id is not None and answer.call_id != call.call_id:
+            raise SendError(SendOutcome.BROKEN, f"the answer is for call {answer.call_id}")
         if answer.not_run:
             raise SendError(
                 SendOutcome.REJECTED, f"the endpoint rejected with {response.status}", answer=answer
             )
-        if answer.call_id is not None and answer.call_id != call.call_id:
-            raise SendError(SendOutcome.BROKEN, f"the answer is for call {answer.call_id}")
         if not answer.has_receipt:
             raise SendError(SendOutcome.BROKEN, f"status {response.status} without a receipt")
         if "Content-Encoding" in response.headers:
