Believe no head that was joined from the answers of two calls

An endpoint that stops in the middle of its answer's head and then writes another call's answer makes one head of both: the rest of a header takes the other status line as its value. Callers got the other call's content as their own 200, or 503 as not run for a call that had run.

A head with one id could still be joined with a refusal that has none, which gives a success that "did not run".

An answer that is continued within its content can't be told from its own.

--- a/egretrouter/direct/_sends.py
+++ b/egretrouter/direct/_sends.py
@@ -132,6 +132,10 @@
         # An answer for another call says nothing about this one or about the endpoint now.
         if answer.call_id is not None and answer.call_id != call.call_id:
             raise SendError(SendOutcome.BROKEN, f"the answer is for call {answer.call_id}")
+        if answer.not_run and response.status < 400:
+            raise SendError(
+                SendOutcome.BROKEN, f"status {response.status} of a call that did not run"
+            )
         if answer.not_run:
             raise SendError(
                 SendOutcome.REJECTED, f"the endpoint rejected with {response.status}", answer=answer
--- a/tests/test_platform_misdirected_answers.py
+++ b/tests/test_platform_misdirected_answers.py
@@ -17,6 +17,10 @@
     "HTTP/1.1 200 OK\r\nX-Engine-Stamp: s\r\nX-Attempt-Id: {call_id}\r\n"
     "Content-Length: 5\r\n\r\nwhole"
 )
+LONG_HEAD = (
+    b"HTTP/1.1 200 OK\r\nX-Attempt-Id: c-1\r\nX-Engine-Stamp: s\r\nContent-Type: text/plain\r\n"
+    b"Content-Length: 5\r\n\r\n"
+)
 
 
 def refusal(headers: str, *, status: int = 503) -> bytes:
@@ -29,7 +33,7 @@
     def __init__(self) -> None:
         super().__init__()
         self.first_answer = b""
-        self.times = 100
+        self.times = 1000
         """How often the other answer comes first."""
         self.executed: list[str] = []
         self._endpoints: list[RawEndpoint] = []
@@ -110,3 +114,24 @@
         found, body, _ = await world.call("/sale/x")
         assert (found, json.loads(body)["outcome"]) == (503, "not_run")
         assert world.router.news.limits.snapshot()
+
+
+class TestJoinedAnswers:
+    """Guard against the beginning of an answer and another call's answer read as one."""
+
+    @pytest.mark.parametrize(
+        "other",
+        [refusal(OTHER_CALL), refusal(""), COMPLETE.format(call_id="another").encode()],
+        ids=["refusal", "refusal without id", "complete answer"],
+    )
+    async def test_head_that_is_continued_by_another_calls_head_is_believed(
+        self, world: MisdirectingWorld, other: bytes
+    ) -> None:
+        misread = []
+        for cut in range(1, len(LONG_HEAD)):
+            world.first_answer = LONG_HEAD[:cut] + other
+            status, body, _ = await world.call("/sale/x")
+            if status != 502:
+                misread.append((LONG_HEAD[:cut], status, body))
+        assert misread == []
+        assert len(world.executed) == len(LONG_HEAD) - 1
