Break off a resumed stream that leaves out events

Callers saw an event missing in the middle of a stream, or a stream that ended as complete though the engine that resumed it had ended before the event after which it was asked to go on.

Cause: of an engine that resumes a stream only the ids up to the last forwarded one were checked. Whether its first new id follows that one, and whether it reached that one at all before it ended, was not.

Change: ids that have followed each other at once must do so across the change of engines; ids that count something else (tokens) may jump. A run that only repeats events and ends short of the last one is broken.

--- a/egretrouter/core/direct/_events.py
+++ b/egretrouter/core/direct/_events.py
@@ -2,12 +2,15 @@
 
 import re
 
-from egretrouter.core.errors import EventTooLargeError
+from egretrouter.core.errors import EventTooLargeError, StreamMismatchError
 
 MAX_EVENT_BYTES = 1024 * 1024
 _END_OF_EVENT = re.compile(rb"\r?\n\r?\n")
 MAX_END_BYTES = 4
 _ID_LINE = re.compile(rb"(?m)^id:[ ]?([^\r\n]*)")
+# Endpoints may number tokens instead of events, so ids count as consecutive only after this many
+# steps of 1 and no other.
+MIN_CONSECUTIVE_STEPS = 2
 
 
 class EventSplitter:
@@ -22,6 +25,12 @@
         self.last_id = last_id
         self.events = 0
         self._last_number = _parse_number(last_id.encode()) if last_id is not None else None
+        self._consecutive_steps: int | None = 0
+        """How many ids followed the one before at once; None once an id did not."""
+        self._run_begins = True
+        """Whether the endpoint that runs the stream now has sent no new event yet."""
+        self._repeated_number: int | None = None
+        """The last id that this endpoint repeated."""
         self._pending = bytearray()
         self._searched_bytes = 0
         """How much of the pending bytes holds no end of an event."""
@@ -34,7 +43,8 @@
     def feed(self, data: bytes) -> bytes:
         """Add bytes from the stream and return the events that are now complete.
 
-        Raises EventTooLargeError.
+        Raises EventTooLargeError, or StreamMismatchError if an endpoint that resumes the stream
+        leaves out an event.
         """
         pending = self._pending
         pending += data
@@ -54,13 +64,28 @@
 
     def discard_partial_event(self) -> None:
         """Discard an incomplete event before another endpoint resumes the stream."""
+        self._clear_pending()
+        self._run_begins = True
+        self._repeated_number = None
+
+    def _clear_pending(self) -> None:
         self._pending.clear()
         self._searched_bytes = 0
 
+    def check_end(self) -> None:
+        """Check that the stream may end as complete.
+
+        Raises StreamMismatchError.
+        """
+        if self.has_partial_event:
+            raise StreamMismatchError("the stream ended inside an event")
+        if self._run_begins and self._repeated_number not in (None, self._last_number):
+            raise StreamMismatchError("the stream ended before the event that it was resumed after")
+
     def take_trailing_bytes(self) -> bytes:
         """Return and clear the bytes after the last event of a stream that ended normally."""
         trailing = bytes(self._pending)
-        self.discard_partial_event()
+        self._clear_pending()
         return trailing
 
     def _record_event(self, event: bytes) -> bool:
@@ -70,12 +95,26 @@
             number = _parse_number(match[1])
             if number is not None:
                 if self._last_number is not None and number <= self._last_number:
+                    self._repeated_number = number
                     return False
-                self._last_number = number
+                self._record_step(number)
             self.last_id = match[1].decode("latin-1")
+        self._run_begins = False
         self.events += 1
         return True
 
+    def _record_step(self, number: int) -> None:
+        last, self._last_number = self._last_number, number
+        if last is None or self._consecutive_steps is None:
+            return
+        if number == last + 1:
+            self._consecutive_steps += 1
+        elif self._run_begins and self._consecutive_steps >= MIN_CONSECUTIVE_STEPS:
+            self._last_number = last
+            raise StreamMismatchError(f"event {number} follows event {last}")
+        else:
+            self._consecutive_steps = None
+
 
 def _parse_number(value: bytes) -> int | None:
     return int(value) if value.isdigit() else None
--- a/egretrouter/core/errors.py
+++ b/egretrouter/core/errors.py
@@ -115,3 +115,7 @@
 
 class EventTooLargeError(EgretrouterError):
     """An endpoint sent an event that exceeds the size of any event."""
+
+
+class StreamMismatchError(EgretrouterError):
+    """An endpoint's stream does not complete the stream that it was to resume."""
--- a/egretrouter/direct/_callers.py
+++ b/egretrouter/direct/_callers.py
@@ -28,7 +28,7 @@
     SendEnded,
     SendOutcome,
 )
-from egretrouter.core.errors import EventTooLargeError
+from egretrouter.core.errors import EventTooLargeError, StreamMismatchError
 from egretrouter.direct._active_call import ActiveCall
 from egretrouter.direct._admission import CallAdmission
 from egretrouter.direct._choices import EndpointChoices
@@ -301,8 +301,7 @@
             if events:
                 self._guard.record_events(call)
                 await self._responder.write(call, answer, events)
-        if call.cutter.has_partial_event:
-            raise SendError(SendOutcome.BROKEN, "the stream ended inside an event")
+        _check_end(call.cutter)
         await self._responder.write(call, answer, call.cutter.take_trailing_bytes())
         assert call.response is not None
         await call.response.write_eof()
@@ -315,7 +314,14 @@
 def _feed(splitter: EventSplitter, data: bytes) -> bytes:
     try:
         return splitter.feed(data)
-    except EventTooLargeError as error:
+    except (EventTooLargeError, StreamMismatchError) as error:
+        raise SendError(SendOutcome.BROKEN, str(error)) from error
+
+
+def _check_end(splitter: EventSplitter) -> None:
+    try:
+        splitter.check_end()
+    except StreamMismatchError as error:
         raise SendError(SendOutcome.BROKEN, str(error)) from error
 
 
