Don't resume a stream after an event without an id

Callers got the beginning of a stream twice where its events carry no ids: the next engine can't be told where to go on, began anew, and its events were joined to those already forwarded.

Cause: whether a stream can be resumed was read from its route alone.

Evidence: test_stream_without_ids_is_joined_with_its_own_repetition failed before with "data: a, data: a, data: b", ended as complete.

Change: a stream whose last event with data has no id isn't repeated but broken off; comments between events don't count.

--- a/egretrouter/core/direct/_events.py
+++ b/egretrouter/core/direct/_events.py
@@ -8,6 +8,7 @@
 _END_OF_EVENT = re.compile(rb"\r?\n\r?\n")
 MAX_END_BYTES = 4
 _ID_LINE = re.compile(rb"(?m)^id:[ ]?([^\r\n]*)")
+_DATA_LINE = re.compile(rb"(?m)^data(?::|\r?$)")
 # Endpoints may number tokens instead of events, so ids count as consecutive only after this many
 # steps of 1 and no other.
 MIN_CONSECUTIVE_STEPS = 2
@@ -24,6 +25,8 @@
         """Skip events up to last_id, which the caller has already received."""
         self.last_id = last_id
         self.events = 0
+        self.may_resume = True
+        """Whether the last event that carries data has an id after which to resume."""
         self._last_number = _parse_number(last_id.encode()) if last_id is not None else None
         self._consecutive_steps: int | None = 0
         """How many ids followed the one before at once; None once an id did not."""
@@ -99,6 +102,9 @@
                     return False
                 self._record_step(number)
             self.last_id = match[1].decode("latin-1")
+            self.may_resume = True
+        elif _DATA_LINE.search(event) is not None:
+            self.may_resume = False
         self._run_begins = False
         self.events += 1
         return True
--- a/egretrouter/direct/_callers.py
+++ b/egretrouter/direct/_callers.py
@@ -164,6 +164,7 @@
             self._placement.record_failure(endpoint_id, now_seconds=now)
         allowed = (
             call.progress.may_repeat(error.outcome)
+            and call.cutter.may_resume
             and self._guard.may_repeat(call, error.outcome)
             and self._budget.try_repeat(call.service.name, now_seconds=now)
         )
--- a/tests/test_broken_off_streams.py
+++ b/tests/test_broken_off_streams.py
@@ -133,6 +133,11 @@
     return respond
 
 
+def caller_transports(world: PlatformWorld) -> list[asyncio.Transport]:
+    connections = world.router._callers_server.connections
+    return [c.transport for c in connections if isinstance(c.transport, asyncio.Transport)]
+
+
 @pytest.fixture
 async def world() -> AsyncIterator[PlatformWorld]:
     opened = PlatformWorld()
@@ -169,3 +174,109 @@
         received = ReceivedStream(await receive(world))
         assert received.content == b"".join(event(number) for number in range(1, EVENTS + 1))
         assert received.complete
+
+    async def test_stream_of_tokens_may_continue_with_any_later_id(
+        self, world: PlatformWorld
+    ) -> None:
+        """Ids that count tokens jump by as many as an event carries."""
+        begun, rest = (b"".join(chunk(event(n)) for n in ids) for ids in ((2, 4, 6), (9, 11)))
+        first = HEAD + b"\r\n" + begun
+        respond_in_turn(world, [raw(first), raw(stream(*OWN, body=rest + FINAL_CHUNK))])
+        received = ReceivedStream(await receive(world))
+        assert received.content == b"".join(event(number) for number in (2, 4, 6, 9, 11))
+        assert received.complete
+
+
+class TestStreamsThatCannotBeResumed:
+    """Guard against pieces of two runs that do not belong together."""
+
+    async def test_stream_without_ids_is_joined_with_its_own_repetition(
+        self, world: PlatformWorld
+    ) -> None:
+        begun = b"data: a\n\n"
+        whole = chunk(begun) + chunk(b"data: b\n\n") + FINAL_CHUNK
+        first = HEAD + b"\r\n" + chunk(begun)
+        respond_in_turn(world, [raw(first), raw(stream(*OWN, body=whole))])
+        received = ReceivedStream(await receive(world))
+        assert (received.content, received.complete) == (begun, False)
+
+    async def test_comment_after_an_event_does_not_prevent_resuming(
+        self, world: PlatformWorld
+    ) -> None:
+        comment = b": still there\n\n"
+        first = HEAD + b"\r\n" + chunked_events(BEGUN) + chunk(comment)
+        respond_in_turn(world, [raw(first), raw(stream(*OWN, body=REST))])
+        received = ReceivedStream(await receive(world))
+        events = [event(number) for number in range(1, EVENTS + 1)]
+        assert received.content == b"".join([*events[:3], comment, *events[3:]])
+        assert received.complete
+
+
+class TestSlowCallers:
+    """Guard against a final chunk behind bytes that wait for a caller that reads slowly."""
+
+    @pytest.mark.parametrize("second", ["500", "503 not run", "nothing"])
+    async def test_waiting_bytes_of_a_broken_off_stream_end_without_a_final_chunk(
+        self, world: PlatformWorld, second: str
+    ) -> None:
+        padding = 4 * 1024
+        numbers = range(1, 13)
+        ended = asyncio.Event()
+        waiting_bytes: list[int] = []
+
+        async def begin(request: web.BaseRequest, content: bytes) -> web.StreamResponse:
+            for sock in (t.get_extra_info("socket") for t in caller_transports(world)):
+                sock.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+            events = b"".join(chunk(event(number, padding=padding)) for number in numbers)
+            first = HEAD + b"\r\n" + events + chunk(b"id: 13\nda")
+            return await raw_answer(request, first, reset=False)
+
+        record_call = world.router.metrics.record_call
+
+        def record(result: str, seconds: float) -> None:
+            record_call(result, seconds)
+            assert result == "broken_off"
+            waiting_bytes.extend(t.get_write_buffer_size() for t in caller_transports(world))
+            ended.set()
+
+        async def read_late(reader: asyncio.StreamReader) -> bytes:
+            await ended.wait()
+            await asyncio.sleep(0.1)
+            return await reader.read()
+
+        world.router.metrics.record_call = record  # type: ignore[method-assign]
+        respond_in_turn(world, [begin, raw(ERRORS[second])])
+        received = ReceivedStream(await receive(world, read=read_late))
+        expected = b"".join(event(number, padding=padding) for number in numbers)
+        assert sum(waiting_bytes) > padding
+        assert received.content == expected
+        assert not received.complete
+
+    async def test_caller_that_reads_nothing_until_the_time_is_up_finds_a_prefix(
+        self, world: PlatformWorld
+    ) -> None:
+        padding = 256 * 1024
+
+        async def respond(request: web.BaseRequest, _: bytes) -> web.StreamResponse:
+            response = web.StreamResponse(
+                headers={
+                    "Content-Type": "text/event-stream",
+                    "X-Engine-Stamp": "first",
+                    "X-Attempt-Id": CALL_ID,
+                }
+            )
+            response.enable_chunked_encoding()
+            await response.prepare(request)
+            for number in range(1, 101):
+                await response.write(event(number, padding=padding))
+            return response
+
+        async def read_late(reader: asyncio.StreamReader) -> bytes:
+            await asyncio.sleep(3.3)
+            return await reader.read()
+
+        respond_in_turn(world, [respond])
+        received = ReceivedStream(await receive(world, read=read_late))
+        expected = b"".join(event(number, padding=padding) for number in range(1, 101))
+        assert expected.startswith(received.content)
+        assert not received.complete
