Resume a stream only on the version that its events are of

Callers got pieces of two versions joined in one stream, or lost a stream because only engines of a version that had sent nothing of it were asked to go on.

Cause: the version that an engine answers from was read from the first answer only. It was not compared when another engine resumed the stream, and it was kept when the first engine had broken off before any event.

Evidence: test_stream_of_another_version_is_joined_to_one_that_has_begun failed before (events 4 to 6 of version 2 followed 1 to 3 of version 1); test_version_of_an_engine_that_sent_nothing_decides_who_may_resume failed before (the third engine was asked for version 1, not 2).

Change: the version is that of the answer whose events the caller got; an answer from another one counts as broken.

--- a/egretrouter/direct/_callers.py
+++ b/egretrouter/direct/_callers.py
@@ -284,8 +284,10 @@
         if call.route.resumable:
             stall = max(MIN_STALL_SECONDS, STALL_GAPS * call.route.max_event_gap_seconds)
         call.cutter.discard_partial_event()
-        if call.version is None:
+        if not call.progress.answer_started:
             call.version = answer.answer.version or choice.version
+        elif call.version is not None and answer.answer.version not in (None, call.version):
+            raise SendError(SendOutcome.BROKEN, f"resumed on version {answer.answer.version}")
         while True:
             # Before the first event the call may be queued at its endpoint, which is not a stall.
             started = call.progress.answer_started
--- a/tests/test_broken_off_streams.py
+++ b/tests/test_broken_off_streams.py
@@ -7,7 +7,7 @@
 import pytest
 from aiohttp import web
 
-from tests.platform_standins import Respond, raw_answer
+from tests.platform_standins import Respond, configuration, raw_answer
 from tests.platform_world import PlatformWorld
 
 CALL_ID = "c-1"
@@ -211,6 +211,36 @@
         assert received.content == b"".join([*events[:3], comment, *events[3:]])
         assert received.complete
 
+    async def test_stream_of_another_version_is_joined_to_one_that_has_begun(
+        self, world: PlatformWorld
+    ) -> None:
+        first = HEAD + b"X-Weight-Versions: 1\r\n\r\n" + chunked_events(BEGUN)
+        second = stream(*OWN, "X-Weight-Versions: 2", body=REST)
+        respond_in_turn(world, [raw(first), raw(second)])
+        received = ReceivedStream(await receive(world))
+        assert received.content == b"".join(event(number) for number in BEGUN)
+        assert not received.complete
+
+    async def test_version_of_an_engine_that_sent_nothing_decides_who_may_resume(
+        self,
+    ) -> None:
+        """The third engine was asked for the version of the first, which had sent no event."""
+        spec = configuration()["routes"]
+        world = PlatformWorld()
+        await world.start(engines=3, routes=[{**route, "attempts": 3} for route in spec])
+        empty = HEAD + b"X-Weight-Versions: 1\r\n\r\n"
+        begun = HEAD + b"X-Weight-Versions: 2\r\n\r\n" + chunked_events(BEGUN)
+        rest = stream(*OWN, "X-Weight-Versions: 2", body=REST)
+        respond_in_turn(world, [raw(empty), raw(begun), raw(rest)])
+        try:
+            received = ReceivedStream(await receive(world))
+        finally:
+            await world.stop()
+        requests = [request for engine in world.engines for request, _ in engine.requests]
+        versions = [request.headers.get("X-Expect-Version") for request in requests]
+        assert [version for version in versions if version is not None] == ["2"]
+        assert received.complete
+
 
 class TestSlowCallers:
     """Guard against a final chunk behind bytes that wait for a caller that reads slowly."""
