Add no error event inside an event that has begun

Callers of a router with agents found the text of an error in the middle of an event: an answer that broke off inside an event was followed by "event: error", which the caller's parser takes for the rest of it.

Cause: the error event was written whatever the answer ended with.

Change: behind an unfinished event nothing is written; the missing final chunk (or, without chunks, the aborted connection) shows that the answer is not complete. Behind whole events the error event stays, as the design has it.

--- a/egretrouter/daemons/_caller_stream.py
+++ b/egretrouter/daemons/_caller_stream.py
@@ -18,6 +18,8 @@
 CLOSE_TIMEOUT_SECONDS = 10.0
 
 _EVENT_STREAM = "text/event-stream"
+_EVENT_ENDS = (b"\n\n", b"\n\r\n")
+_EVENT_END_BYTES = 3
 _STATUS_NOT_RUN = 503
 _STATUS_UNKNOWN = 502
 _STATUS_BY_REASON = {
@@ -54,6 +56,8 @@
         # which saves a task switch and a flow-control check for every event.
         self._transport: asyncio.Transport | None = None
         self._chunked = request.version >= HttpVersion11
+        self._tail = b""
+        """The last bytes that were written, enough to find the end of an event in them."""
 
     @property
     def is_event_stream(self) -> bool:
@@ -106,6 +110,7 @@
             return
         data = buffered[0] if len(buffered) == 1 else b"".join(buffered)
         buffered.clear()
+        self._tail = (self._tail + data[-_EVENT_END_BYTES:])[-_EVENT_END_BYTES:]
         transport.write(b"%x\r\n%b\r\n" % (len(data), data) if self._chunked else data)
 
     def finish(self) -> None:
@@ -152,8 +157,10 @@
     async def _write_end(self, response: web.StreamResponse) -> None:
         if self.state is CallerState.FINISHED:
             await response.write_eof()
-        elif self.is_event_stream:
-            await response.write(b"event: error\ndata: " + self._problem_document() + b"\n\n")
+        elif self.is_event_stream and (self._chunked or self._is_between_events):
+            # Inside an event, the caller would take the error for the rest of the event.
+            if self._is_between_events:
+                await response.write(b"event: error\ndata: " + self._problem_document() + b"\n\n")
             # Without the final chunk, the caller's HTTP library reports a truncated answer.
             if self._request.transport is not None:
                 self._request.transport.close()
@@ -161,6 +168,10 @@
             # To an HTTP/1.0 caller a closed connection ends the answer, but a reset is an error.
             self._abort()
 
+    @property
+    def _is_between_events(self) -> bool:
+        return not self._tail or self._tail.endswith(_EVENT_ENDS)
+
     def _abort(self) -> None:
         if self._request.transport is not None:
             self._request.transport.abort()
--- /dev/null
+++ b/tests/test_broken_off_answers.py
@@ -0,0 +1,75 @@
+"""Test what a caller's socket receives of the product's own answers that end early."""
+
+import asyncio
+
+import pytest
+from aiohttp import web
+
+from egretrouter.core.calls import AnswerData, AnswerHead, FailCaller
+from egretrouter.core.errors import Outcome
+from egretrouter.core.identifiers import CallId
+from egretrouter.daemons._caller_stream import CallerStream
+
+FINAL_CHUNK = b"0\r\n\r\n"
+
+
+async def receive_broken_off(
+    content: list[bytes], *, version: str, content_type: str = "text/event-stream"
+) -> bytes:
+    """Serve one answer that fails after its content, and return the bytes of its body."""
+
+    async def handle(request: web.Request) -> web.StreamResponse:
+        stream = CallerStream(request, call_id=CallId("c-1"), request_id="r-1")
+        stream.forward(AnswerHead(status=200, headers=(("Content-Type", content_type),)))
+        await stream.start()
+        for data in content:
+            stream.forward(AnswerData(data=data))
+            stream.flush()
+        stream.fail(FailCaller(outcome=Outcome.UNKNOWN, reason="link_lost"))
+        return await stream.close()
+
+    application = web.Application()
+    application.router.add_get("/", handle)
+    runner = web.AppRunner(application)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    try:
+        reader, writer = await asyncio.open_connection(*runner.addresses[0][:2])
+        writer.write(f"GET / {version}\r\nHost: x\r\n\r\n".encode())
+        await reader.readuntil(b"\r\n\r\n")
+        received = b""
+        async with asyncio.timeout(5):
+            while data := await reader.read(1024):
+                received += data
+        writer.close()
+        return received
+    finally:
+        await runner.cleanup()
+
+
+class TestBrokenOffEventStreams:
+    """Guard against the text of an error inside an event, and answers that look complete."""
+
+    @pytest.mark.parametrize(
+        "content",
+        [
+            [b"data: 1\n\nda"],
+            [b"data: 1\n\n", b"data: 2\n"],
+            [b"data: 1\r\n\r\n", b"data: 2\r\n"],
+            [b"data: 1\n\n", b"\r\n", b"d"],
+        ],
+    )
+    async def test_error_is_joined_to_an_event_that_has_begun(self, content: list[bytes]) -> None:
+        received = await receive_broken_off(content, version="HTTP/1.1")
+        assert received == b"".join(b"%x\r\n%b\r\n" % (len(data), data) for data in content)
+
+    @pytest.mark.parametrize(
+        "content", [[], [b"data: 1\n\n"], [b"data: 1\r\n\r\n"], [b"data: 1\r\n", b"\r", b"\n"]]
+    )
+    async def test_error_event_follows_whole_events(self, content: list[bytes]) -> None:
+        received = await receive_broken_off(content, version="HTTP/1.1")
+        whole = b"".join(b"%x\r\n%b\r\n" % (len(data), data) for data in content)
+        assert received.startswith(whole)
+        assert b"\r\nevent: error\ndata: " in b"\r\n" + received[len(whole) :]
+        assert not received.endswith(FINAL_CHUNK)
