Reset the connection of an unframed answer that breaks off

Callers with HTTP/1.0 got the beginning of an answer as a complete one: their answers have no chunks and end with the connection, which was closed in order although the answer had failed.

Cause: asyncio's abort() closes the socket without a reset unless its linger time is 0, against what the comment beside it says.

Evidence: test_unframed_answer_that_breaks_off_looks_complete failed before for a plain answer, and for an event stream that ends inside an event, with the end of the stream instead of ConnectionResetError.

Change: such a connection is reset. Answers in chunks are aborted as before.

Measured: pytest -n 2 tests/test_broken_off_answers.py tests/test_daemon_calls.py: 22 passed.

--- a/egretrouter/daemons/_caller_stream.py
+++ b/egretrouter/daemons/_caller_stream.py
@@ -1,6 +1,8 @@
 """Stream one answer to its caller."""
 
 import asyncio
+import socket
+import struct
 from enum import Enum
 
 from aiohttp import HttpVersion11, web
@@ -20,6 +22,8 @@
 _EVENT_STREAM = "text/event-stream"
 _EVENT_ENDS = (b"\n\n", b"\n\r\n")
 _EVENT_END_BYTES = 3
+_RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+"""A linger time of 0, with which closing a socket resets its connection."""
 _STATUS_NOT_RUN = 503
 _STATUS_UNKNOWN = 502
 _STATUS_BY_REASON = {
@@ -173,8 +177,14 @@
         return not self._tail or self._tail.endswith(_EVENT_ENDS)
 
     def _abort(self) -> None:
-        if self._request.transport is not None:
-            self._request.transport.abort()
+        transport = self._request.transport
+        if transport is None:
+            return
+        if not self._chunked:
+            # abort() alone closes the connection, which ends an answer without chunks cleanly.
+            sock = transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE)
+        transport.abort()
 
     def _response_status(self) -> int:
         return self._head.status if self._head is not None else _STATUS_UNKNOWN
--- a/tests/test_broken_off_answers.py
+++ b/tests/test_broken_off_answers.py
@@ -73,3 +73,10 @@
         assert received.startswith(whole)
         assert b"\r\nevent: error\ndata: " in b"\r\n" + received[len(whole) :]
         assert not received.endswith(FINAL_CHUNK)
+
+    @pytest.mark.parametrize("content_type", ["text/event-stream", "text/plain"])
+    async def test_unframed_answer_that_breaks_off_looks_complete(self, content_type: str) -> None:
+        with pytest.raises(ConnectionResetError):
+            await receive_broken_off(
+                [b"data: 1\n\nda"], version="HTTP/1.0", content_type=content_type
+            )
