Continue a stream only with an answer of the same content type

Callers of a router with agents could get another endpoint's error as the content of their event stream: after the head had been sent, but no event, an answer with the same status went on in its place whatever its content type was.

Cause: of a repeated answer's head only the status was compared; its content is compared only with what was already forwarded.

Evidence: test_other_kind_of_answer_continues_a_stream failed before for "application/json" and for a head without a content type.

Change: status and content type must both be those of the head that the caller got; otherwise the answer fails as "answers_differ".

--- a/egretrouter/core/calls/_answers.py
+++ b/egretrouter/core/calls/_answers.py
@@ -60,6 +60,11 @@
     status: int
     headers: tuple[tuple[str, str], ...] = ()
 
+    @property
+    def content_type(self) -> str | None:
+        """Return the value of the Content-Type header."""
+        return next((v for name, v in self.headers if name.lower() == "content-type"), None)
+
 
 class AnswerData(msgspec.Struct, frozen=True, kw_only=True):
     """Carry a piece of an answer's body."""
--- a/egretrouter/core/calls/_attempt.py
+++ b/egretrouter/core/calls/_attempt.py
@@ -66,7 +66,7 @@
         self._claimed = False
         self._source: EndpointCall | None = None
         self._pinned_version: Digest | None = None
-        self._forwarded_status: int | None = None
+        self._forwarded_head: AnswerHead | None = None
         self._forwarded_bytes = 0
         self._forwarded_prefix = xxhash.xxh3_64()
         self._retry_after_seconds = 0.0
@@ -236,10 +236,15 @@
         return commands
 
     def _forward_head(self, body: AnswerHead) -> list[AttemptCommand]:
-        if self._forwarded_status is None:
-            self._forwarded_status = body.status
+        forwarded = self._forwarded_head
+        if forwarded is None:
+            self._forwarded_head = body
             return [ForwardToCaller(body=body)]
-        return [] if body.status == self._forwarded_status else self._fail("answers_differ")
+        is_continued = (body.status, body.content_type) == (
+            forwarded.status,
+            forwarded.content_type,
+        )
+        return [] if is_continued else self._fail("answers_differ")
 
     def _forward_data(
         self, endpoint_call: EndpointCall, body: AnswerData, offset: int
--- a/tests/test_broken_off_answers.py
+++ b/tests/test_broken_off_answers.py
@@ -5,10 +5,19 @@
 import pytest
 from aiohttp import web
 
-from egretrouter.core.calls import AnswerData, AnswerHead, FailCaller
+from egretrouter.core.calls import (
+    AnswerData,
+    AnswerHead,
+    CallState,
+    FailCaller,
+    LinkLost,
+    SettleAnswered,
+)
 from egretrouter.core.errors import Outcome
 from egretrouter.core.identifiers import CallId
 from egretrouter.daemons._caller_stream import CallerStream
+from tests.test_calls_attempt import Call, failed
+from tests.test_calls_attempt import content as forwarded_content
 
 FINAL_CHUNK = b"0\r\n\r\n"
 
@@ -80,3 +89,30 @@
             await receive_broken_off(
                 [b"data: 1\n\nda"], version="HTTP/1.0", content_type=content_type
             )
+
+
+class TestAnswersOfTwoEndpoints:
+    """Guard against an error with the status of the answer that it would continue."""
+
+    @pytest.mark.parametrize(
+        ("headers", "expected"),
+        [
+            ((("content-type", "text/event-stream"), ("X-Engine", "2")), b"data: 1\n\n"),
+            ((("Content-Type", "application/json"),), b""),
+            ((), b""),
+        ],
+    )
+    def test_other_kind_of_answer_continues_a_stream(
+        self, headers: tuple[tuple[str, str], ...], expected: bytes
+    ) -> None:
+        call = Call(idempotent=True, repeatable_answer=True)
+        call.choose()
+        call.frames(AnswerHead(status=200, headers=(("Content-Type", "text/event-stream"),)))
+        call.send(LinkLost(attempt=1))
+        call.send(SettleAnswered(attempt=1, state=CallState.OTHER_EPOCH))
+        call.choose(2)
+        commands = call.frames(
+            AnswerHead(status=200, headers=headers), AnswerData(data=b"data: 1\n\n"), attempt=2
+        )
+        assert forwarded_content(commands) == expected
+        assert failed(commands) is (None if expected else Outcome.UNKNOWN)
