--- a/tests/platform_world.py
+++ b/tests/platform_world.py
@@ -82,10 +82,13 @@
         while not condition():  # noqa: ASYNC110
             await asyncio.sleep(0.01)
 
+    @property
+    def address(self) -> str:
+        return f"127.0.0.1:{self.router.callers_port}"
+
     @property
     def url(self) -> str:
-        port = self.router.callers_port
-        return f"http://127.0.0.1:{port}"
+        return f"http://{self.address}"
 
     async def call(
         self, path: str, *, call_id: str = "c-1", **options: Any
--- a/tests/test_platform_processes.py
+++ b/tests/test_platform_processes.py
@@ -1,20 +1,14 @@
 """Test routers as processes of their own, started as the platform starts them."""
 
 import asyncio
-import os
-import signal
-import sys
-from collections.abc import AsyncIterator, Sequence
+from collections.abc import AsyncIterator
 from pathlib import Path
 
-import aiohttp
-import msgspec
 import pytest
 
-from tests.helpers import free_ports
 from tests.platform_fleet import PlatformFleet
+from tests.router_processes import RouterProcesses
 
-ROOT = Path(__file__).parent.parent
 ROUTERS = 3
 CRASHING, SHARED, OTHER = "bad0", "c0de", "fee1"
 MAX_CRASHES = 5
@@ -22,56 +16,6 @@
 WINDOW_SECONDS = 4.0
 
 
-class RouterProcesses:
-    """Run routers as processes before the stand-ins of a fleet."""
-
-    def __init__(self, fleet: PlatformFleet, directory: Path) -> None:
-        self.fleet = fleet
-        self._directory = directory
-        self._ports = free_ports(2)
-        self._running: dict[int, asyncio.subprocess.Process] = {}
-
-    async def start(self, number: int) -> None:
-        """Start a router and wait until it is ready."""
-        callers, readiness = self._ports
-        own = self.fleet.router_settings(number, callers_port=callers, readiness_port=readiness)
-        path = self._directory / f"front-{number}.json"
-        path.write_bytes(msgspec.json.encode(own))
-        self._running[number] = await asyncio.create_subprocess_exec(
-            sys.executable,
-            str(ROOT / "platform" / "run.py"),
-            "router",
-            env={**os.environ, "EGRETROUTER_CONFIG": str(path)},
-            stdout=(self._directory / f"front-{number}.log").open("ab"),
-        )
-        await self._wait_until_ready(own.readiness)
-
-    async def _wait_until_ready(self, address: str) -> None:
-        async with aiohttp.ClientSession() as session:
-            while True:
-                try:
-                    async with session.get(f"http://{address}/egretrouter/readyz") as response:
-                        if response.status == 200:
-                            return
-                except aiohttp.ClientError:
-                    pass
-                await asyncio.sleep(0.05)
-
-    async def kill(self, number: int) -> None:
-        process = self._running.pop(number)
-        process.send_signal(signal.SIGKILL)
-        await process.wait()
-
-    async def stop(self) -> None:
-        for number in list(self._running):
-            await self.kill(number)
-
-    async def call(self, number: int, *, parts: Sequence[str]) -> int:
-        """Make a call through a router and return its status."""
-        address = f"127.0.0.{number}:{self._ports[0]}"
-        return (await self.fleet.call_at(address, parts=parts)).status
-
-
 @pytest.fixture
 async def routers(tmp_path: Path) -> AsyncIterator[RouterProcesses]:
     fleet = PlatformFleet()
