--- a/tests/test_router_stops.py
+++ b/tests/test_router_stops.py
@@ -40,7 +40,6 @@
 class TestRoutersStopInARow:
     """Guard against requests taken by a router that stops before it has answered them."""
 
-    @pytest.mark.known_red
     async def test_routers_that_stop_in_a_row_lose_no_request(
         self, stopping: StoppingFleet, request: pytest.FixtureRequest
     ) -> None:
@@ -76,7 +75,6 @@
         stopping.publish(with_extra=with_extra, with_second_key=with_second_key)
 
 
-@pytest.mark.known_red
 class TestConnectionsOfAStoppingRouter:
     """Guard against calls that are lost when a router that is told to stop closes connections."""
 
