--- a/egretrouter/core/direct/_placement.py
+++ b/egretrouter/core/direct/_placement.py
@@ -402,12 +402,17 @@
     )
 
 
-def longest_call_seconds(profile: EngineProfile, answer_tokens: int, *, pace: float) -> float:
-    """Return how long a sound engine of some pace may take to send an answer of some length.
+def longest_call_seconds(
+    profile: EngineProfile, *, prompt_tokens: int, answer_tokens: int, pace: float
+) -> float:
+    """Return how long a sound engine of some pace may take for a call.
 
     While the answer is written the batch turns over, and the prompts of new calls are prefilled.
     """
     turns = answer_tokens / max(1.0, profile.usual_answer_tokens)
-    return SILENCE_SECONDS + pace * (
-        first_event_seconds(profile) + turns * service_seconds(profile)
+    prefill = (
+        prompt_tokens / profile.prefill_tokens_per_second
+        + prompt_tokens**2 / 2 * profile.prefill_seconds_per_token_pair
     )
+    busy = first_event_seconds(profile) + prefill + turns * service_seconds(profile)
+    return SILENCE_SECONDS + pace * busy
--- a/egretrouter/direct/_time_limits.py
+++ b/egretrouter/direct/_time_limits.py
@@ -84,7 +84,12 @@
             return math.inf
         endpoints = self._state.directory.ready_endpoints(call.service.name)
         pace = self._placement.slowest_pace(endpoints, now_seconds=now)
-        return longest_call_seconds(profile, call.headers.answer_tokens, pace=pace)
+        return longest_call_seconds(
+            profile,
+            prompt_tokens=call.headers.prompt_tokens,
+            answer_tokens=call.headers.answer_tokens,
+            pace=pace,
+        )
 
 
 def _loop_seconds(monotonic_seconds: float) -> float:
--- a/tests/test_grace_period.py
+++ b/tests/test_grace_period.py
@@ -49,11 +49,21 @@
 
     @pytest.mark.parametrize("tokens", [1, 140, 360])
     def test_slow_and_silent_engine_is_allowed_for(self, tokens: int) -> None:
-        usual = longest_call_seconds(PROFILE, tokens, pace=1.0)
-        slow = longest_call_seconds(PROFILE, tokens, pace=2.0)
+        usual, slow = (
+            longest_call_seconds(PROFILE, prompt_tokens=900, answer_tokens=tokens, pace=pace)
+            for pace in (1.0, 2.0)
+        )
         assert usual > 1.5 + 0.007 * tokens
         assert slow - 1.5 == pytest.approx(2 * (usual - 1.5))
 
+    def test_long_prompt_is_allowed_for(self) -> None:
+        short, long = (
+            longest_call_seconds(PROFILE, prompt_tokens=tokens, answer_tokens=100, pace=1.0)
+            for tokens in (0, 60_000)
+        )
+        assert long - short == pytest.approx(2.0)
+
     def test_engine_without_usual_answer_has_a_finite_bound(self) -> None:
         profile = msgspec.structs.replace(PROFILE, usual_answer_tokens=0.0)
-        assert math.isfinite(longest_call_seconds(profile, 100, pace=1.0))
+        longest = longest_call_seconds(profile, prompt_tokens=900, answer_tokens=100, pace=1.0)
+        assert math.isfinite(longest)
