Wait for callers that receive slowly before a router ends

What callers saw: the last part of an answer could be missing when its router stopped. aiohttp takes a response as sent when less than 64 KB of it wait in the process; that rest ended with the process.

Change: after the last answer the router closes its connections, which sends what waits, and goes on with its stop when they are closed, at the latest at the stop itself.

Evidence: test_answer_that_waits_for_a_slow_caller_is_lost_at_the_close failed before and passes now (python -m pytest -n 3 tests/test_caller_connections.py tests/test_router_drain.py tests/test_router_stops.py: all passed).

--- a/egretrouter/transport/_caller_connections.py
+++ b/egretrouter/transport/_caller_connections.py
@@ -1,6 +1,7 @@
 """Serve callers over connections that close only when no request on them is unanswered."""
 
 import asyncio
+from collections.abc import Callable
 from typing import Any
 
 from aiohttp import web
@@ -57,10 +58,15 @@
             self._unanswered_since_seconds = self._next_since_seconds
             self._next_since_seconds = None
 
+    @property
+    def is_open(self) -> bool:
+        """Return whether the connection is open, or closing until all is sent."""
+        return self.transport is not None
+
     @property
     def is_unanswered(self) -> bool:
         """Return whether a request is in progress or about to be read completely."""
-        if self.transport is None or self._unanswered_since_seconds is None:
+        if not self.is_open or self._unanswered_since_seconds is None:
             return False
         if self._request_body is not None:
             return True
@@ -74,7 +80,7 @@
     @property
     def expects_request(self) -> bool:
         """Return whether the connection is so new that its first request is on its way."""
-        if self.transport is None or self._answers or self._unanswered_since_seconds is not None:
+        if not self.is_open or self._answers or self._unanswered_since_seconds is not None:
             return False
         return self._time_seconds() - self._opened_seconds < FIRST_REQUEST_SECONDS
 
@@ -116,19 +122,31 @@
         Return the number of requests that were not answered by then. New connections must no
         longer be accepted.
         """
-        loop = asyncio.get_running_loop()
         # Connections that were just accepted get their protocol in one of the next turns.
         await asyncio.sleep(CLOSE_POLL_SECONDS)
-        while loop.time() < until_seconds:
-            self.close_kept()
-            if not any(c.is_unanswered or c.expects_request for c in self.callers):
-                break
-            await asyncio.sleep(CLOSE_POLL_SECONDS)
+        await _wait_until(self._are_all_answered, until_seconds=until_seconds)
         unanswered = self.count_unanswered()
         for connection in self.callers:
             connection.hang_up()
+        # What callers have not received yet would be lost with the process.
+        await _wait_until(self._are_all_closed, until_seconds=until_seconds)
         return unanswered
 
+    def _are_all_answered(self) -> bool:
+        self.close_kept()
+        return not any(c.is_unanswered or c.expects_request for c in self.callers)
+
+    def _are_all_closed(self) -> bool:
+        return not any(connection.is_open for connection in self.callers)
+
+
+async def _wait_until(condition: Callable[[], bool], *, until_seconds: float) -> None:
+    loop = asyncio.get_running_loop()
+    while not condition():
+        if loop.time() >= until_seconds:
+            return
+        await asyncio.sleep(CLOSE_POLL_SECONDS)
+
 
 def _make_request(
     message: RawRequestMessage,
