--- a/egretrouter/daemons/_agent_calls.py
+++ b/egretrouter/daemons/_agent_calls.py
@@ -37,6 +37,8 @@
 from egretrouter.core.identifiers import CallId, Digest, Epoch, InstanceId
 from egretrouter.core.membership import LoadReport
 from egretrouter.daemons._endpoint import EndpointClient
+from egretrouter.daemons._router_link import RouterLink
+from egretrouter.daemons._running_call import RunningCall
 from egretrouter.protocol import egretrouter_pb2 as pb
 from egretrouter.protocol import egretrouter_pb2_grpc as pb_grpc
 from egretrouter.protocol import encode_frame, encode_head
@@ -47,85 +49,9 @@
 # A router of a zone with 67 routers and 370 agents would receive 370 loads a second. On links
 # without frames an agent sends 6.7 loads a second in all, so such a router receives 37.
 IDLE_LOAD_SECONDS_PER_LINK = 0.15
-DEFAULT_WINDOW_BYTES = 256 * 1024
 MIN_CALL_TIMEOUT_SECONDS = 0.001
 
 
-class RouterLink:
-    """Queue the frames for one router."""
-
-    def __init__(self) -> None:
-        """Create a link without queued frames."""
-        self._frames: list[pb.AnswerFrame] = []
-        self._wakeup = asyncio.Event()
-        self._load_is_due = False
-        self._is_active = False
-        self._next_idle_load_seconds = float("-inf")
-        self.closed = False
-
-    def queue(self, frame: pb.AnswerFrame) -> None:
-        """Queue a frame for the next batch."""
-        self._frames.append(frame)
-        self._is_active = True
-        self._wakeup.set()
-
-    def schedule_load(self, *, now_seconds: float, idle_interval_seconds: float) -> None:
-        """Send the load with the next frames, or alone at the interval of idle links."""
-        is_due = self._load_is_due or now_seconds >= self._next_idle_load_seconds
-        if not (is_due or self._is_active):
-            return
-        self._load_is_due = True
-        if is_due:
-            self._next_idle_load_seconds = now_seconds + idle_interval_seconds
-            self._wakeup.set()
-
-    def send_load(self) -> None:
-        """Send the load at once."""
-        self._load_is_due = True
-        self._wakeup.set()
-
-    def pop_load_due(self) -> bool:
-        """Return whether the load is due, and clear the flag."""
-        is_due, self._load_is_due = self._load_is_due, False
-        self._is_active = False
-        return is_due
-
-    def close(self) -> None:
-        """Close the link and wake up the task that waits for a batch."""
-        self.closed = True
-        self._wakeup.set()
-
-    async def wait_for_batch(self) -> list[pb.AnswerFrame]:
-        """Wait for frames and return all that are queued."""
-        await self._wakeup.wait()
-        # Events of one decode step arrive in one iteration of the event loop, so a timed wait gains
-        # nothing: one of 2 ms delayed the median event by 4 ms and cost the router as much work.
-        self._wakeup.clear()
-        frames, self._frames = self._frames, []
-        return frames
-
-
-class _RunningCall:
-    """Track the task of a call and the bytes that may still be sent to its router."""
-
-    def __init__(self, call: pb.CallOpen) -> None:
-        self.call = call
-        self.task: asyncio.Task[None] | None = None
-        self.window_bytes = call.window_bytes or DEFAULT_WINDOW_BYTES
-        self.credited = asyncio.Event()
-
-    def add_credit(self, credit_bytes: int) -> None:
-        self.window_bytes += credit_bytes
-        self.credited.set()
-
-    async def spend(self, sent_bytes: int) -> None:
-        """Use up part of the window, and wait for credit while the window is empty."""
-        self.window_bytes -= sent_bytes
-        while self.window_bytes <= 0:
-            self.credited.clear()
-            await self.credited.wait()
-
-
 class CallsServicer(pb_grpc.AgentCallsServicer):
     """Run the call registry and execute its commands."""
 
@@ -150,7 +76,7 @@
         self._confirm_epoch = confirm_epoch
         self._clock = clock
         self._links: dict[InstanceId, RouterLink] = {}
-        self._running: dict[CallId, _RunningCall] = {}
+        self._running: dict[CallId, RunningCall] = {}
         self._draining = False
         self._serving_digest: Digest | None = None
         self._load: LoadReport | None = None
@@ -307,7 +233,7 @@
     def _open_call(self, router_id: InstanceId, call_id: CallId, call: pb.CallOpen) -> None:
         is_known = call_id in self._running
         if not is_known:
-            self._running[call_id] = _RunningCall(call)
+            self._running[call_id] = RunningCall(call)
         self.dispatch(
             AdmitCall(
                 call_id=call_id,
@@ -352,7 +278,7 @@
     def _set_drained(self, command: Drained) -> None:
         self.drained.set()
 
-    async def _run_call(self, call_id: CallId, running: _RunningCall) -> None:
+    async def _run_call(self, call_id: CallId, running: RunningCall) -> None:
         call = running.call
         digest = Digest(call.version_digest)
         self.calls_per_version[digest] = self.calls_per_version.get(digest, 0) + 1
