End a call that gets no credit at its deadline

What callers saw: an agent that was told to stop never exited after the caller of an order with an answer larger than the window of 256 KiB had gone: the drain waits for the last call, and this one waited for credit without an end. Without a stop, the call stayed among the running calls for good, so the endpoint's load was too high and a version with such a call was never drained for a switch.

Cause: the time limit of aiohttp's client applies only while the client reads, and the registry stops only idempotent calls at their deadline. While a call that is not idempotent waits for credit, nothing counted its time.

The new test failed before the change: the drain did not end within 10 s, for a call with a deadline of 1 s. Passes now: python -m pytest tests/test_agent_drain.py

--- a/egretrouter/daemons/_agent_calls.py
+++ b/egretrouter/daemons/_agent_calls.py
@@ -283,6 +283,8 @@
         digest = Digest(call.version_digest)
         self.calls_per_version[digest] = self.calls_per_version.get(digest, 0) + 1
         remaining_seconds = max(call.expires_at_seconds - self._clock(), MIN_CALL_TIMEOUT_SECONDS)
+        # The client's own time limit does not run while the call waits for credit.
+        deadline_seconds = asyncio.get_running_loop().time() + remaining_seconds
         try:
             parts = self._endpoint.run(
                 call,
@@ -295,7 +297,7 @@
                 async for part in parts:
                     self.dispatch(AnswerProduced(call_id=call_id, body=part))
                     if isinstance(part, AnswerData):
-                        await running.spend(len(part.data))
+                        await running.spend(len(part.data), deadline_seconds=deadline_seconds)
             self.finished_calls_total += 1
             self.dispatch(CallFinished(call_id=call_id))
         except CallError as error:
--- a/egretrouter/daemons/_running_call.py
+++ b/egretrouter/daemons/_running_call.py
@@ -2,11 +2,16 @@
 
 import asyncio
 
+from egretrouter.core.errors import CallUnknownError
 from egretrouter.protocol import egretrouter_pb2 as pb
 
 DEFAULT_WINDOW_BYTES = 256 * 1024
 
 
+class NoCreditError(CallUnknownError):
+    """The router sent no credit for the rest of the answer before the call's deadline."""
+
+
 class RunningCall:
     """Track the task of a call and the bytes that may still be sent to its router."""
 
@@ -21,9 +26,18 @@
         self.window_bytes += credit_bytes
         self.credited.set()
 
-    async def spend(self, sent_bytes: int) -> None:
-        """Use up part of the window, and wait for credit while the window is empty."""
+    async def spend(self, sent_bytes: int, *, deadline_seconds: float) -> None:
+        """Use up part of the window, and wait for credit while the window is empty.
+
+        Raises NoCreditError if the event loop's clock reaches the deadline first.
+        """
         self.window_bytes -= sent_bytes
-        while self.window_bytes <= 0:
-            self.credited.clear()
-            await self.credited.wait()
+        if self.window_bytes > 0:
+            return
+        try:
+            async with asyncio.timeout_at(deadline_seconds):
+                while self.window_bytes <= 0:
+                    self.credited.clear()
+                    await self.credited.wait()
+        except TimeoutError as error:
+            raise NoCreditError("the router sent no credit until the deadline") from error
