Send the ends of calls before an agent exits

What callers saw: a call whose answer was complete at its agent could still end with outcome unknown, or break off, if its agent stopped in that moment and the link to the router was busy.

Cause: the drain ended by the count of running calls, which goes to zero when the last frame is queued and not when it is sent; and a closed link dropped the frames that were queued while the batch before them was being sent.

A closed link sends what is queued before its stream ends, and the drain waits until routers have taken all frames, 5 s at most, which is also how long calls go on without a link to their router.

--- a/egretrouter/daemons/_agent.py
+++ b/egretrouter/daemons/_agent.py
@@ -83,6 +83,8 @@
 REPORT_SECONDS = 1.0
 MINIMUM_REPORT_SECONDS = 0.1
 JOIN_SECONDS = 8.0
+# As long as calls go on without a link to their router.
+FLUSH_SECONDS = 5.0
 
 
 class AgentService(ProcessService):
@@ -141,13 +143,14 @@
         self._peers_servicer = peers
 
     async def drain(self) -> None:
-        """Refuse new calls and wait until the calls in progress have ended."""
+        """Refuse new calls and wait until routers have the ends of the calls in progress."""
         self._draining = True
         self._publish_facts()
         self.calls.announce_drain()
         await self.control.leave()
         self.calls.drain()
         await self.calls.drained.wait()
+        await self.calls.flush_links(timeout_seconds=FLUSH_SECONDS)
 
     async def on_stop(self) -> None:
         """Stop the calls, the copies and the lease, and close the connections to the endpoint."""
--- a/egretrouter/daemons/_agent_calls.py
+++ b/egretrouter/daemons/_agent_calls.py
@@ -135,8 +135,15 @@
         """Let the registry process its timeouts."""
         self.dispatch(Tick())
 
+    async def flush_links(self, *, timeout_seconds: float) -> None:
+        """Wait until the routers that have a link have taken all frames."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_seconds):
+                for link in list(self._links.values()):
+                    await link.wait_until_sent()
+
     async def close(self) -> None:
-        """Cancel the running calls and close the links."""
+        """Cancel the running calls, and close the links after the frames that are queued."""
         for running in list(self._running.values()):
             if running.task is not None:
                 running.task.cancel()
@@ -169,7 +176,7 @@
             yield pb.AgentMessage(
                 epoch=epoch, clock_seconds=self._clock(), load=self._build_load_message()
             )
-            while not link.closed:
+            while not link.ended:
                 frames = await link.wait_for_batch()
                 load = self._build_load_message() if link.pop_load_due() else None
                 if load is not None and not frames:
@@ -181,6 +188,7 @@
                     load = None
         finally:
             reader.cancel()
+            link.discard()
             if self._links.get(router_id) is link:
                 del self._links[router_id]
                 self.dispatch(RouterLost(router_id=router_id))
--- a/egretrouter/daemons/_router_link.py
+++ b/egretrouter/daemons/_router_link.py
@@ -12,6 +12,8 @@
         """Create a link without queued frames."""
         self._frames: list[pb.AnswerFrame] = []
         self._wakeup = asyncio.Event()
+        self._all_sent = asyncio.Event()
+        self._all_sent.set()
         self._load_is_due = False
         self._is_active = False
         self._next_idle_load_seconds = float("-inf")
@@ -20,6 +22,7 @@
     def queue(self, frame: pb.AnswerFrame) -> None:
         """Queue a frame for the next batch."""
         self._frames.append(frame)
+        self._all_sent.clear()
         self._is_active = True
         self._wakeup.set()
 
@@ -49,8 +52,24 @@
         self.closed = True
         self._wakeup.set()
 
+    def discard(self) -> None:
+        """Drop the queued frames, because the router's stream has ended."""
+        self._frames.clear()
+        self._all_sent.set()
+
+    @property
+    def ended(self) -> bool:
+        """Return whether the link is closed and has sent its queued frames."""
+        return self.closed and not self._frames
+
+    async def wait_until_sent(self) -> None:
+        """Wait until no frame is queued or being sent."""
+        await self._all_sent.wait()
+
     async def wait_for_batch(self) -> list[pb.AnswerFrame]:
-        """Wait for frames and return all that are queued."""
+        """Wait for frames and return all that are queued; the previous batch has been sent."""
+        if not self._frames:
+            self._all_sent.set()
         await self._wakeup.wait()
         # Events of one decode step arrive in one iteration of the event loop, so a timed wait gains
         # nothing: one of 2 ms delayed the median event by 4 ms and cost the router as much work.
