Answer or refuse every request that a stopping router reads on its own path

What callers saw: around SIGTERM, a whole request could get neither an answer nor a refusal. A request whose body arrived while the router drained was run although its links and claims were stopped, or was cut off. Callers of kept connections got refusals without "Connection: close", so they went on using a connection until the router closed it, and a request read at that time was dropped.

Cause: a request counted as open only once its body was read, and the drain ended by that counter. Callers' connections were closed last, after the services that calls use, and aiohttp ignores what it reads on a connection that is marked to close.

Requests count from the start of their handler. From the start of the drain each response closes its connection. When the last request has its response, the router stops listening and closes each connection once it is answered, within 10 s, and only then stops the services. The port of callers uses the same CallerServer as the direct path; it routes by path itself, since aiohttp gives an application no public way to use another server, and answers "Expect: 100-continue" when it is about to read the body, so a refused request need not send it.

--- a/egretrouter/daemons/_caller_stream.py
+++ b/egretrouter/daemons/_caller_stream.py
@@ -3,6 +3,7 @@
 import asyncio
 import socket
 import struct
+from collections.abc import Callable
 from enum import Enum
 
 from aiohttp import HttpVersion11, web
@@ -45,13 +46,22 @@
 class CallerStream:
     """Buffer an answer until its head may be sent, then write data as it arrives."""
 
-    def __init__(self, request: web.Request, *, call_id: CallId, request_id: str) -> None:
+    def __init__(
+        self,
+        request: web.BaseRequest,
+        *,
+        call_id: CallId,
+        request_id: str,
+        is_draining: Callable[[], bool] = lambda: False,
+    ) -> None:
+        """Create the stream; an answer that starts during a drain closes its connection."""
         self.state = CallerState.WAITING
         self.changed = asyncio.Event()
         self.failure: FailCaller | None = None
         self._request = request
         self._call_id = call_id
         self._request_id = request_id
+        self._is_draining = is_draining
         self._head: AnswerHead | None = None
         self._buffered: list[bytes] = []
         self._buffered_bytes = 0
@@ -137,6 +147,8 @@
         # HTTP/1.0 has no chunked encoding: the answer ends when the connection closes.
         if self._chunked:
             response.enable_chunked_encoding()
+        if self._is_draining():
+            response.force_close()
         await response.prepare(self._request)
         if self.state is CallerState.WAITING:
             self.state = CallerState.STREAMING
--- a/egretrouter/daemons/_callers.py
+++ b/egretrouter/daemons/_callers.py
@@ -60,6 +60,7 @@
 from egretrouter.transport._problems import problem_response
 
 REFUSAL_RETRY_SECONDS = 1.0
+MODEL_PATHS = frozenset({"/v1/chat/completions", "/v1/completions"})
 # Request headers that the router does not forward to endpoints.
 _ROUTER_HEADERS = frozenset({"authorization", "x-workspace", "expect", "accept-encoding"})
 
@@ -94,6 +95,7 @@
         self._router_count = 1
         self._draining = False
         self.open_calls = 0
+        self.open_requests = 0
         self.idle = asyncio.Event()
         self.idle.set()
 
@@ -133,7 +135,7 @@
             self._dispatch(admission, LimitsTick())
 
     def drain(self) -> None:
-        """Refuse new calls; the idle event is set once the last open call ends."""
+        """Refuse new calls; the idle event is set once the last open request has its response."""
         self._draining = True
 
     @property
@@ -142,60 +144,70 @@
         is_open = self._configuration is not None and not self._authenticator.lacks_tokens
         return is_open and not self._draining
 
-    def routes(self) -> list[web.RouteDef]:
-        """Return the HTTP routes that callers may use."""
-        return [
-            web.get("/healthz", self._handle_health),
-            web.get("/readyz", self._handle_readiness),
-            web.get("/v1/models", self._handle_model_list),
-            web.post("/v1/chat/completions", self._with_problem_responses(self._handle_model_call)),
-            web.post("/v1/completions", self._with_problem_responses(self._handle_model_call)),
-            web.route("*", "/{path:.*}", self._with_problem_responses(self._handle_plain_call)),
-        ]
-
-    async def _handle_health(self, request: web.Request) -> web.Response:
-        return web.json_response({"status": "ok"})
-
-    async def _handle_readiness(self, request: web.Request) -> web.Response:
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Handle one request and return the response."""
+        self.open_requests += 1
+        self.idle.clear()
+        try:
+            response = await self._dispatch_request(request)
+        finally:
+            self.open_requests -= 1
+            if not self.open_requests:
+                self.idle.set()
+        if self._draining:
+            response.force_close()
+        return response
+
+    async def _dispatch_request(self, request: web.BaseRequest) -> web.StreamResponse:
+        if request.method in ("GET", "HEAD"):
+            if request.path == "/healthz":
+                return web.json_response({"status": "ok"})
+            if request.path == "/readyz":
+                return self._report_readiness()
+            if request.path == "/v1/models":
+                return self._list_models()
+        if request.method == "POST" and request.path in MODEL_PATHS:
+            return await self._handle_with_problems(request, self._handle_model_call)
+        return await self._handle_with_problems(request, self._handle_plain_call)
+
+    def _report_readiness(self) -> web.Response:
         status = 200 if self.ready else 503
         generation = self._configuration.generation if self._configuration else 0
         return web.json_response({"ready": self.ready, "generation": generation}, status=status)
 
-    async def _handle_model_list(self, request: web.Request) -> web.Response:
+    def _list_models(self) -> web.Response:
         names = sorted(self._catalog.model_names())
         data = [{"id": name, "object": "model", "owned_by": "egretrouter"} for name in names]
         return web.json_response({"object": "list", "data": data})
 
-    def _with_problem_responses(
-        self, handler: Callable[[web.Request, str], Awaitable[web.StreamResponse]]
-    ) -> Callable[[web.Request], Awaitable[web.StreamResponse]]:
-        """Wrap a handler so that its exceptions become problem documents."""
-
-        async def handle(request: web.Request) -> web.StreamResponse:
-            request_id = read_request_id(request, fallback=uuid.uuid4().hex)
-            try:
-                self._check_accepting_calls()
-                check_headers(request, limits=self._limits)
-                return await handler(request, request_id)
-            except RequestError as error:
-                self._metrics.record_refusal(error.name)
-                return _refusal_response(
-                    error.status, error.name, str(error), request_id, REFUSAL_RETRY_SECONDS
-                )
-            except ValidationError as error:
-                return _refusal_response(400, "malformed-request", str(error), request_id, None)
-            except _Refused as refused:
-                reason = refused.command.reason
-                self._metrics.record_refusal(reason.value)
-                return _refusal_response(
-                    503 if reason in _OVERLOAD_REASONS else 429,
-                    reason.value.replace("_", "-"),
-                    f"the call was refused by a limit: {reason.value}",
-                    request_id,
-                    refused.command.retry_after_seconds,
-                )
-
-        return handle
+    async def _handle_with_problems(
+        self,
+        request: web.BaseRequest,
+        handler: Callable[[web.BaseRequest, str], Awaitable[web.StreamResponse]],
+    ) -> web.StreamResponse:
+        """Run a handler, and answer its exceptions with problem documents."""
+        request_id = read_request_id(request, fallback=uuid.uuid4().hex)
+        try:
+            self._check_accepting_calls()
+            check_headers(request, limits=self._limits)
+            return await handler(request, request_id)
+        except RequestError as error:
+            self._metrics.record_refusal(error.name)
+            return _refusal_response(
+                error.status, error.name, str(error), request_id, REFUSAL_RETRY_SECONDS
+            )
+        except ValidationError as error:
+            return _refusal_response(400, "malformed-request", str(error), request_id, None)
+        except _Refused as refused:
+            reason = refused.command.reason
+            self._metrics.record_refusal(reason.value)
+            return _refusal_response(
+                503 if reason in _OVERLOAD_REASONS else 429,
+                reason.value.replace("_", "-"),
+                f"the call was refused by a limit: {reason.value}",
+                request_id,
+                refused.command.retry_after_seconds,
+            )
 
     def _check_accepting_calls(self) -> None:
         if self._draining:
@@ -203,7 +215,9 @@
         if self.open_calls >= self._limits.max_streams:
             raise TooManyStreamsError(f"{self._limits.max_streams} calls are open already")
 
-    async def _handle_model_call(self, request: web.Request, request_id: str) -> web.StreamResponse:
+    async def _handle_model_call(
+        self, request: web.BaseRequest, request_id: str
+    ) -> web.StreamResponse:
         started = time.monotonic()
         workspace = self._authenticator.authenticate(request)
         limit_seconds = read_positive_number(
@@ -239,7 +253,9 @@
         call = msgspec.structs.replace(call, priority=call.priority or body.priority)
         return await self._run_call(request, call, prompt_tokens + body.answer_tokens)
 
-    async def _handle_plain_call(self, request: web.Request, request_id: str) -> web.StreamResponse:
+    async def _handle_plain_call(
+        self, request: web.BaseRequest, request_id: str
+    ) -> web.StreamResponse:
         started = time.monotonic()
         workspace = self._authenticator.authenticate(request)
         service = self._catalog.find_plain_service(host=request.host, path=request.path)
@@ -267,7 +283,7 @@
 
     def _build_call(
         self,
-        request: web.Request,
+        request: web.BaseRequest,
         request_id: str,
         workspace: WorkspaceId,
         service: ModelServiceFile | PlainServiceFile,
@@ -298,12 +314,16 @@
         )
 
     async def _run_call(
-        self, request: web.Request, call: RoutedCall, tokens: int
+        self, request: web.BaseRequest, call: RoutedCall, tokens: int
     ) -> web.StreamResponse:
         admission = self._admissions[call.route.service]
         self.open_calls += 1
-        self.idle.clear()
-        stream = CallerStream(request, call_id=call.call_id, request_id=call.request_id)
+        stream = CallerStream(
+            request,
+            call_id=call.call_id,
+            request_id=call.request_id,
+            is_draining=lambda: self._draining,
+        )
         driver = CallDriver(call, services=self._services, stream=stream)
         driver.on_first_token = lambda wait_seconds: self._dispatch(
             admission, CallAnswerStarted(call_id=call.call_id, wait_seconds=wait_seconds)
@@ -357,8 +377,6 @@
         overloaded = stream.failure is not None and stream.failure.reason in _OVERLOAD_FAILURES
         self._dispatch(admission, CallReleased(call_id=call.call_id, overloaded=overloaded))
         self.open_calls -= 1
-        if not self.open_calls:
-            self.idle.set()
         self._metrics.record_call(
             service=call.route.service,
             outcome=_call_outcome(stream),
@@ -382,6 +400,7 @@
     def snapshot(self) -> dict[str, Any]:
         """Return the state for the state dump."""
         return {
+            "open_requests": self.open_requests,
             "open_calls": self.open_calls,
             "draining": self._draining,
             "admission": {name: a.snapshot() for name, a in self._admissions.items()},
@@ -398,7 +417,9 @@
     return stream.failure.outcome.value if stream.failure is not None else "refused"
 
 
-def _allowed_seconds(request: web.Request, service: ModelServiceFile | PlainServiceFile) -> float:
+def _allowed_seconds(
+    request: web.BaseRequest, service: ModelServiceFile | PlainServiceFile
+) -> float:
     """Return how long a call may take from its arrival to its answer."""
     wanted = read_positive_number(request, DEADLINE_HEADER, default=service.deadline_seconds)
     return min(wanted, service.deadline_seconds)
--- a/egretrouter/daemons/_process.py
+++ b/egretrouter/daemons/_process.py
@@ -91,7 +91,7 @@
         self._object_store: ObjectStore
         self.session: aiohttp.ClientSession
         self._server: Any = None
-        self._runners: list[web.AppRunner] = []
+        self._runners: list[web.BaseRunner] = []
 
     async def start_process(
         self, *, servicers: Callable[[Any], None], peers: PeersServicer
@@ -130,11 +130,14 @@
         )
         await self.add_runtime_dependency(self.status_service)
         self.operators_port = await self.listen_http(
-            operators_application(
-                dump=self.dump,
-                metrics=self.process_metrics,
-                ready=lambda: self.ready,
-                token_sha256=self.settings.security.operators_token_sha256,
+            web.AppRunner(
+                operators_application(
+                    dump=self.dump,
+                    metrics=self.process_metrics,
+                    ready=lambda: self.ready,
+                    token_sha256=self.settings.security.operators_token_sha256,
+                ),
+                access_log=None,
             ),
             self.settings.operators,
         )
@@ -172,14 +175,12 @@
 
     async def listen_http(
         self,
-        application: web.Application,
+        runner: web.BaseRunner,
         listen: ListenSettings,
         *,
         ssl_context: ssl.SSLContext | None = None,
-        **options: Any,
     ) -> int:
-        """Serve an application and return its port."""
-        runner = web.AppRunner(application, access_log=None, **options)
+        """Serve HTTP and return the port."""
         await runner.setup()
         site = web.TCPSite(runner, listen.address, listen.port, ssl_context=ssl_context)
         await site.start()
--- a/egretrouter/daemons/_requests.py
+++ b/egretrouter/daemons/_requests.py
@@ -6,7 +6,7 @@
 
 import msgspec
 import xxhash
-from aiohttp import web
+from aiohttp import HttpVersion11, web
 
 from egretrouter.core.configuration import Configuration
 from egretrouter.core.errors import ValidationError
@@ -59,6 +59,13 @@
     name = "body-too-large"
 
 
+class UnknownExpectationError(RequestError):
+    """The caller expects something that the router does not know."""
+
+    status = 417
+    name = "unknown-expectation"
+
+
 class SlowBodyError(RequestError):
     """The body did not arrive within the time of the call."""
 
@@ -164,7 +171,7 @@
     return tuple(blocks)
 
 
-def check_headers(request: web.Request, *, limits: CallerLimits) -> None:
+def check_headers(request: web.BaseRequest, *, limits: CallerLimits) -> None:
     """Check the size of the headers and the number of open connections.
 
     Raises HeadersTooLargeError or TooManyConnectionsError.
@@ -179,13 +186,13 @@
         raise TooManyConnectionsError(f"{limits.max_connections} connections are open already")
 
 
-def read_request_id(request: web.Request, *, fallback: str) -> str:
+def read_request_id(request: web.BaseRequest, *, fallback: str) -> str:
     """Return the caller's request id if it is well formed, or else the fallback."""
     given = request.headers.get("X-Request-Id", "")
     return given if _REQUEST_ID.fullmatch(given) else fallback
 
 
-def read_positive_number(request: web.Request, header: str, *, default: float) -> float:
+def read_positive_number(request: web.BaseRequest, header: str, *, default: float) -> float:
     """Read a positive number from a header.
 
     Raises RequestError if the header holds anything else.
@@ -202,15 +209,18 @@
     return number
 
 
-async def read_body(request: web.Request, *, limits: CallerLimits, limit_seconds: float) -> bytes:
+async def read_body(
+    request: web.BaseRequest, *, limits: CallerLimits, limit_seconds: float
+) -> bytes:
     """Read a request's body.
 
-    Raises TooLargeError or SlowBodyError above a limit.
+    Raises TooLargeError or SlowBodyError above a limit, or UnknownExpectationError.
     """
     if (request.content_length or 0) > limits.max_body_bytes:
         raise TooLargeError(f"the body is larger than {limits.max_body_bytes} bytes")
     try:
         async with asyncio.timeout(limit_seconds):
+            await _answer_expectation(request)
             return await request.read()
     except TimeoutError as error:
         raise SlowBodyError(f"the body did not arrive within {limit_seconds:g} seconds") from error
@@ -218,6 +228,17 @@
         raise TooLargeError(f"the body is larger than {limits.max_body_bytes} bytes") from error
 
 
+async def _answer_expectation(request: web.BaseRequest) -> None:
+    expectation = request.headers.get("Expect")
+    if expectation is None or request.version < HttpVersion11:
+        return
+    if expectation.lower() != "100-continue":
+        raise UnknownExpectationError(f"Expect is {expectation[:40]!r}; 100-continue is accepted")
+    await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
+    # aiohttp takes a response whose output has begun for one that can't be replaced by an error.
+    request.writer.output_size = 0
+
+
 class WorkspaceAuthenticator:
     """Identify the workspace of a request by its bearer token or header."""
 
@@ -241,7 +262,7 @@
         """Return whether all callers are refused because no workspace has a token."""
         return self._needs_tokens and not self._workspaces_by_digest
 
-    def authenticate(self, request: web.Request) -> WorkspaceId:
+    def authenticate(self, request: web.BaseRequest) -> WorkspaceId:
         """Return the caller's workspace.
 
         If no workspace has a token, the X-Workspace header names the workspace, and the first one
--- a/egretrouter/daemons/_router.py
+++ b/egretrouter/daemons/_router.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from aiohttp import web
+from eliot import log_message
 from mode import Service
 
 from egretrouter.backends import StorePurpose
@@ -25,8 +26,12 @@
 from egretrouter.daemons._process import ProcessService
 from egretrouter.daemons._routed_call import CallServices
 from egretrouter.daemons._tls import CallerTls
+from egretrouter.transport import CallerServer
 
 REFRESH_SECONDS = 0.5
+# After the last call, callers get this time to read their answers.
+LAST_ANSWERS_SECONDS = 10.0
+STOP_SECONDS = 1.0
 LIMITS_TICK_SECONDS = 0.1
 # Zone summaries list other endpoints every few seconds, so a link may soon be needed again. A link
 # costs memory, and a reconnection every 2 s if its agent is gone. Without a limit, links would add
@@ -45,6 +50,8 @@
         self.router_settings = settings
         self.callers_port = 0
         self.handler: CallerHandler
+        self._callers_server: CallerServer
+        self._callers_runner: web.ServerRunner
         self.claims: ClaimService
         self.selector: EndpointSelector
         self.view: EndpointView
@@ -76,27 +83,41 @@
         if active_configuration is not None:
             self._configure(active_configuration)
         limits = self.router_settings.limits
-        application = web.Application(client_max_size=limits.max_body_bytes)
-        application.add_routes(self.handler.routes())
+        self._callers_server = CallerServer(
+            self.handler.handle,
+            max_body_bytes=limits.max_body_bytes,
+            access_log=None,
+            max_field_size=limits.max_header_bytes,
+            max_line_size=limits.max_header_bytes,
+            keepalive_timeout=limits.idle_connection_seconds,
+        )
+        self._callers_runner = web.ServerRunner(self._callers_server)
         tls = None
         if self.router_settings.callers_tls is not None:
             tls = CallerTls(self.router_settings.callers_tls)
             self.add_future(tls.reload_on_change())
         self.callers_port = await self.listen_http(
-            application,
+            self._callers_runner,
             self.router_settings.callers,
             ssl_context=tls.context if tls is not None else None,
-            handler_cancellation=True,
-            max_field_size=limits.max_header_bytes,
-            max_line_size=limits.max_header_bytes,
-            keepalive_timeout=limits.idle_connection_seconds,
         )
 
     async def drain(self) -> None:
-        """Refuse new calls and wait until the open ones end."""
+        """Refuse new calls, and wait until every request that was read is answered."""
         self.handler.drain()
         await self.control.leave()
         await self.handler.idle.wait()
+        await self._close_callers(limit_seconds=LAST_ANSWERS_SECONDS)
+
+    async def _close_callers(self, *, limit_seconds: float) -> None:
+        """Stop listening, and close each connection once its requests are answered."""
+        for site in self._callers_runner.sites:
+            await site.stop()
+        now_seconds = asyncio.get_running_loop().time()
+        unanswered = await self._callers_server.close_answered(
+            until_seconds=now_seconds + limit_seconds
+        )
+        log_message("router:callers_closed", unanswered=unanswered)
 
     def served_services(self) -> frozenset[ServiceName]:
         """Return the services that have an endpoint in view."""
@@ -174,7 +195,8 @@
             self.handler.tick()
 
     async def on_stop(self) -> None:
-        """Close the links before the channels that they use."""
+        """Close callers' connections, the links and the channels, users before what they use."""
+        await self._close_callers(limit_seconds=0.0 if self.force_stop else STOP_SECONDS)
         await self.claims.stop()
         for link in self._links.values():
             await link.stop()
--- a/egretrouter/transport/_caller_connections.py
+++ b/egretrouter/transport/_caller_connections.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from typing import Any
 
 from aiohttp import web
@@ -14,6 +15,7 @@
 # Callers send their first request as soon as the connection is open.
 FIRST_REQUEST_SECONDS = 0.2
 CLOSE_POLL_SECONDS = 0.05
+DEFAULT_MAX_BODY_BYTES = 1024**2
 
 
 class CallerConnection(web.RequestHandler):
@@ -93,8 +95,14 @@
 class CallerServer(web.Server):
     """Serve callers, and close their connections without losing a request that was read."""
 
-    def __init__(self, handler: Any, **options: Any) -> None:
-        super().__init__(handler, request_factory=_make_request, handler_cancellation=True)
+    def __init__(
+        self, handler: Any, *, max_body_bytes: int = DEFAULT_MAX_BODY_BYTES, **options: Any
+    ) -> None:
+        super().__init__(
+            handler,
+            request_factory=partial(_make_request, max_body_bytes=max_body_bytes),
+            handler_cancellation=True,
+        )
         self._connection_options = options
 
     def __call__(self) -> CallerConnection:
@@ -154,7 +162,17 @@
     protocol: web.RequestHandler,
     writer: AbstractStreamWriter,
     task: "asyncio.Task[None]",
+    *,
+    max_body_bytes: int,
 ) -> web.BaseRequest:
     if isinstance(protocol, CallerConnection):
         protocol.begin_request(payload)
-    return web.BaseRequest(message, payload, protocol, writer, task, asyncio.get_running_loop())
+    return web.BaseRequest(
+        message,
+        payload,
+        protocol,
+        writer,
+        task,
+        asyncio.get_running_loop(),
+        client_max_size=max_body_bytes,
+    )
--- a/tests/test_daemon_calls.py
+++ b/tests/test_daemon_calls.py
@@ -195,3 +195,27 @@
             response.close()
         await wait_until(lambda: fleet.total("cancelled") == 1)
         assert fleet.router.handler.open_calls == 0
+
+    async def test_a_caller_may_wait_for_100_continue(self, fleet: ScriptedFleet) -> None:
+        """Guard against callers that never send their body, as no response asks for it."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", fleet.router.callers_port)
+        head = b"POST /stream HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\nExpect: %s\r\n\r\n"
+        writer.write(head % b"100-continue")
+        assert await reader.readuntil(b"\r\n\r\n") == b"HTTP/1.1 100 Continue\r\n\r\n"
+        writer.write(b"ab")
+        assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 200")
+        writer.close()
+        refusal = await read_raw(
+            fleet, head.replace(b"1.1\r\n", b"1.1\r\nConnection: close\r\n") % b"x"
+        )
+        assert refusal.startswith(b"HTTP/1.1 417")
+
+    async def test_a_body_up_to_the_limit_is_read(
+        self, fleet: ScriptedFleet, session: aiohttp.ClientSession
+    ) -> None:
+        """Guard against the server's own limit of 1 MiB, which is below the router's."""
+        limit = fleet.router.router_settings.limits.max_body_bytes
+        async with session.post(f"{fleet.url}/stream", data=bytes(limit)) as response:
+            assert (response.status, await response.read()) == (200, b"".join(EVENTS))
+        async with session.post(f"{fleet.url}/stream", data=bytes(limit + 1)) as response:
+            assert response.status == 413
--- /dev/null
+++ b/tests/test_daemon_drain.py
@@ -0,0 +1,106 @@
+"""Test what becomes of requests that a router reads between SIGTERM and its end."""
+
+import asyncio
+from collections.abc import AsyncIterator
+
+import pytest
+
+from tests.scripted_fleet import ScriptedFleet, start_scripted_fleet
+
+AFTER_LEAVE_SECONDS = 1.5
+END_SECONDS = 10.0
+ORDER = b"POST /stream HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n"
+
+
+@pytest.fixture
+async def fleet() -> AsyncIterator[ScriptedFleet]:
+    fleet = await start_scripted_fleet()
+    yield fleet
+    await fleet.stop()
+
+
+class Caller:
+    """Send bytes over one connection to the router, and read what comes back."""
+
+    def __init__(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        self.reader = reader
+        self.writer = writer
+
+    @classmethod
+    async def connect(cls, fleet: ScriptedFleet, *, limit_bytes: int = 2**16) -> "Caller":
+        port = fleet.router.callers_port
+        return cls(*await asyncio.open_connection("127.0.0.1", port, limit=limit_bytes))
+
+    async def read_to_end(self) -> bytes:
+        """Return all bytes until the router closes the connection."""
+        try:
+            async with asyncio.timeout(END_SECONDS):
+                return await self.reader.read()
+        finally:
+            self.writer.close()
+
+    async def get(self, path: bytes) -> bytes:
+        """Return the response to a request on a connection that stays open."""
+        self.writer.write(b"GET " + path + b" HTTP/1.1\r\nHost: x\r\n\r\n")
+        head = await self.reader.readuntil(b"\r\n\r\n")
+        length = int(head.lower().partition(b"content-length:")[2].split(b"\r\n")[0])
+        return head + await self.reader.readexactly(length)
+
+
+def is_refused(response: bytes) -> bool:
+    """Return whether a response says that the call did not run, and closes the connection."""
+    head = response.partition(b"\r\n\r\n")[0].lower()
+    return (
+        head.startswith(b"http/1.1 503")
+        and b"connection: close" in head
+        and b'"not_run"' in response
+    )
+
+
+class TestRouterDrain:
+    """Guard against whole requests that get neither an answer nor a refusal around SIGTERM."""
+
+    async def test_the_drain_waits_for_a_body_that_arrives(self, fleet: ScriptedFleet) -> None:
+        """A request counted as open only after its body, so the router stopped before its end."""
+        caller = await Caller.connect(fleet)
+        caller.writer.write(ORDER + b"a")
+        await asyncio.sleep(0.1)
+        drain = asyncio.create_task(fleet.router.drain())
+        await asyncio.sleep(AFTER_LEAVE_SECONDS)
+        assert not drain.done()
+        caller.writer.write(b"b")
+        await drain
+        await fleet.router.stop()
+        response = await caller.read_to_end()
+        assert response.startswith(b"HTTP/1.1 200")
+        assert response.endswith(b"0\r\n\r\n")
+
+    async def test_a_refusal_closes_the_connection(self, fleet: ScriptedFleet) -> None:
+        """Callers went on using kept connections until the router closed them unanswered."""
+        caller = await Caller.connect(fleet)
+        await caller.get(b"/healthz")
+        drain = asyncio.create_task(fleet.router.drain())
+        await asyncio.sleep(0)
+        caller.writer.write(ORDER + b"ab")
+        assert is_refused(await caller.read_to_end())
+        assert b"Connection: close" in await (await Caller.connect(fleet)).get(b"/readyz")
+        await drain
+
+    async def test_a_request_that_arrives_at_the_end_of_the_drain_is_refused(
+        self, fleet: ScriptedFleet
+    ) -> None:
+        """The rest of a request came while the router closed its connections, and was dropped."""
+        callers = [await Caller.connect(fleet) for _ in range(3)]
+        for caller in callers:
+            await caller.get(b"/healthz")
+        drain = asyncio.create_task(fleet.router.drain())
+        await asyncio.sleep(AFTER_LEAVE_SECONDS / 2)
+        for caller in callers:
+            caller.writer.write(ORDER[:20])
+        await asyncio.sleep(AFTER_LEAVE_SECONDS / 2)
+        for caller in callers:
+            caller.writer.write(ORDER[20:] + b"ab")
+        await drain
+        await fleet.router.stop()
+        assert all([is_refused(await caller.read_to_end()) for caller in callers])
+        assert fleet.total("requests") == 0
