Give open calls an outcome when a router is told twice to stop

What callers saw: the second SIGTERM to a router on its own path cut the calls in progress: a stream ended without a reason, and a call without a response yet got none, so its caller could not tell whether it ran.

Cause: the stop at once closed the connections, and nothing told the calls.

At the second signal each open call ends with what is known then: not_run if it was not sent to an agent, else unknown, as an error event or a problem document, with the reason router-stopping. Calls that wait for their turn are refused as not_run. Callers get 0.5 s to read this, then the process stops as before.

Evidence: the new test failed before, with a connection that closed without a response. It passes now: python -m pytest tests/test_daemon_drain.py

--- a/egretrouter/core/calls/_attempt.py
+++ b/egretrouter/core/calls/_attempt.py
@@ -34,6 +34,7 @@
     LinkLost,
     NoEndpoint,
     RecordTarget,
+    RouterStopping,
     SendCancel,
     SendOpen,
     SendResume,
@@ -381,6 +382,10 @@
     def _on_deadline(self, message: DeadlineReached) -> list[AttemptCommand]:
         return self._fail("deadline")
 
+    @_apply.register
+    def _on_router_stopping(self, message: RouterStopping) -> list[AttemptCommand]:
+        return self._fail("router_stopping")
+
     @_apply.register
     def _on_caller_disconnected(self, message: CallerDisconnected) -> list[AttemptCommand]:
         self.ended = True
--- a/egretrouter/core/calls/_attempt_messages.py
+++ b/egretrouter/core/calls/_attempt_messages.py
@@ -85,6 +85,10 @@
     """Report that the call's deadline has passed."""
 
 
+class RouterStopping(msgspec.Struct, frozen=True, kw_only=True):
+    """Report that the router stops without waiting for the answer."""
+
+
 class CallerDisconnected(msgspec.Struct, frozen=True, kw_only=True):
     """Report that the caller closed its connection."""
 
@@ -100,6 +104,7 @@
     | SettleFailed
     | HedgeDue
     | DeadlineReached
+    | RouterStopping
     | CallerDisconnected
 )
 
--- a/egretrouter/daemons/_call_driver.py
+++ b/egretrouter/daemons/_call_driver.py
@@ -32,6 +32,7 @@
     NoEndpoint,
     RecordTarget,
     RefusalReason,
+    RouterStopping,
     SendCancel,
     SendOpen,
     SendResume,
@@ -149,6 +150,13 @@
                     endpoint_call, failed=self._stream.state is CallerState.FAILED
                 )
 
+    def stop(self) -> None:
+        """End the call with the outcome that is known now, because the router stops."""
+        self.dispatch(RouterStopping())
+        if not self._stream.ended:
+            # The call waits for the answer of another call with its key.
+            self._stream.fail(FailCaller(outcome=Outcome.UNKNOWN, reason="router_stopping"))
+
     def _schedule_hedge(self) -> asyncio.TimerHandle | None:
         if not self._call.rules.hedged:
             return None
--- a/egretrouter/daemons/_callers.py
+++ b/egretrouter/daemons/_callers.py
@@ -60,6 +60,7 @@
 from egretrouter.transport._problems import problem_response
 
 REFUSAL_RETRY_SECONDS = 1.0
+STOPPING_DETAIL = "this router is stopping; call another one"
 MODEL_PATHS = frozenset({"/v1/chat/completions", "/v1/completions"})
 # Request headers that the router does not forward to endpoints.
 _ROUTER_HEADERS = frozenset({"authorization", "x-workspace", "expect", "accept-encoding"})
@@ -92,6 +93,7 @@
         self._configuration: Configuration | None = None
         self._admissions: dict[ServiceName, Admission] = {}
         self._admission_futures: dict[CallId, asyncio.Future[StartCall]] = {}
+        self._drivers: set[CallDriver] = set()
         self._router_count = 1
         self._draining = False
         self.open_calls = 0
@@ -138,6 +140,15 @@
         """Refuse new calls; the idle event is set once the last open request has its response."""
         self._draining = True
 
+    def end_calls(self) -> None:
+        """End every open call with the outcome that is known now."""
+        self._draining = True
+        for future in self._admission_futures.values():
+            if not future.done():
+                future.set_exception(TooManyStreamsError(STOPPING_DETAIL))
+        for driver in self._drivers:
+            driver.stop()
+
     @property
     def ready(self) -> bool:
         """Return whether calls can be answered."""
@@ -211,7 +222,7 @@
 
     def _check_accepting_calls(self) -> None:
         if self._draining:
-            raise TooManyStreamsError("this router is stopping; call another one")
+            raise TooManyStreamsError(STOPPING_DETAIL)
         if self.open_calls >= self._limits.max_streams:
             raise TooManyStreamsError(f"{self._limits.max_streams} calls are open already")
 
@@ -338,10 +349,12 @@
                 workspace=call.workspace,
             ) as action:
                 admitted = await self._admit_call(admission, call, tokens)
+                self._drivers.add(driver)
                 await driver.run(urgent=admitted.urgent)
                 action.add_success_fields(state=stream.state.value, bytes=driver.answer_bytes)
             return await stream.close()
         finally:
+            self._drivers.discard(driver)
             self._release_call(admission, call, driver, stream, arrived_seconds)
 
     async def _admit_call(self, admission: Admission, call: RoutedCall, tokens: int) -> StartCall:
--- a/egretrouter/daemons/_process.py
+++ b/egretrouter/daemons/_process.py
@@ -188,6 +188,11 @@
         port: int = runner.addresses[0][1]
         return port
 
+    async def stop_at_once(self) -> None:
+        """Stop without waiting for the work in progress."""
+        self.force_stop = True
+        await self.stop()
+
     async def on_stop(self) -> None:
         """Stop the services that use the sockets, and close the sockets."""
         # Dependencies are stopped only after this method, when their sockets would be closed.
--- a/egretrouter/daemons/_router.py
+++ b/egretrouter/daemons/_router.py
@@ -32,6 +32,8 @@
 # After the last call, callers get this time to read their answers.
 LAST_ANSWERS_SECONDS = 10.0
 STOP_SECONDS = 1.0
+# After a second signal, callers get this time to read the outcomes of their calls.
+OUTCOME_SECONDS = 0.5
 LIMITS_TICK_SECONDS = 0.1
 # Zone summaries list other endpoints every few seconds, so a link may soon be needed again. A link
 # costs memory, and a reconnection every 2 s if its agent is gone. Without a limit, links would add
@@ -109,6 +111,12 @@
         await self.handler.idle.wait()
         await self._close_callers(limit_seconds=LAST_ANSWERS_SECONDS)
 
+    async def stop_at_once(self) -> None:
+        """Tell the callers of open calls what is known about them, and stop."""
+        self.handler.end_calls()
+        await self._close_callers(limit_seconds=OUTCOME_SECONDS)
+        await super().stop_at_once()
+
     async def _close_callers(self, *, limit_seconds: float) -> None:
         """Stop listening, and close each connection once its requests are answered."""
         for site in self._callers_runner.sites:
--- a/egretrouter/daemons/_running.py
+++ b/egretrouter/daemons/_running.py
@@ -69,6 +69,7 @@
         await asyncio.wait([drained, stop_now], return_when=asyncio.FIRST_COMPLETED)
         drained.cancel()
         stop_now.cancel()
-        service.force_stop = stop_at_once.is_set()
+        if stop_at_once.is_set():
+            await service.stop_at_once()
     finally:
         await service.stop()
--- a/tests/scripted_service.py
+++ b/tests/scripted_service.py
@@ -27,6 +27,8 @@
     async def _answer(self, request: web.Request) -> web.StreamResponse:
         self.requests += 1
         script = request.path.split("/")[1]
+        if script == "hangs":
+            await self.gate.wait()
         if script == "large":
             return web.Response(body=LARGE)
         if script == "dies-before" and self.fails:
--- a/tests/test_daemon_drain.py
+++ b/tests/test_daemon_drain.py
@@ -5,7 +5,9 @@
 
 import pytest
 
+from tests.helpers import wait_until
 from tests.scripted_fleet import ScriptedFleet, start_scripted_fleet
+from tests.scripted_service import EVENTS
 
 AFTER_LEAVE_SECONDS = 1.5
 END_SECONDS = 10.0
@@ -104,3 +106,22 @@
         await fleet.router.stop()
         assert all([is_refused(await caller.read_to_end()) for caller in callers])
         assert fleet.total("requests") == 0
+
+    async def test_a_second_signal_gives_open_calls_an_outcome(self, fleet: ScriptedFleet) -> None:
+        """Calls in progress were cut without an answer by the second SIGTERM."""
+        stream, order = await Caller.connect(fleet), await Caller.connect(fleet)
+        stream.writer.write(b"GET /gated HTTP/1.1\r\nHost: x\r\n\r\n")
+        await stream.reader.readuntil(EVENTS[2])
+        order.writer.write(b"POST /hangs HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n")
+        await wait_until(lambda: fleet.total("requests") == 2)
+        drain = asyncio.create_task(fleet.router.drain())
+        await asyncio.sleep(0.1)
+        await fleet.router.stop_at_once()
+        drain.cancel()
+        content = await stream.read_to_end()
+        assert b"event: error" in content
+        assert b'"unknown"' in content
+        response = await order.read_to_end()
+        assert response.startswith(b"HTTP/1.1 502")
+        assert b"router-stopping" in response
+        assert b'"unknown"' in response
