Bound the time that open requests on other ports hold a stop

What operators saw: a process on the product's own path that was told to stop could go on for 10 s to 2 minutes after its drain, and a second SIGTERM then changed nothing: one request on the operators' port without its whole body, or a reader of the dump that read nothing, was waited for.

Cause: aiohttp waits 60 s by default for requests, and 60 s again for their tasks.

It waits 0.5 s now on each port; callers' requests are answered in the drain before.

--- a/egretrouter/daemons/_process.py
+++ b/egretrouter/daemons/_process.py
@@ -40,6 +40,8 @@
 from egretrouter.transport._secrets import SharedSecrets
 
 SERVER_GRACE_SECONDS = 0.5
+# aiohttp waits up to twice this long for requests that are open when a port closes.
+REQUESTS_GRACE_SECONDS = 0.5
 FORCED_STOP_GRACE_SECONDS = 0.1
 PLATFORM_CONNECTIONS = 256
 
@@ -138,6 +140,7 @@
                     token_sha256=self.settings.security.operators_token_sha256,
                 ),
                 access_log=None,
+                shutdown_timeout=REQUESTS_GRACE_SECONDS,
             ),
             self.settings.operators,
         )
--- a/egretrouter/daemons/_router.py
+++ b/egretrouter/daemons/_router.py
@@ -23,7 +23,7 @@
 from egretrouter.daemons._link import AgentLink
 from egretrouter.daemons._metrics import RouterMetrics
 from egretrouter.daemons._peers import PeersServicer
-from egretrouter.daemons._process import ProcessService
+from egretrouter.daemons._process import REQUESTS_GRACE_SECONDS, ProcessService
 from egretrouter.daemons._routed_call import CallServices
 from egretrouter.daemons._tls import CallerTls
 from egretrouter.transport import CallerServer
@@ -93,7 +93,9 @@
             max_line_size=limits.max_header_bytes,
             keepalive_timeout=limits.idle_connection_seconds,
         )
-        self._callers_runner = web.ServerRunner(self._callers_server)
+        self._callers_runner = web.ServerRunner(
+            self._callers_server, shutdown_timeout=REQUESTS_GRACE_SECONDS
+        )
         tls = None
         if self.router_settings.callers_tls is not None:
             tls = CallerTls(self.router_settings.callers_tls)
--- a/tests/test_daemon_drain.py
+++ b/tests/test_daemon_drain.py
@@ -125,3 +125,13 @@
         assert response.startswith(b"HTTP/1.1 502")
         assert b"router-stopping" in response
         assert b'"unknown"' in response
+
+    async def test_an_operator_does_not_delay_the_stop(self, fleet: ScriptedFleet) -> None:
+        """A request without its whole body held the stop for 10 s, and a slow reader for longer."""
+        port = fleet.router.operators_port
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(b"GET /healthz HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\n")
+        await reader.readuntil(b"\r\n\r\n")
+        async with asyncio.timeout(END_SECONDS / 2):
+            await fleet.router.stop()
+        writer.close()
