Forward no switch to another protocol

A faulty endpoint that answered 101 with its receipt ended the call: the router told the caller to switch protocols, on both paths. A caller that has asked for no switch takes 101 for an interim answer and waits for the rest, so on a kept connection it gets the next call's answer.

Cause: the HTTP client skips interim answers but returns 101 as an answer like others.

Now such an answer counts as broken.

--- a/egretrouter/daemons/_endpoint.py
+++ b/egretrouter/daemons/_endpoint.py
@@ -122,6 +122,9 @@
 async def _read_answer(
     response: aiohttp.ClientResponse, version_digest: str
 ) -> AsyncIterator[AnswerHead | AnswerData]:
+    if response.status < 200:
+        # A caller would take the next answer on its connection as the rest of this one.
+        raise EndpointFailedError(f"the endpoint answered {response.status}")
     answered_digest = response.headers.get(DIGEST_HEADER)
     if version_digest and answered_digest is not None and answered_digest != version_digest:
         raise OtherVersionError(
--- a/egretrouter/direct/_sends.py
+++ b/egretrouter/direct/_sends.py
@@ -140,6 +140,9 @@
             raise SendError(
                 SendOutcome.REJECTED, f"the endpoint rejected with {response.status}", answer=answer
             )
+        if response.status < 200:
+            # A caller would take the next answer on its connection as the rest of this one.
+            raise SendError(SendOutcome.BROKEN, f"the endpoint answered {response.status}")
         if not answer.has_receipt:
             raise SendError(SendOutcome.BROKEN, f"status {response.status} without a receipt")
         if "Content-Encoding" in response.headers:
