Let a sound engine be silent for 2 s before its stream moves

Streams of sound engines, which may fall silent for a second or so, were moved to another engine: a repeat was spent and the prompt read again.

Cause: the bound was max(1 s, 4 allowed gaps).

Evidence: test_silence_of_a_sound_engine_moves_its_stream failed before at a silence of 1.6 s with an allowed gap of 0.3 s.

Change: the bound is max(2 s, 4 allowed gaps). Callers give a stream up after the longest of 2 s, 4 objectives and 8 allowed gaps, so with allowed gaps over 0.25 s the stream still moves before they leave (test_stream_of_an_engine_that_stays_silent_goes_on_before_callers_give_up); where they wait for 2 s only, they resume it themselves.

Measured: pytest -n 2 tests/test_silent_engines.py: 4 passed.

--- a/egretrouter/direct/_callers.py
+++ b/egretrouter/direct/_callers.py
@@ -44,9 +44,10 @@
 
 # A call with less time left than this is not sent.
 MIN_SEND_SECONDS = 0.02
-# An event stream is resumed at another endpoint after this many allowed gaps without data.
+# After this many allowed gaps without data, half of what callers wait at least, an event stream may
+# go on at another endpoint; sound endpoints may fall silent for a second or so.
 STALL_GAPS = 4.0
-MIN_STALL_SECONDS = 1.0
+MIN_STALL_SECONDS = 2.0
 
 
 class CallerHandler:
