Share the forms of answers and the router with raw endpoints between tests

The tests of misdirected and of truncated answers started endpoints in the same way, and the tests of agents need the same forms of answers.

--- a/tests/test_platform_misdirected_answers.py
+++ b/tests/test_platform_misdirected_answers.py
@@ -6,9 +6,9 @@
 
 import pytest
 
-from tests.platform_standins import configuration, registration
-from tests.platform_world import PlatformWorld
-from tests.raw_endpoint import RawAnswer, RawEndpoint, RawRequest
+from tests.platform_standins import configuration
+from tests.raw_endpoint import RawAnswer, RawRequest
+from tests.raw_world import RawWorld
 
 OTHER_CALL = "X-Attempt-Id: another\r\n"
 REFUSAL = "HTTP/1.1 {status} Refused\r\nX-Not-Run: 1\r\n{headers}Content-Length: 0\r\n\r\n"
@@ -27,7 +27,7 @@
     return REFUSAL.format(status=status, headers=headers).encode()
 
 
-class MisdirectingWorld(PlatformWorld):
+class MisdirectingWorld(RawWorld):
     """Run a router whose endpoints run each call and put another answer before its own."""
 
     def __init__(self) -> None:
@@ -36,29 +36,17 @@
         self.times = 1000
         """How often the other answer comes first."""
         self.executed: list[str] = []
-        self._endpoints: list[RawEndpoint] = []
 
     async def start(self, *, engines: int = 2, **changes: Any) -> None:
         routes = [{**route, "attempts": 2} for route in configuration()["routes"]]
-        await super().start(engines=0, routes=routes, **changes)
-        for number in range(engines):
-            endpoint = RawEndpoint(self._respond)
-            self._endpoints.append(endpoint)
-            self.store.put("servers", f"i-{number}", registration(await endpoint.start()))
-        directory = self.router.shared_state.directory
-        await self.wait_until(lambda: len(directory.all_endpoints()) == engines)
-
-    def _respond(self, request: RawRequest) -> RawAnswer:
+        await super().start(engines=engines, routes=routes, **changes)
+
+    def respond(self, request: RawRequest) -> RawAnswer:
         self.executed.append(request.call_id)
         first = self.first_answer if self.times > 0 else b""
         self.times -= 1
         return RawAnswer(data=first + COMPLETE.format(call_id=request.call_id).encode())
 
-    async def stop(self) -> None:
-        for endpoint in self._endpoints:
-            endpoint.stop()
-        await super().stop()
-
 
 @pytest.fixture
 async def world() -> AsyncIterator[MisdirectingWorld]:
--- a/tests/test_platform_truncated_answers.py
+++ b/tests/test_platform_truncated_answers.py
@@ -7,10 +7,11 @@
 import msgspec
 import pytest
 
+from tests.answer_forms import Form, after_interim, in_chunks, until_close, with_length
 from tests.framed_answers import FramedAnswer, read_framed
-from tests.platform_standins import configuration, registration
-from tests.platform_world import PlatformWorld
-from tests.raw_endpoint import RawAnswer, RawEndpoint, RawRequest
+from tests.platform_standins import configuration
+from tests.raw_endpoint import RawAnswer, RawRequest
+from tests.raw_world import RawWorld
 
 CONCURRENT_CALLS = 32
 # Odd, because half of the repeated calls get a complete answer.
@@ -27,67 +28,19 @@
 STREAM = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"
 
 
-class Form(msgspec.Struct, frozen=True, kw_only=True):
-    """Describe a complete answer."""
-
-    head: str
-    body: bytes = b""
-    content: bytes = b""
-    """What the caller gets of the body."""
-    status: int = 200
-    ends_with_connection: bool = False
-    states_not_run: bool = False
-
-    @property
-    def data(self) -> bytes:
-        return self.head.encode() + self.body
-
-
-def with_length(content: bytes, *, line: str = "200 OK", headers: str = RECEIPT) -> Form:
-    return Form(
-        head=f"HTTP/1.1 {line}\r\n{headers}Content-Length: {len(content)}\r\n\r\n",
-        body=content,
-        content=content,
-        status=int(line[:3]),
-    )
-
-
-def in_chunks(content: bytes, *, headers: str = RECEIPT, trailer: bytes = b"") -> Form:
-    parts = [content[:20], content[20:]]
-    chunks = b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in parts)
-    return Form(
-        head=f"HTTP/1.1 200 OK\r\n{headers}Transfer-Encoding: chunked\r\n\r\n",
-        body=chunks + b"0\r\n" + trailer + b"\r\n",
-        content=content,
-    )
-
-
-def until_close(content: bytes, *, version: str = "1.1", headers: str = RECEIPT) -> Form:
-    return Form(
-        head=f"HTTP/{version} 200 OK\r\n{headers}\r\n",
-        body=content,
-        content=content,
-        ends_with_connection=True,
-    )
-
-
-def after_interim(form: Form, headers: str = "") -> Form:
-    return msgspec.structs.replace(
-        form, head=f"HTTP/1.1 103 Early Hints\r\n{headers}\r\n{form.head}"
-    )
-
-
 FORMS = {
-    "with a length": with_length(WHOLE),
-    "with a long length": with_length(WHOLE * 4),
-    "in chunks": in_chunks(WHOLE),
-    "in chunks with a trailer": in_chunks(WHOLE, trailer=b"X-Trailer: x\r\n"),
-    "until the connection closes": until_close(WHOLE),
-    "of HTTP/1.0": until_close(WHOLE, version="1.0"),
+    "with a length": with_length(WHOLE, headers=RECEIPT),
+    "with a long length": with_length(WHOLE * 4, headers=RECEIPT),
+    "in chunks": in_chunks(WHOLE, headers=RECEIPT),
+    "in chunks with a trailer": in_chunks(WHOLE, headers=RECEIPT, trailer=b"X-Trailer: x\r\n"),
+    "until the connection closes": until_close(WHOLE, headers=RECEIPT),
+    "of HTTP/1.0": until_close(WHOLE, version="1.0", headers=RECEIPT),
     "without content": Form(head=f"HTTP/1.1 204 No Content\r\n{RECEIPT}\r\n", status=204),
-    "after an interim answer": after_interim(with_length(WHOLE)),
-    "after an interim refusal": after_interim(with_length(WHOLE), RECEIPT + "X-Not-Run: 1\r\n"),
-    "of a failure": with_length(WHOLE, line="500 Internal Server Error"),
+    "after an interim answer": after_interim(with_length(WHOLE, headers=RECEIPT)),
+    "after an interim refusal": after_interim(
+        with_length(WHOLE, headers=RECEIPT), RECEIPT + "X-Not-Run: 1\r\n"
+    ),
+    "of a failure": with_length(WHOLE, line="500 Internal Server Error", headers=RECEIPT),
     "of a refusal": msgspec.structs.replace(
         with_length(WHOLE, line="503 Full", headers=f"X-Not-Run: 1\r\nX-Attempt-Id: {ID}\r\n"),
         states_not_run=True,
@@ -121,29 +74,21 @@
         return [] if is_partial or self.at < len(self.form.head) else [sent]
 
 
-class TruncatingWorld(PlatformWorld):
+class TruncatingWorld(RawWorld):
     """Run a router whose endpoints cut off their answers."""
 
     def __init__(self) -> None:
         super().__init__()
         self._cuts: dict[str, Cut] = {}
         self._sends: dict[str, int] = {}
-        self._endpoints: list[RawEndpoint] = []
 
     async def start(self, *, engines: int = 2, **changes: Any) -> None:
         routes = configuration()["routes"]
         stream = next(route for route in routes if route["name"] == "text")
         routes.append({**stream, "name": "talk", "path_prefix": "/talk/", "resumable": False})
-        await super().start(engines=0, routes=routes, **changes)
-        for number in range(engines):
-            endpoint = RawEndpoint(self._respond)
-            self._endpoints.append(endpoint)
-            entry = {**registration(await endpoint.start()), "slots": CONCURRENT_CALLS}
-            self.store.put("servers", f"i-{number}", entry)
-        directory = self.router.shared_state.directory
-        await self.wait_until(lambda: len(directory.all_endpoints()) == engines)
-
-    def _respond(self, request: RawRequest) -> RawAnswer:
+        await super().start(engines=engines, routes=routes, **changes)
+
+    def respond(self, request: RawRequest) -> RawAnswer:
         send = self._sends.get(request.call_id, 0)
         self._sends[request.call_id] = send + 1
         return self._cuts[request.call_id].answer(request.call_id, send=send)
@@ -178,11 +123,6 @@
         writer.close()
         return read_framed(data)
 
-    async def stop(self) -> None:
-        for endpoint in self._endpoints:
-            endpoint.stop()
-        await super().stop()
-
 
 def describe_misread(cut: Cut, found: FramedAnswer | None, *, streams: bool) -> str:
     """Return what the caller would misread in its answer, if anything."""
