Leave a silent engine only for one that can take the stream

Callers' streams were broken off because their engine was silent: after the stall bound a resumable stream was given up, and only then was it found out that no attempt was left, the repeat budget was empty, or no other engine could take it.

Cause: the silence was treated as the end of the send, and the next step was decided afterwards.

Evidence: test_stream_that_can_go_on_nowhere_else_is_broken_off (no other engine, no attempt left, no repeat left), test_stream_moves_once_another_engine_can_take_it and test_stream_without_time_to_begin_anew_leaves_its_engine failed before.

Change: a silent engine is read on until the call's own time is up, unless the route and the budget allow a repeat, as much time is left as a first event may take, and an engine can take the stream at once; that engine then gets it. This is looked at again every 0.25 s.

--- a/egretrouter/core/direct/_repeats.py
+++ b/egretrouter/core/direct/_repeats.py
@@ -35,13 +35,17 @@
 
     def try_repeat(self, service: ServiceName, *, now_seconds: float) -> bool:
         """Consume one repeat from the budget, and return whether one was available."""
+        if not self.may_repeat(service, now_seconds=now_seconds):
+            return False
+        self._repeats[service].append(now_seconds)
+        return True
+
+    def may_repeat(self, service: ServiceName, *, now_seconds: float) -> bool:
+        """Return whether the budget has a repeat left."""
         repeats = self._recent_times(self._repeats, service, now_seconds)
         calls = len(self._recent_times(self._calls, service, now_seconds))
         allowed = USED_SHARE * (self._ratio * calls + self._extra / self._routers)
-        if len(repeats) + 1 > allowed:
-            return False
-        repeats.append(now_seconds)
-        return True
+        return len(repeats) + 1 <= allowed
 
     def _recent_times(
         self,
--- a/egretrouter/direct/_active_call.py
+++ b/egretrouter/direct/_active_call.py
@@ -4,7 +4,15 @@
 from aiohttp import web
 
 from egretrouter.backends import CallHeaders
-from egretrouter.core.direct import DirectCall, EventSplitter, Prompt, Route, Service, Workspace
+from egretrouter.core.direct import (
+    Choice,
+    DirectCall,
+    EventSplitter,
+    Prompt,
+    Route,
+    Service,
+    Workspace,
+)
 from egretrouter.core.identifiers import EndpointId
 
 
@@ -22,6 +30,8 @@
     progress: DirectCall
     cutter: EventSplitter
     tried: set[EndpointId] = msgspec.field(default_factory=set)
+    next_choice: Choice | None = None
+    """The endpoint for which the call has left a silent one."""
     late: bool = False
     """Whether the caller had waited longer than the latency target before this attempt."""
     events_before_send: int = 0
--- a/egretrouter/direct/_callers.py
+++ b/egretrouter/direct/_callers.py
@@ -25,6 +25,7 @@
     NoEndpointAvailable,
     Placement,
     RepeatBudget,
+    Route,
     SendEnded,
     SendOutcome,
 )
@@ -48,6 +49,8 @@
 # go on at another endpoint; sound endpoints may fall silent for a second or so.
 STALL_GAPS = 4.0
 MIN_STALL_SECONDS = 2.0
+# A silent endpoint that the call can't leave yet is checked again at this interval.
+STALL_POLL_SECONDS = 0.25
 
 
 class CallerHandler:
@@ -127,7 +130,8 @@
 
     async def _send_until_answered(self, call: ActiveCall) -> web.StreamResponse:
         while True:
-            choice = await self._choices.choose(call)
+            choice = call.next_choice or await self._choices.choose(call)
+            call.next_choice = None
             if not isinstance(choice, Choice):
                 reason = _describe_unavailability(choice)
                 return self._responder.end_call(
@@ -163,11 +167,8 @@
             )
         elif error.outcome not in (SendOutcome.REJECTED, SendOutcome.EXPIRED):
             self._placement.record_failure(endpoint_id, now_seconds=now)
-        allowed = (
-            call.progress.may_repeat(error.outcome)
-            and call.cutter.may_resume
-            and self._guard.may_repeat(call, error.outcome)
-            and self._budget.try_repeat(call.service.name, now_seconds=now)
+        allowed = self._may_repeat(call, error.outcome) and self._budget.try_repeat(
+            call.service.name, now_seconds=now
         )
         step = call.progress.handle_send_ended(
             SendEnded(outcome=error.outcome, repeat_allowed=allowed)
@@ -185,6 +186,14 @@
         )
         return step
 
+    def _may_repeat(self, call: ActiveCall, outcome: SendOutcome) -> bool:
+        """Return whether the call permits another send, apart from the repeat budget."""
+        return (
+            call.progress.may_repeat(outcome)
+            and call.cutter.may_resume
+            and self._guard.may_repeat(call, outcome)
+        )
+
     async def _send(self, call: ActiveCall, choice: Choice) -> web.StreamResponse:
         now = time.monotonic()
         left = call.deadline_seconds - now
@@ -281,26 +290,12 @@
     async def _stream(
         self, call: ActiveCall, choice: Choice, answer: OpenAnswer
     ) -> web.StreamResponse:
-        stall = None
-        if call.route.resumable:
-            stall = max(MIN_STALL_SECONDS, STALL_GAPS * call.route.max_event_gap_seconds)
         call.cutter.discard_partial_event()
         if not call.progress.answer_started:
             call.version = answer.answer.version or choice.version
         elif call.version is not None and answer.answer.version not in (None, call.version):
             raise SendError(SendOutcome.BROKEN, f"resumed on version {answer.answer.version}")
-        while True:
-            # Before the first event the call may be queued at its endpoint, which is not a stall.
-            started = call.progress.answer_started
-            limit = stall if started else self._choices.start_timeout_seconds(call, choice)
-            try:
-                data = await answer.read_available(stall_seconds=limit)
-            except SendError as error:
-                if not started and error.outcome is SendOutcome.STALLED:
-                    raise _version_expired(choice) from error
-                raise
-            if not data:
-                break
+        while data := await self._read(call, choice, answer):
             events = _feed(call.cutter, data)
             if events:
                 self._guard.record_events(call)
@@ -314,6 +309,43 @@
         self._responder.record_finished(call, "200")
         return call.response
 
+    async def _read(self, call: ActiveCall, choice: Choice, answer: OpenAnswer) -> bytes:
+        """Return what has arrived; leave a silent endpoint only if the call goes on at another."""
+        limit = _stall_seconds(call.route)
+        # Before the first event the call may be queued at its endpoint, which is not a stall.
+        if not call.progress.answer_started:
+            limit = self._choices.start_timeout_seconds(call, choice)
+        while True:
+            try:
+                return await answer.read_available(stall_seconds=limit)
+            except SendError as error:
+                if error.outcome is not SendOutcome.STALLED:
+                    raise
+                if not call.progress.answer_started:
+                    raise _version_expired(choice) from error
+                call.next_choice = self._find_other_endpoint(call)
+                if call.next_choice is not None:
+                    raise
+            limit = STALL_POLL_SECONDS
+
+    def _find_other_endpoint(self, call: ActiveCall) -> Choice | None:
+        """Return the endpoint at which a silent stream can go on at once, if there is one."""
+        now = time.monotonic()
+        if (
+            call.deadline_seconds - now < call.route.latency_target_seconds
+            or not self._may_repeat(call, SendOutcome.STALLED)
+            or not self._budget.may_repeat(call.service.name, now_seconds=now)
+        ):
+            return None
+        choice = self._choices.choose_now(call)
+        return choice if isinstance(choice, Choice) else None
+
+
+def _stall_seconds(route: Route) -> float | None:
+    if not route.resumable:
+        return None
+    return max(MIN_STALL_SECONDS, STALL_GAPS * route.max_event_gap_seconds)
+
 
 def _feed(splitter: EventSplitter, data: bytes) -> bytes:
     try:
--- a/egretrouter/direct/_choices.py
+++ b/egretrouter/direct/_choices.py
@@ -52,18 +52,9 @@
         )
         while True:
             # A part may become held while the call waits.
-            held = self._guard.find_hold(call)
-            if held is not None:
-                return held
-            now = time.monotonic()
-            choice = self._placement.choose(
-                self._endpoints(call, now),
-                self._requirements(call, now),
-                profile=call.service.engine,
-                now_seconds=now,
-            )
+            choice = self.choose_now(call)
             poll = CAPACITY_POLL_SECONDS * (0.8 + 0.4 * self._rng.random())
-            if isinstance(choice, Choice) or now + poll > wait_until:
+            if not isinstance(choice, NoEndpointAvailable) or time.monotonic() + poll > wait_until:
                 return choice
             self._placement.adjust_waiting(1)
             try:
@@ -71,6 +62,19 @@
             finally:
                 self._placement.adjust_waiting(-1)
 
+    def choose_now(self, call: ActiveCall) -> Choice | NoEndpointAvailable | PartHeld:
+        """Choose an endpoint that can take the call at once."""
+        held = self._guard.find_hold(call)
+        if held is not None:
+            return held
+        now = time.monotonic()
+        return self._placement.choose(
+            self._endpoints(call, now),
+            self._requirements(call, now),
+            profile=call.service.engine,
+            now_seconds=now,
+        )
+
     def _endpoints(self, call: ActiveCall, now: float) -> list[Endpoint]:
         # An endpoint at its limit adds no capacity, so it is not among the candidates at all.
         ready = self._state.directory.ready_endpoints(call.service.name)
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -114,6 +114,22 @@
 class TestSilentStreams:
     """Guard against streams that end, or run again, because a sound engine was silent."""
 
+    @pytest.mark.parametrize(
+        ("engines", "attempts", "has_repeats"),
+        [(1, 2, True), (2, 1, True), (2, 2, False)],
+        ids=["no other engine", "no attempt left", "no repeat left"],
+    )
+    async def test_stream_that_can_go_on_nowhere_else_is_broken_off(
+        self, world: SilentWorld, engines: int, attempts: int, has_repeats: bool
+    ) -> None:
+        await world.start(engines=engines, attempts=attempts)
+        if not has_repeats:
+            world.exhaust_repeats()
+        world.silence_seconds = 2 * CALLERS_PATIENCE_SECONDS
+        content, _ = await world.read_stream()
+        assert content == WHOLE_STREAM
+        assert world.streams == [None]
+
     async def test_silence_of_a_sound_engine_moves_its_stream(self, world: SilentWorld) -> None:
         await world.start()
         world.silence_seconds = 1.6
@@ -132,6 +148,27 @@
         assert pause < CALLERS_PATIENCE_SECONDS
         await world.wait_until(lambda: world.cancelled == 1)
 
+    async def test_stream_moves_once_another_engine_can_take_it(self, world: SilentWorld) -> None:
+        await world.start(engines=1)
+        world.silence_seconds = 5.0
+        stream = asyncio.create_task(world.read_stream())
+        await asyncio.sleep(2.5)
+        assert world.streams == [None]
+        await world.add_engine("i-new")
+        content, pause = await stream
+        assert content == WHOLE_STREAM
+        assert world.streams == [None, "2"]
+        assert pause < 3.5
+
+    async def test_stream_without_time_to_begin_anew_leaves_its_engine(
+        self, world: SilentWorld
+    ) -> None:
+        await world.start(target_latency_ms=4500)
+        world.silence_seconds = 3.5
+        content, _ = await world.read_stream()
+        assert content == WHOLE_STREAM
+        assert world.streams == [None]
+
 
 class TestSilentCalls:
     """Guard against plain answers that are given up, or run again, after a silence."""
