Don't treat the wait of a resumed stream as a silence

A stream with attempts left was taken from the engine that resumed it while it was queued there or its prompt was read, because of the bound on silence within an answer; another repeat was spent, or the stream was broken off.

Cause: that an answer had begun was asked of the call as a whole, not of the engine that runs it now.

Evidence: test_engine_that_resumes_after_a_wait_is_left failed before.

Change: the bound holds from the engine's own first event on.

Measured: pytest -n 2 tests/test_silent_engines.py: 10 passed.

--- a/egretrouter/direct/_callers.py
+++ b/egretrouter/direct/_callers.py
@@ -315,6 +315,8 @@
         # Before the first event the call may be queued at its endpoint, which is not a stall.
         if not call.progress.answer_started:
             limit = self._choices.start_timeout_seconds(call, choice)
+        elif not call.events_since_send:
+            limit = None
         while True:
             try:
                 return await answer.read_available(stall_seconds=limit)
--- a/tests/test_silent_engines.py
+++ b/tests/test_silent_engines.py
@@ -169,6 +169,15 @@
         assert content == WHOLE_STREAM
         assert world.streams == [None]
 
+    async def test_engine_that_resumes_after_a_wait_is_left(self, world: SilentWorld) -> None:
+        """Until its first event, a resumed stream may be queued or read its prompt."""
+        await world.start(engines=3, attempts=3)
+        world.silence_seconds = 5.0
+        world.resumed_silence_seconds = 2.5
+        content, _ = await world.read_stream()
+        assert content == WHOLE_STREAM
+        assert world.streams == [None, "2"]
+
 
 class TestSilentCalls:
     """Guard against plain answers that are given up, or run again, after a silence."""
