Test that a drain on the product's own path waits for slow readers

A response counts as answered while its end is still in the router's memory. The test fails with that wait taken out and passes with it: python -m pytest tests/test_daemon_drain.py -k sent

--- a/tests/test_daemon_drain.py
+++ b/tests/test_daemon_drain.py
@@ -1,13 +1,14 @@
 """Test what becomes of requests that a router reads between SIGTERM and its end."""
 
 import asyncio
+import socket
 from collections.abc import AsyncIterator
 
 import pytest
 
 from tests.helpers import wait_until
 from tests.scripted_fleet import ScriptedFleet, start_scripted_fleet
-from tests.scripted_service import EVENTS
+from tests.scripted_service import EVENTS, LARGE
 
 AFTER_LEAVE_SECONDS = 1.5
 END_SECONDS = 10.0
@@ -135,3 +136,22 @@
         async with asyncio.timeout(END_SECONDS / 2):
             await fleet.router.stop()
         writer.close()
+
+    async def test_the_drain_waits_until_an_answer_is_sent(self, fleet: ScriptedFleet) -> None:
+        """A response counted as answered while its end was still in the router's memory."""
+        caller = await Caller.connect(fleet, limit_bytes=1024)
+        await caller.get(b"/healthz")
+        (connection,) = fleet.router._callers_server.callers
+        assert connection.transport is not None
+        sending = connection.transport.get_extra_info("socket")
+        sending.setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 4096)
+        connection.transport.set_write_buffer_limits(high=2 * len(LARGE))
+        caller.writer.write(b"GET /large HTTP/1.1\r\nHost: x\r\n\r\n")
+        first = await caller.reader.readexactly(1)
+        drain = asyncio.create_task(fleet.router.drain())
+        await asyncio.sleep(AFTER_LEAVE_SECONDS)
+        assert fleet.router.handler.idle.is_set()
+        assert not drain.done()
+        response = first + await caller.read_to_end()
+        assert response.endswith(LARGE)
+        await drain
