Bound the wait for the body of a model call

What operators saw: a router on its own path that was told to stop did not end while a caller held back the rest of a body, if the caller's own deadline was long; outside a drain such a request was held as long.

Cause: X-Request-Timeout-Seconds replaced the router's limit for bodies, and the service's deadline bounds it only once the model is known, which is in the body.

The body of a model call may take at most the longest deadline of a model service, or max_body_seconds if that is longer.

Evidence: the new test failed before (the drain had not ended after 10 s with a deadline of 1000000 s), and passes now: python -m pytest tests/test_daemon_drain.py tests/test_daemon_calls.py

--- a/egretrouter/daemons/_callers.py
+++ b/egretrouter/daemons/_callers.py
@@ -234,7 +234,11 @@
         limit_seconds = read_positive_number(
             request, DEADLINE_HEADER, default=self._limits.max_body_seconds
         )
-        content = await read_body(request, limits=self._limits, limit_seconds=limit_seconds)
+        content = await read_body(
+            request,
+            limits=self._limits,
+            limit_seconds=min(limit_seconds, self._longest_call_seconds()),
+        )
         body = parse_model_body(content, limits=self._limits)
         target = self._catalog.find_model(body.model)
         if target is None:
@@ -264,6 +268,12 @@
         call = msgspec.structs.replace(call, priority=call.priority or body.priority)
         return await self._run_call(request, call, prompt_tokens + body.answer_tokens)
 
+    def _longest_call_seconds(self) -> float:
+        """Return how long a model request may take whose model is not known yet."""
+        services = self._configuration.services.values() if self._configuration else ()
+        deadlines = [s.deadline_seconds for s in services if s.kind == "model"]
+        return max([self._limits.max_body_seconds, *deadlines])
+
     async def _handle_plain_call(
         self, request: web.BaseRequest, request_id: str
     ) -> web.StreamResponse:
--- a/tests/test_daemon_drain.py
+++ b/tests/test_daemon_drain.py
@@ -155,3 +155,19 @@
         response = first + await caller.read_to_end()
         assert response.endswith(LARGE)
         await drain
+
+    async def test_a_body_holds_the_drain_no_longer_than_a_call_may_take(
+        self, fleet: ScriptedFleet
+    ) -> None:
+        """The caller's own deadline bounded the wait for its body, whatever it was."""
+        handler = fleet.router.handler
+        handler._limits = handler._limits.model_copy(update={"max_body_seconds": 0.5})
+        caller = await Caller.connect(fleet)
+        caller.writer.write(
+            b"POST /v1/completions HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n"
+            b"X-Request-Timeout-Seconds: 1000000\r\n\r\n{"
+        )
+        await asyncio.sleep(0.1)
+        async with asyncio.timeout(END_SECONDS):
+            await fleet.router.drain()
+        assert (await caller.read_to_end()).startswith(b"HTTP/1.1 408")
