Count callers' connections without a private field of aiohttp

What callers saw: a caller above the limit of connections got its refusal without "Connection: close", and its connection was then closed.

Cause: the check read the server from a private field of the request's protocol and closed the protocol.

The router counts the connections of its own server, and the refusal closes the connection by its header.

Evidence: the new test failed before for the missing header and passes now: python -m pytest tests/test_daemon_calls.py -k above_the_limit

--- a/egretrouter/daemons/_callers.py
+++ b/egretrouter/daemons/_callers.py
@@ -46,6 +46,7 @@
     ForbiddenError,
     NotFoundError,
     RequestError,
+    TooManyConnectionsError,
     TooManyStreamsError,
     WorkspaceAuthenticator,
     check_headers,
@@ -96,6 +97,7 @@
         self._drivers: set[CallDriver] = set()
         self._router_count = 1
         self._draining = False
+        self.count_connections: Callable[[], int] = lambda: 0
         self.open_calls = 0
         self.open_requests = 0
         self.idle = asyncio.Event()
@@ -200,13 +202,16 @@
         request_id = read_request_id(request, fallback=uuid.uuid4().hex)
         try:
             self._check_accepting_calls()
-            check_headers(request, limits=self._limits)
+            check_headers(request, limits=self._limits, connections=self.count_connections())
             return await handler(request, request_id)
         except RequestError as error:
             self._metrics.record_refusal(error.name)
-            return _refusal_response(
+            response = _refusal_response(
                 error.status, error.name, str(error), request_id, REFUSAL_RETRY_SECONDS
             )
+            if isinstance(error, TooManyConnectionsError):
+                response.force_close()
+            return response
         except ValidationError as error:
             return _refusal_response(400, "malformed-request", str(error), request_id, None)
         except _Refused as refused:
--- a/egretrouter/daemons/_requests.py
+++ b/egretrouter/daemons/_requests.py
@@ -88,7 +88,7 @@
 
 
 class TooManyConnectionsError(RequestError):
-    """As many connections as the limit allows are open."""
+    """As many connections as the limit allows are open; the response closes this one."""
 
     status = 503
     name = "too-many-connections"
@@ -171,7 +171,7 @@
     return tuple(blocks)
 
 
-def check_headers(request: web.BaseRequest, *, limits: CallerLimits) -> None:
+def check_headers(request: web.BaseRequest, *, limits: CallerLimits, connections: int) -> None:
     """Check the size of the headers and the number of open connections.
 
     Raises HeadersTooLargeError or TooManyConnectionsError.
@@ -179,10 +179,7 @@
     size = sum(len(name) + len(value) for name, value in request.raw_headers)
     if size > limits.max_header_bytes:
         raise HeadersTooLargeError(f"the headers are larger than {limits.max_header_bytes} bytes")
-    manager = request.protocol._manager
-    if manager is not None and len(manager.connections) > limits.max_connections:
-        # Only the connection that exceeds the limit is closed.
-        request.protocol.close()
+    if connections > limits.max_connections:
         raise TooManyConnectionsError(f"{limits.max_connections} connections are open already")
 
 
--- a/egretrouter/daemons/_router.py
+++ b/egretrouter/daemons/_router.py
@@ -93,6 +93,7 @@
             max_line_size=limits.max_header_bytes,
             keepalive_timeout=limits.idle_connection_seconds,
         )
+        self.handler.count_connections = lambda: len(self._callers_server.connections)
         self._callers_runner = web.ServerRunner(
             self._callers_server, shutdown_timeout=REQUESTS_GRACE_SECONDS
         )
--- a/tests/test_daemon_calls.py
+++ b/tests/test_daemon_calls.py
@@ -219,3 +219,17 @@
             assert (response.status, await response.read()) == (200, b"".join(EVENTS))
         async with session.post(f"{fleet.url}/stream", data=bytes(limit + 1)) as response:
             assert response.status == 413
+
+    async def test_a_connection_above_the_limit_is_refused_and_closed(
+        self, fleet: ScriptedFleet, session: aiohttp.ClientSession
+    ) -> None:
+        """Guard against refused callers that keep their connections above the limit."""
+        handler = fleet.router.handler
+        handler._limits = handler._limits.model_copy(update={"max_connections": 1})
+        async with session.get(f"{fleet.url}/stream") as response:
+            assert (response.status, await response.read()) == (200, b"".join(EVENTS))
+        refusal = await read_raw(fleet, b"GET /stream HTTP/1.1\r\nHost: x\r\n\r\n")
+        assert refusal.startswith(b"HTTP/1.1 503")
+        assert b"connection: close" in refusal.lower()
+        async with session.get(f"{fleet.url}/stream") as response:
+            assert response.status == 200
