Store the ends of claims before a router exits

What callers saw: a keyed order had its answer, its router stopped, and the same request sent again got an error with outcome unknown once its agent no longer kept the answer (30 s), instead of the same answer.

Cause: the end of a claim is stored in the background after the call, which the drain did not count, and the stop cancelled the writes.

The drain waits until the ends of claims are stored, 2.5 s at most while the object API is unavailable.

Evidence: the new test failed before (the drain ended while the write waited) and passes now: python -m pytest tests/test_daemon_drain.py -k claims

--- a/egretrouter/core/calls/_claims.py
+++ b/egretrouter/core/calls/_claims.py
@@ -260,6 +260,15 @@
         shard.in_flight = [(o, d) for o, d in shard.in_flight if o.arrival not in late_arrivals]
         return [_store_out_decision(operation.message) for operation in late]
 
+    @property
+    def has_pending_ends(self) -> bool:
+        """Return whether the end of a claim is not stored yet."""
+        return any(
+            isinstance(operation.message, EndClaim)
+            for shard in self._shards.values()
+            for operation in [*shard.waiting, *(o for o, _ in shard.in_flight)]
+        )
+
     def snapshot(self) -> dict[str, Any]:
         """Return the state for the state dump."""
         return {
--- a/egretrouter/daemons/_claims.py
+++ b/egretrouter/daemons/_claims.py
@@ -1,6 +1,7 @@
 """Claim idempotency keys in the store, or at the router that owns a key's shard."""
 
 import asyncio
+import contextlib
 import random
 import time
 from collections.abc import Callable, Coroutine
@@ -56,6 +57,7 @@
 CLAIM_KEY_PREFIX = "claims/"
 ANSWER_KEY_PREFIX = "claims/answers/"
 TICK_SECONDS = 0.5
+FLUSH_POLL_SECONDS = 0.02
 # The store accepts several hundred writes per second from all processes together.
 STORE_WRITES_PER_SECOND = 300.0
 # Half of the budget of store calls for claims, because reads share it. At 20 writes per second,
@@ -99,6 +101,7 @@
         self._write_lock = asyncio.Lock()
         self._decision_futures: dict[tuple[str, int], set[asyncio.Future[ClaimDecided]]] = {}
         self._background_tasks: set[asyncio.Task[None]] = set()
+        self._end_tasks: set[asyncio.Task[None]] = set()
 
     @property
     def now_seconds(self) -> float:
@@ -121,7 +124,19 @@
     def record_end(self, message: EndClaim, *, placed_locally: bool, stored: bytes | None) -> None:
         """Record the end of a claim in the background, after writing its answer object."""
         if not self.should_stop:
-            self._spawn(self._store_end(message, placed_locally=placed_locally, stored=stored))
+            end = self._store_end(message, placed_locally=placed_locally, stored=stored)
+            task = self._spawn(end)
+            self._end_tasks.add(task)
+            task.add_done_callback(self._end_tasks.discard)
+
+    async def flush_ends(self, *, timeout_seconds: float) -> bool:
+        """Wait until the ends of claims are stored, and return whether they are."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(timeout_seconds):
+                while self._end_tasks or self._table.has_pending_ends:  # noqa: ASYNC110
+                    await asyncio.sleep(FLUSH_POLL_SECONDS)
+                return True
+        return False
 
     async def settle_with_agent(self, target: Target) -> pb.SettleReply | None:
         """Query an agent for the state of a call; return None if it does not answer."""
@@ -237,10 +252,11 @@
         for command in commands:
             self._execute(command)
 
-    def _spawn(self, work: Coroutine[Any, Any, None]) -> None:
+    def _spawn(self, work: Coroutine[Any, Any, None]) -> asyncio.Task[None]:
         background_task = asyncio.create_task(work)
         self._background_tasks.add(background_task)
         background_task.add_done_callback(self._background_tasks.discard)
+        return background_task
 
     @singledispatchmethod
     def _execute(self, command: ClaimCommand) -> None:
--- a/egretrouter/daemons/_router.py
+++ b/egretrouter/daemons/_router.py
@@ -32,6 +32,8 @@
 # After the last call, callers get this time to read their answers.
 LAST_ANSWERS_SECONDS = 10.0
 STOP_SECONDS = 1.0
+# While the object API is unavailable, a stop waits no longer; agents keep answers for 30 s.
+CLAIM_ENDS_SECONDS = 2.5
 # After a second signal, callers get this time to read the outcomes of their calls.
 OUTCOME_SECONDS = 0.5
 LIMITS_TICK_SECONDS = 0.1
@@ -108,11 +110,13 @@
         )
 
     async def drain(self) -> None:
-        """Refuse new calls, and wait until every request that was read is answered."""
+        """Refuse new calls, and wait until those that were read are answered and recorded."""
         self.handler.drain()
         await self.control.leave()
         await self.handler.idle.wait()
         await self._close_callers(limit_seconds=LAST_ANSWERS_SECONDS)
+        stored = await self.claims.flush_ends(timeout_seconds=CLAIM_ENDS_SECONDS)
+        log_message("router:drained", claim_ends_stored=stored)
 
     async def stop_at_once(self) -> None:
         """Tell the callers of open calls what is known about them, and stop."""
--- a/tests/test_daemon_drain.py
+++ b/tests/test_daemon_drain.py
@@ -3,9 +3,11 @@
 import asyncio
 import socket
 from collections.abc import AsyncIterator
+from typing import Any
 
 import pytest
 
+from egretrouter.core.calls import ClaimShard, ClaimStatus
 from tests.helpers import wait_until
 from tests.scripted_fleet import ScriptedFleet, start_scripted_fleet
 from tests.scripted_service import EVENTS, LARGE
@@ -171,3 +173,32 @@
         async with asyncio.timeout(END_SECONDS):
             await fleet.router.drain()
         assert (await caller.read_to_end()).startswith(b"HTTP/1.1 408")
+
+    async def test_the_drain_waits_until_the_ends_of_claims_are_stored(
+        self, fleet: ScriptedFleet
+    ) -> None:
+        """The end of a keyed call was dropped, so a repeated request found it in progress."""
+        caller = await Caller.connect(fleet)
+        caller.writer.write(
+            ORDER.replace(b"/stream", b"/hangs")[:-2] + b"Idempotency-Key: k\r\n\r\nab"
+        )
+        name = await fleet.wait_for_request()
+        claims, gate = fleet.router.claims, asyncio.Event()
+        put = claims._store.put
+
+        async def put_later(*arguments: Any, **options: Any) -> Any:
+            await gate.wait()
+            return await put(*arguments, **options)
+
+        with pytest.MonkeyPatch.context() as patch:
+            patch.setattr(claims._store, "put", put_later)
+            fleet.services_by_name()[name].gate.set()
+            drain = asyncio.create_task(fleet.router.drain())
+            assert (await caller.read_to_end()).startswith(b"HTTP/1.1 200")
+            await asyncio.sleep(AFTER_LEAVE_SECONDS)
+            assert not drain.done()
+            gate.set()
+            await drain
+        (key,) = [k for k in fleet.object_api._objects if k.count("/") == 1 and "claims/" in k]
+        shard = ClaimShard.from_bytes((await claims._store.get(key)).content)
+        assert [entry.status for entry in shard.entries.values()] == [ClaimStatus.FINISHED]
