Keep the ports of router processes reserved, and end a test whose router does not start

Sockets that are bound but do not listen now keep other tests from both ports until the routers have stopped, and a router that ends instead of becoming ready fails the test at once.

The failure names the lost requests.

--- a/tests/router_processes.py
+++ b/tests/router_processes.py
@@ -3,6 +3,7 @@
 import asyncio
 import os
 import signal
+import socket
 import sys
 from collections.abc import Sequence
 from pathlib import Path
@@ -27,8 +28,16 @@
         self._directory = directory
         self._grace_seconds = grace_seconds
         self._ports = free_ports(2)
+        self._reserved = [self._reserve(port) for port in self._ports]
         self._running: dict[int, asyncio.subprocess.Process] = {}
 
+    def _reserve(self, port: int) -> socket.socket:
+        """Keep other tests from the port of a router that has not started or starts again."""
+        reserved = socket.socket()
+        reserved.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        reserved.bind(("127.0.0.1", port))
+        return reserved
+
     def settings(self, number: int) -> DirectSettings:
         """Return the settings of a router."""
         callers, readiness = self._ports
@@ -51,11 +60,13 @@
                 env={**os.environ, "EGRETROUTER_CONFIG": str(path)},
                 stdout=log,
             )
-        await self._wait_until_ready(self.readiness_url(number))
+        await self._wait_until_ready(number)
 
-    async def _wait_until_ready(self, url: str) -> None:
+    async def _wait_until_ready(self, number: int) -> None:
+        url, process = self.readiness_url(number), self._running[number]
         async with aiohttp.ClientSession() as session:
             while True:
+                assert process.returncode is None, f"router {number} ended: {process.returncode}"
                 try:
                     async with session.get(url) as response:
                         if response.status == 200:
@@ -90,6 +101,8 @@
     async def stop(self) -> None:
         for number in list(self._running):
             await self.kill(number)
+        for reserved in self._reserved:
+            reserved.close()
 
     async def call(self, number: int, *, parts: Sequence[str]) -> int:
         """Make a call through a router and return its status."""
--- a/tests/test_router_stops.py
+++ b/tests/test_router_stops.py
@@ -59,8 +59,8 @@
 
         ends = Counter(sent.received.end.value for sent in stopping.sent)
         statuses = Counter(sent.received.status for sent in stopping.sent)
-        lost = Counter((sent.path, sent.received.end.value) for sent in stopping.lost())
-        print(f"ends={dict(ends)} statuses={dict(statuses)} lost={dict(lost)}")
+        lost = stopping.lost()
+        print(f"ends={dict(ends)} statuses={dict(statuses)}", *lost, sep="\n")
         print(f"stops={[round(seconds, 2) for seconds in stopping.stop_seconds]}")
         assert not lost
         assert stopping.balancer.fell_back
