Tell callers of a direct router that wait for it to send their body

What callers saw: one that sends "Expect: 100-continue" and waits got 408 at its deadline, as nothing asked for its body. aiohttp answers the expectation for an application's routes only.

Change: both paths use one function for it; the direct one ignores other expectations.

--- a/egretrouter/daemons/_requests.py
+++ b/egretrouter/daemons/_requests.py
@@ -6,17 +6,19 @@
 
 import msgspec
 import xxhash
-from aiohttp import HttpVersion11, web
+from aiohttp import web
 
 from egretrouter.core.configuration import Configuration
 from egretrouter.core.errors import ValidationError
 from egretrouter.core.identifiers import WorkspaceId
 from egretrouter.core.settings import CallerLimits
+from egretrouter.transport import answer_expectation
 
 BLOCK_CHARACTERS = 128
 CHARACTERS_PER_TOKEN = 4
 DEFAULT_ANSWER_TOKENS = 256
 MAX_BLOCKS = 256
+MAX_QUOTED_CHARACTERS = 40
 DEADLINE_HEADER = "X-Request-Timeout-Seconds"
 PRIORITY_HEADER = "X-Request-Priority"
 
@@ -217,7 +219,9 @@
         raise TooLargeError(f"the body is larger than {limits.max_body_bytes} bytes")
     try:
         async with asyncio.timeout(limit_seconds):
-            await _answer_expectation(request)
+            if not await answer_expectation(request):
+                expected = request.headers["Expect"][:MAX_QUOTED_CHARACTERS]
+                raise UnknownExpectationError(f"Expect is {expected!r}; 100-continue is accepted")
             return await request.read()
     except TimeoutError as error:
         raise SlowBodyError(f"the body did not arrive within {limit_seconds:g} seconds") from error
@@ -225,17 +229,6 @@
         raise TooLargeError(f"the body is larger than {limits.max_body_bytes} bytes") from error
 
 
-async def _answer_expectation(request: web.BaseRequest) -> None:
-    expectation = request.headers.get("Expect")
-    if expectation is None or request.version < HttpVersion11:
-        return
-    if expectation.lower() != "100-continue":
-        raise UnknownExpectationError(f"Expect is {expectation[:40]!r}; 100-continue is accepted")
-    await request.writer.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-    # aiohttp takes a response whose output has begun for one that can't be replaced by an error.
-    request.writer.output_size = 0
-
-
 class WorkspaceAuthenticator:
     """Identify the workspace of a request by its bearer token or header."""
 
--- a/egretrouter/direct/_refusals.py
+++ b/egretrouter/direct/_refusals.py
@@ -6,7 +6,7 @@
 from multidict import CIMultiDict
 
 from egretrouter.core.errors import Outcome
-from egretrouter.transport import problem_response
+from egretrouter.transport import answer_expectation, problem_response
 
 BODY_TIMEOUT_SECONDS = 5.0
 
@@ -76,6 +76,8 @@
     content = bytearray()
     try:
         async with asyncio.timeout(min(limit_seconds, BODY_TIMEOUT_SECONDS)):
+            # An expectation that is not known may be ignored.
+            await answer_expectation(request)
             async for data in request.content.iter_any():
                 content += data
                 if len(content) > limit_bytes:
--- a/egretrouter/transport/__init__.py
+++ b/egretrouter/transport/__init__.py
@@ -3,6 +3,7 @@
 from egretrouter.transport._answer_checks import check_answers
 from egretrouter.transport._caller_connections import CallerConnection, CallerServer
 from egretrouter.transport._deflate import DeflatedContents, deflate, inflate
+from egretrouter.transport._expectations import answer_expectation
 from egretrouter.transport._headers import HOP_BY_HOP_HEADERS
 from egretrouter.transport._problems import problem_body, problem_response
 from egretrouter.transport._rpc import ChannelPool, PeerSecurity, build_server
@@ -14,6 +15,7 @@
     "ChannelPool",
     "DeflatedContents",
     "PeerSecurity",
+    "answer_expectation",
     "build_server",
     "check_answers",
     "deflate",
--- a/tests/test_platform_calls.py
+++ b/tests/test_platform_calls.py
@@ -171,6 +171,12 @@
         assert (status, json.loads(answer)["outcome"]) == (408, "not_run")
         assert not any(engine.requests for engine in world.engines)
 
+    async def test_caller_that_waits_for_100_continue_is_never_told_to_go_on(
+        self, world: PlatformWorld
+    ) -> None:
+        status, body, _ = await world.call("/sale/x", data=b"contract", expect100=True)
+        assert (status, body) == (200, b"done contract")
+
     async def test_disconnect_of_the_caller_cancels_the_call(self, world: PlatformWorld) -> None:
         cancelled = asyncio.Event()
 
