Split calls evenly where no service of a route has a weight

A route whose weights are all zero ended each of its calls with 500, as nothing could be chosen. test_weights_of_zero_only_end_calls_with_500 failed before and passes now (python -m pytest tests/test_direct_core.py).

--- a/egretrouter/core/direct/_routes.py
+++ b/egretrouter/core/direct/_routes.py
@@ -49,9 +49,11 @@
 
 
 def choose_service(route: Route, rng: random.Random) -> ServiceName:
-    """Choose one of a route's services at random by weight."""
+    """Choose one of a route's services at random by weight, or evenly if no weight is positive."""
     targets = route.targets
     if len(targets) == 1:
         return targets[0].service
     weights = [target.weight for target in targets]
+    if not any(weights):
+        weights = [1] * len(targets)
     return rng.choices([target.service for target in targets], weights=weights)[0]
--- a/tests/test_direct_core.py
+++ b/tests/test_direct_core.py
@@ -113,6 +113,14 @@
         assert index.find_route("a.example", "/ab") is None
         assert index.find_route("c.example", "/a/") is None
 
+    def test_weights_of_zero_only_end_calls_with_500(self) -> None:
+        targets = (
+            Target(service=ServiceName("s"), weight=0),
+            Target(service=ServiceName("t"), weight=0),
+        )
+        rng = random.Random(1)
+        assert {choose_service(route(targets=targets), rng) for _ in range(100)} == {"s", "t"}
+
     def test_calls_are_split_by_weight(self) -> None:
         targets = (
             Target(service=ServiceName("s"), weight=90),
