Expect the first request of a new connection however slow the event loop is

What callers saw: a whole request on a connection that was just accepted could be reset as its router stopped.

The event loop needs three turns from the accepted connection to its first read; where they took longer, the connection was closed before its request was read, and the kernel resets a connection that closes with unread bytes.

Change: a timer ends the wait. The event loop reads what has arrived before it runs a timer that is due.

--- a/egretrouter/transport/_caller_connections.py
+++ b/egretrouter/transport/_caller_connections.py
@@ -26,7 +26,7 @@
     ) -> None:
         super().__init__(server, loop=loop, **options)
         self._time_seconds = loop.time
-        self._opened_seconds = loop.time()
+        self._first_request_timer: asyncio.TimerHandle | None = None
         self._answers = 0
         self._request_body: StreamReader | None = None
         self._unanswered_since_seconds: float | None = None
@@ -34,9 +34,28 @@
         self._next_since_seconds: float | None = None
         """When bytes arrived behind the request in progress."""
 
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Expect the first request for a while."""
+        super().connection_made(transport)
+        # A timer, as the event loop reads what has arrived before it runs one, however slow it is.
+        self._first_request_timer = self._loop.call_later(
+            FIRST_REQUEST_SECONDS, self._end_first_request_timer
+        )
+
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Note that the caller is gone."""
+        self._end_first_request_timer()
+        super().connection_lost(exc)
+
+    def _end_first_request_timer(self) -> None:
+        if self._first_request_timer is not None:
+            self._first_request_timer.cancel()
+            self._first_request_timer = None
+
     def data_received(self, data: bytes) -> None:
         """Note that bytes arrived, and parse them."""
         if data:
+            self._end_first_request_timer()
             now = self._time_seconds()
             self._unanswered_since_seconds = now
             if self._request_body is not None and self._request_body.is_eof():
@@ -82,9 +101,7 @@
     @property
     def expects_request(self) -> bool:
         """Return whether the connection is so new that its first request is on its way."""
-        if not self.is_open or self._answers or self._unanswered_since_seconds is not None:
-            return False
-        return self._time_seconds() - self._opened_seconds < FIRST_REQUEST_SECONDS
+        return self.is_open and self._first_request_timer is not None
 
     def hang_up(self) -> None:
         """Close the connection once what was written is sent."""
--- a/tests/test_caller_connections.py
+++ b/tests/test_caller_connections.py
@@ -2,18 +2,20 @@
 
 import asyncio
 import socket
+import time
 from collections.abc import AsyncIterator
 
 import pytest
 from aiohttp import web
 
-from egretrouter.transport import CallerServer
+from egretrouter.transport import CallerConnection, CallerServer
 
 REQUEST = b"GET /x HTTP/1.1\r\nHost: a.example\r\n\r\n"
 # Below the size at which asyncio pauses the writer, so the handler does not wait for the caller.
 ANSWER_BYTES = 60_000
 KERNEL_BYTES = 4096
 PATIENCE_SECONDS = 0.3
+SLOW_TURN_SECONDS = 0.3
 
 
 async def handle(request: web.BaseRequest) -> web.StreamResponse:
@@ -23,11 +25,21 @@
     return web.Response(body=b"x" * ANSWER_BYTES)
 
 
+class SlowServer(CallerServer):
+    """Accept connections in turns of the event loop that last long."""
+
+    def __call__(self) -> CallerConnection:
+        connection = super().__call__()
+        time.sleep(SLOW_TURN_SECONDS)
+        asyncio.get_running_loop().call_soon(time.sleep, SLOW_TURN_SECONDS)
+        return connection
+
+
 class OpenServer:
     """Serve on a port, and connect callers with little room for what they receive."""
 
-    def __init__(self) -> None:
-        self.server = CallerServer(handle)
+    def __init__(self, server: CallerServer | None = None) -> None:
+        self.server = server or CallerServer(handle)
         self.listener: asyncio.Server
 
     async def start(self) -> None:
@@ -103,3 +115,18 @@
         assert received.count(b"x" * ANSWER_BYTES) == requests
         assert await closing == 0
         writer.close()
+
+    async def test_request_on_a_new_connection_is_dropped_by_a_slow_event_loop(self) -> None:
+        opened = OpenServer(SlowServer(handle))
+        await opened.start()
+        until = asyncio.get_running_loop().time() + 5.0
+        closing = asyncio.create_task(opened.server.close_answered(until_seconds=until))
+        # The kernel has the connection and its request before the event loop looks.
+        sock = socket.create_connection(opened.listener.sockets[0].getsockname())
+        sock.sendall(REQUEST)
+        reader, writer = await asyncio.open_connection(sock=sock)
+        received = await reader.read(-1)
+        assert len(received.partition(b"\r\n\r\n")[2]) == ANSWER_BYTES
+        assert await closing == 0
+        writer.close()
+        opened.listener.close()
