Let calls in progress use their second send before a stop, and answer what is behind a stream

Change: the bound on new calls no longer holds for one that may have run. A response closes its connection only if its head says so; the connection is closed as a kept one otherwise.

--- a/egretrouter/direct/_callers.py
+++ b/egretrouter/direct/_callers.py
@@ -117,7 +117,8 @@
             raise
         finally:
             self.in_progress -= 1
-        if self.draining:
+        if self.draining and not response.prepared:
+            # A caller that was not told may have sent its next request already.
             response.force_close()
         return response
 
--- a/egretrouter/direct/_time_limits.py
+++ b/egretrouter/direct/_time_limits.py
@@ -44,8 +44,8 @@
             raise Refusal(503, STOPPING_REASON, retry_after_seconds=0.0)
 
     def may_send(self, call: ActiveCall) -> bool:
-        """Return whether a call may be sent; one whose answer has begun goes on in any case."""
-        if self._grace is None or call.progress.answer_started:
+        """Return whether a call may be sent; one that may have run goes on in any case."""
+        if self._grace is None or call.progress.may_have_run:
             return True
         now = time.monotonic()
         longest = self._longest_seconds(call, now)
--- a/tests/test_router_drain.py
+++ b/tests/test_router_drain.py
@@ -8,7 +8,8 @@
 import pytest
 from aiohttp import web
 
-from tests.platform_standins import EngineStandin
+from egretrouter.core.direct import GracePeriod
+from tests.platform_standins import EngineStandin, raw_answer
 from tests.platform_world import PlatformWorld
 
 GRACE_SECONDS = 5.0
@@ -209,3 +210,37 @@
         await world.stop()
         assert is_complete(response)
         assert b" 504 " in response
+
+    async def test_request_behind_a_stream_is_dropped(self, world: PlatformWorld) -> None:
+        let_streams_last(world.engines, 1.0)
+        caller = await Caller.connect(world)
+        caller.writer.write(head("text", "c-1") + head("sale", "c-2"))
+        await world.wait_until(lambda: sent_to_engines(world))
+        drain = asyncio.create_task(world.router.drain())
+        response = await caller.read_to_end()
+        await drain
+        assert response.count(b"HTTP/1.1 200 OK") == 2
+
+    async def test_call_in_progress_gets_no_second_send_before_the_stop(
+        self, world: PlatformWorld
+    ) -> None:
+        sent: list[str] = []
+
+        async def respond(request: web.BaseRequest, _: bytes) -> web.StreamResponse | None:
+            sent.append(request.headers["X-Expect-Instance"])
+            if len(sent) > 1:
+                return None
+            await asyncio.sleep(0.2)
+            return await raw_answer(request, b"", reset=True)
+
+        for engine in world.engines:
+            engine.respond = respond
+        caller = await Caller.connect(world)
+        call = asyncio.create_task(caller.call("read", "c-1"))
+        await world.wait_until(lambda: bool(sent))
+        now = time.monotonic()
+        world.router.call_handler.start_draining(
+            GracePeriod(rotation_end_seconds=now, stop_seconds=now + 0.6)
+        )
+        assert b" 200 OK" in await call
+        assert len(set(sent)) == 2
