Count a call for its version from its admission

Cause: the agent counted the calls of a version from the first turn of a call's task. In the turn in which a call was admitted the count could be 0, and the rollout takes that for the end of the last call, so it could load the next version and unload this one under a call that was about to start. A task that was cancelled before its first turn also left its call among the running ones. Not seen by callers so far.

The count begins with the admission and ends with the task, however that ends.

Evidence: the new test failed before (no count after the admission) and passes now: python -m pytest -n 2 tests/test_agent_drain.py tests/test_daemon_calls.py: 19 passed

--- a/egretrouter/daemons/_agent_calls.py
+++ b/egretrouter/daemons/_agent_calls.py
@@ -262,8 +262,17 @@
 
     @_execute.register
     def _start_call(self, command: StartCall) -> None:
-        running = self._running[command.call_id]
-        running.task = asyncio.create_task(self._run_call(command.call_id, running))
+        call_id = command.call_id
+        running = self._running[call_id]
+        digest = Digest(running.call.version_digest)
+        self.calls_per_version[digest] = self.calls_per_version.get(digest, 0) + 1
+        running.task = asyncio.create_task(self._run_call(call_id, running))
+        # A task that is cancelled before it starts runs none of its own code.
+        running.task.add_done_callback(lambda _: self._remove_call(call_id, digest))
+
+    def _remove_call(self, call_id: CallId, digest: Digest) -> None:
+        del self._running[call_id]
+        self.calls_per_version[digest] -= 1
 
     @_execute.register
     def _stop_call(self, command: StopCall) -> None:
@@ -288,8 +297,6 @@
 
     async def _run_call(self, call_id: CallId, running: RunningCall) -> None:
         call = running.call
-        digest = Digest(call.version_digest)
-        self.calls_per_version[digest] = self.calls_per_version.get(digest, 0) + 1
         remaining_seconds = max(call.expires_at_seconds - self._clock(), MIN_CALL_TIMEOUT_SECONDS)
         # The client's own time limit does not run while the call waits for credit.
         deadline_seconds = asyncio.get_running_loop().time() + remaining_seconds
@@ -312,9 +319,6 @@
             log_message("agent:call_failed", call_id=call_id, error=type(error).__name__)
             self.dispatch(CallFailed(call_id=call_id, detail=str(error)))
             self.endpoint_failed.set()
-        finally:
-            del self._running[call_id]
-            self.calls_per_version[digest] -= 1
 
     def snapshot(self) -> dict[str, Any]:
         """Return the state for the state dump."""
--- a/tests/test_agent_drain.py
+++ b/tests/test_agent_drain.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from egretrouter.core.calls import AdmitCall, CallRegistry, Drain
+from egretrouter.core.calls import AdmitCall, CallRegistry, Drain, VersionsLoaded
 from egretrouter.core.identifiers import CallId, Digest, Epoch, InstanceId
 from egretrouter.daemons._agent_calls import CallsServicer
 from egretrouter.daemons._endpoint import EndpointClient, endpoint_session
@@ -102,3 +102,15 @@
             await agent.drain()
         assert agent.calls.registry.in_progress == 0
         assert sum(agent.calls.calls_per_version.values()) == 0
+
+    async def test_a_call_counts_for_its_version_from_its_admission(
+        self, servicer: CallsServicer
+    ) -> None:
+        """A version was switched in the turn in which a call for it had been admitted."""
+        digest = Digest("v1")
+        servicer.dispatch(VersionsLoaded(version_digests=frozenset({digest})))
+        opened = pb.CallOpen(epoch=1, version_digest=digest, expires_at_seconds=10.0)
+        servicer._handle_frame(ROUTER, pb.CallFrame(call_id="a", open=opened))
+        assert servicer.calls_per_version == {digest: 1}
+        await servicer.close()
+        await wait_until(lambda: servicer.calls_per_version == {digest: 0})
