Move the admission of calls out of the handler of callers

Its calls' way through the limits of their service is a class of its own now, without a change in what it does.

--- a/egretrouter/daemons/_callers.py
+++ b/egretrouter/daemons/_callers.py
@@ -1,6 +1,7 @@
 """Handle the HTTP requests of callers."""
 
 import asyncio
+import functools
 import time
 import uuid
 from collections.abc import Awaitable, Callable
@@ -18,21 +19,7 @@
 )
 from egretrouter.core.errors import Outcome, ValidationError
 from egretrouter.core.identifiers import CallId, ServiceName, WorkspaceId
-from egretrouter.core.limits import (
-    Admission,
-    CallAnswerStarted,
-    CallArrived,
-    CallReleased,
-    LimitReason,
-    LimitsChanged,
-    LimitsCommand,
-    LimitsMessage,
-    LimitsTick,
-    LiveRoutersCounted,
-    RefuseCall,
-    StartCall,
-    WorkspaceLimits,
-)
+from egretrouter.core.limits import LimitReason
 from egretrouter.core.routing import RouteRequest, ServiceCatalog
 from egretrouter.core.settings import CallerLimits
 from egretrouter.daemons._call_driver import CallDriver
@@ -58,6 +45,7 @@
     replace_model,
 )
 from egretrouter.daemons._routed_call import CallServices, RoutedCall
+from egretrouter.daemons._service_admissions import CallRefused, ServiceAdmissions
 from egretrouter.transport._problems import problem_response
 
 REFUSAL_RETRY_SECONDS = 1.0
@@ -67,13 +55,6 @@
 _ROUTER_HEADERS = frozenset({"authorization", "x-workspace", "expect", "accept-encoding"})
 
 
-class _Refused(Exception):  # noqa: N818
-    """A limit refused the call before it was sent to an endpoint."""
-
-    def __init__(self, command: RefuseCall) -> None:
-        self.command = command
-
-
 class CallerHandler:
     """Authenticate, admit and run the requests of callers on one router."""
 
@@ -92,10 +73,8 @@
         self._needs_tokens = needs_tokens
         self._authenticator = WorkspaceAuthenticator(None, needs_tokens=needs_tokens)
         self._configuration: Configuration | None = None
-        self._admissions: dict[ServiceName, Admission] = {}
-        self._admission_futures: dict[CallId, asyncio.Future[StartCall]] = {}
+        self._admissions = ServiceAdmissions()
         self._drivers: set[CallDriver] = set()
-        self._router_count = 1
         self._draining = False
         self.count_connections: Callable[[], int] = lambda: 0
         self.open_calls = 0
@@ -110,33 +89,15 @@
         self._authenticator = WorkspaceAuthenticator(configuration, needs_tokens=self._needs_tokens)
         if self._authenticator.lacks_tokens:
             log_message("router:callers_refused", reason="no workspace has tokens")
-        limits = LimitsChanged(
-            workspaces=tuple(
-                WorkspaceLimits(
-                    workspace_id=WorkspaceId(workspace.name),
-                    weight=workspace.weight,
-                    requests_per_second=workspace.requests_per_second,
-                    tokens_per_second=workspace.tokens_per_second,
-                    concurrent_calls=workspace.concurrent_calls,
-                )
-                for workspace in configuration.deployment.workspaces
-            )
-        )
-        for name in configuration.services:
-            admission = self._admissions.setdefault(name, Admission())
-            self._dispatch(admission, limits)
-            self._dispatch(admission, LiveRoutersCounted(routers=self._router_count))
+        self._admissions.configure(configuration)
 
     def set_router_count(self, routers: int) -> None:
         """Set the number of routers that share the limits of the workspaces."""
-        self._router_count = routers
-        for admission in self._admissions.values():
-            self._dispatch(admission, LiveRoutersCounted(routers=routers))
+        self._admissions.set_router_count(routers)
 
     def tick(self) -> None:
         """Refuse queued calls that can no longer meet their deadline."""
-        for admission in self._admissions.values():
-            self._dispatch(admission, LimitsTick())
+        self._admissions.tick()
 
     def drain(self) -> None:
         """Refuse new calls; the idle event is set once the last open request has its response."""
@@ -145,9 +106,7 @@
     def end_calls(self) -> None:
         """End every open call with the outcome that is known now."""
         self._draining = True
-        for future in self._admission_futures.values():
-            if not future.done():
-                future.set_exception(TooManyStreamsError(STOPPING_DETAIL))
+        self._admissions.fail_waiting(TooManyStreamsError(STOPPING_DETAIL))
         for driver in self._drivers:
             driver.stop()
 
@@ -214,7 +173,7 @@
             return response
         except ValidationError as error:
             return _refusal_response(400, "malformed-request", str(error), request_id, None)
-        except _Refused as refused:
+        except CallRefused as refused:
             reason = refused.command.reason
             self._metrics.record_refusal(reason.value)
             return _refusal_response(
@@ -342,7 +301,6 @@
     async def _run_call(
         self, request: web.BaseRequest, call: RoutedCall, tokens: int
     ) -> web.StreamResponse:
-        admission = self._admissions[call.route.service]
         self.open_calls += 1
         stream = CallerStream(
             request,
@@ -351,9 +309,7 @@
             is_draining=lambda: self._draining,
         )
         driver = CallDriver(call, services=self._services, stream=stream)
-        driver.on_first_token = lambda wait_seconds: self._dispatch(
-            admission, CallAnswerStarted(call_id=call.call_id, wait_seconds=wait_seconds)
-        )
+        driver.on_first_token = functools.partial(self._admissions.record_answer_started, call)
         arrived_seconds = time.monotonic()
         try:
             with start_action(
@@ -363,47 +319,24 @@
                 service=call.route.service,
                 workspace=call.workspace,
             ) as action:
-                admitted = await self._admit_call(admission, call, tokens)
+                admitted = await self._admissions.admit(call, tokens=tokens)
                 self._drivers.add(driver)
                 await driver.run(urgent=admitted.urgent)
                 action.add_success_fields(state=stream.state.value, bytes=driver.answer_bytes)
             return await stream.close()
         finally:
             self._drivers.discard(driver)
-            self._release_call(admission, call, driver, stream, arrived_seconds)
-
-    async def _admit_call(self, admission: Admission, call: RoutedCall, tokens: int) -> StartCall:
-        """Wait until the call is admitted.
-
-        Raises _Refused if a limit refuses the call.
-        """
-        future: asyncio.Future[StartCall] = asyncio.get_running_loop().create_future()
-        self._admission_futures[call.call_id] = future
-        try:
-            self._dispatch(
-                admission,
-                CallArrived(
-                    call_id=call.call_id,
-                    workspace_id=call.workspace,
-                    tokens=tokens,
-                    priority=call.priority,
-                    deadline_seconds=call.deadline_at_seconds - time.monotonic(),
-                ),
-            )
-            return await future
-        finally:
-            del self._admission_futures[call.call_id]
+            self._release_call(call, driver, stream, arrived_seconds)
 
     def _release_call(
         self,
-        admission: Admission,
         call: RoutedCall,
         driver: CallDriver,
         stream: CallerStream,
         arrived_seconds: float,
     ) -> None:
         overloaded = stream.failure is not None and stream.failure.reason in _OVERLOAD_FAILURES
-        self._dispatch(admission, CallReleased(call_id=call.call_id, overloaded=overloaded))
+        self._admissions.release(call, overloaded=overloaded)
         self.open_calls -= 1
         self._metrics.record_call(
             service=call.route.service,
@@ -412,26 +345,13 @@
             first_token_seconds=driver.first_token_seconds,
         )
 
-    def _dispatch(self, admission: Admission, message: LimitsMessage) -> None:
-        for command in admission.handle(message, now_seconds=time.monotonic()):
-            self._resolve_admission(command)
-
-    def _resolve_admission(self, command: LimitsCommand) -> None:
-        future = self._admission_futures.get(command.call_id)
-        if future is None or future.done():
-            return
-        if isinstance(command, RefuseCall):
-            future.set_exception(_Refused(command))
-        else:
-            future.set_result(command)
-
     def snapshot(self) -> dict[str, Any]:
         """Return the state for the state dump."""
         return {
             "open_requests": self.open_requests,
             "open_calls": self.open_calls,
             "draining": self._draining,
-            "admission": {name: a.snapshot() for name, a in self._admissions.items()},
+            "admission": self._admissions.snapshot(),
         }
 
 
--- a/tests/test_daemon_calls.py
+++ b/tests/test_daemon_calls.py
@@ -81,7 +81,8 @@
         self, fleet: ScriptedFleet, session: aiohttp.ClientSession
     ) -> None:
         """Guard against a concurrency limit that ignores the first tokens of open streams."""
-        admission = fleet.router.handler._admissions[ServiceName("scripted")]
+        admissions = fleet.router.handler._admissions._admissions
+        admission = admissions[ServiceName("scripted")]
         concurrency, waits = admission._concurrency, []
         record = concurrency.record_first_token
         with pytest.MonkeyPatch.context() as patch:
