Use no private field of aiohttp in callers' connections

The timer of a new connection took the event loop from a private field; the connection keeps its own reference now, and a method says what it does (python -m pytest -n 4 tests/test_caller_connections.py tests/test_router_drain.py: all passed).

--- a/egretrouter/transport/_caller_connections.py
+++ b/egretrouter/transport/_caller_connections.py
@@ -25,7 +25,7 @@
         self, server: web.Server, *, loop: asyncio.AbstractEventLoop, **options: Any
     ) -> None:
         super().__init__(server, loop=loop, **options)
-        self._time_seconds = loop.time
+        self._event_loop = loop
         self._first_request_timer: asyncio.TimerHandle | None = None
         self._answers = 0
         self._request_body: StreamReader | None = None
@@ -38,7 +38,7 @@
         """Expect the first request for a while."""
         super().connection_made(transport)
         # A timer, as the event loop reads what has arrived before it runs one, however slow it is.
-        self._first_request_timer = self._loop.call_later(
+        self._first_request_timer = self._event_loop.call_later(
             FIRST_REQUEST_SECONDS, self._end_first_request_timer
         )
 
@@ -56,7 +56,7 @@
         """Note that bytes arrived, and parse them."""
         if data:
             self._end_first_request_timer()
-            now = self._time_seconds()
+            now = self._event_loop.time()
             self._unanswered_since_seconds = now
             if self._request_body is not None and self._request_body.is_eof():
                 self._next_since_seconds = now
@@ -65,7 +65,7 @@
     def begin_request(self, body: StreamReader) -> None:
         """Note that the handler gets a request."""
         self._request_body = body
-        self._unanswered_since_seconds = self._time_seconds()
+        self._unanswered_since_seconds = self._event_loop.time()
 
     async def finish_response(
         self, request: web.BaseRequest, resp: web.StreamResponse, start_time: float | None
@@ -91,7 +91,7 @@
             return False
         if self._request_body is not None:
             return True
-        return self._time_seconds() - self._unanswered_since_seconds < HEAD_PAUSE_SECONDS
+        return self._event_loop.time() - self._unanswered_since_seconds < HEAD_PAUSE_SECONDS
 
     @property
     def is_kept(self) -> bool:
@@ -103,7 +103,7 @@
         """Return whether the connection is so new that its first request is on its way."""
         return self.is_open and self._first_request_timer is not None
 
-    def hang_up(self) -> None:
+    def close_when_sent(self) -> None:
         """Close the connection once what was written is sent."""
         if self.transport is not None:
             self.transport.close()
@@ -139,7 +139,7 @@
         """Close the connections that only wait for another request."""
         for connection in self.callers:
             if connection.is_kept:
-                connection.hang_up()
+                connection.close_when_sent()
 
     async def close_answered(self, *, until_seconds: float) -> int:
         """Close each connection once its requests are answered, and all at a time of the loop.
@@ -152,7 +152,7 @@
         await _wait_until(self._are_all_answered, until_seconds=until_seconds)
         unanswered = self.count_unanswered()
         for connection in self.callers:
-            connection.hang_up()
+            connection.close_when_sent()
         # What callers have not received yet would be lost with the process.
         await _wait_until(self._are_all_closed, until_seconds=until_seconds)
         return unanswered
