Log which version a send names and how long its call may wait to begin

To tell a call that waits at its engine past the end of an older version from one that begins on another version than the router believes, call:sent now has exact_version and start_left_seconds. No logic changes.

--- a/egretrouter/direct/_callers.py
+++ b/egretrouter/direct/_callers.py
@@ -237,6 +237,8 @@
         self._news.spread_findings()
 
     async def _open(self, call: ActiveCall, choice: Choice, left_seconds: float) -> OpenAnswer:
+        exact_version = self._choices.exact_version(call, choice)
+        start_left = self._choices.start_timeout_seconds(call, choice)
         headers = self._dialect.request_headers(
             CIMultiDict(call.request.headers),
             SendHeaders(
@@ -244,7 +246,7 @@
                 deadline_seconds=left_seconds,
                 workspace=call.workspace.workspace_id if call.workspace else None,
                 resume_after=call.cutter.last_id,
-                exact_version=self._choices.exact_version(call, choice),
+                exact_version=exact_version,
             ),
         )
         call.progress.record_send()
@@ -254,6 +256,8 @@
             endpoint=choice.endpoint.endpoint_id,
             service=call.service.name,
             version=choice.version,
+            exact_version=exact_version,
+            start_left_seconds=None if start_left is None else round(start_left, 3),
             configuration=self._state.routes.table.version if self._state.routes else None,
             send=call.progress.sends,
             left_seconds=round(left_seconds, 3),
@@ -266,7 +270,7 @@
             call_id=call.headers.call_id,
         )
         try:
-            async with asyncio.timeout(self._choices.start_timeout_seconds(call, choice)):
+            async with asyncio.timeout(start_left):
                 return await self._sender.open(choice.endpoint.address, outgoing)
         except TimeoutError as error:
             raise _version_expired(choice) from error
