Name the version in each send to a model engine

A call could begin on an older version than its router believed, at any time: until all older versions had expired a send named no version, so an engine that held an older one (it crashed and loaded again, a report overtook another) ran it, and the router saw nothing newer and set no limit. An engine whose entry tells no versions got model calls as well.

Cause: what an endpoint holds was believed from its last report or entry.

Each send names the version, and the engine refuses the call as not run if it holds another one. An engine of which no version is known gets no model call.

Evidence: the three tests of TestBelievedVersions failed before, the first with three calls that began 0.7 s too late on version 1 of an engine listed with version 2; they pass now (python -m pytest tests/test_late_versions.py -k Believed).

--- a/egretrouter/core/direct/_placement.py
+++ b/egretrouter/core/direct/_placement.py
@@ -281,9 +281,9 @@
         self, endpoint: Endpoint, requirements: CallRequirements, now_seconds: float
     ) -> int | None:
         """Return the version that the call would run on, 0 if it needs none, None if not usable."""
-        if requirements.model is None or endpoint.weights is None:
+        if requirements.model is None:
             return 0
-        held = {weights.model: weights.version for weights in endpoint.weights}.get(
+        held = {weights.model: weights.version for weights in endpoint.weights or ()}.get(
             requirements.model, 0
         )
         stats = self._stats_by_endpoint.get(endpoint.endpoint_id)
--- a/egretrouter/direct/_choices.py
+++ b/egretrouter/direct/_choices.py
@@ -96,16 +96,14 @@
         )
 
     def exact_version(self, call: ActiveCall, choice: Choice) -> int | None:
-        """Return the version that the call must run on, or None if the endpoint may choose."""
+        """Return the version that the call must run on; None for calls that need no model.
+
+        What an endpoint holds may have changed since it was last heard of, so it is always asked
+        to check.
+        """
         if call.progress.answer_started and call.version is not None:
             return call.version
-        if choice.version is None or call.headers.model is None:
-            return None
-        oldest = self._state.weights.oldest_allowed(
-            call.headers.model, now_seconds=time.monotonic()
-        )
-        # Older versions have expired, so the endpoint must check that it still holds this one.
-        return choice.version if oldest == choice.version else None
+        return choice.version if call.headers.model is not None else None
 
     def start_timeout_seconds(self, call: ActiveCall, choice: Choice) -> float | None:
         """Return how long the call may queue at its endpoint, or None if there is no limit."""
--- a/tests/test_late_versions.py
+++ b/tests/test_late_versions.py
@@ -78,3 +78,39 @@
         world.store.silent_kinds.clear()
         statuses = await writing
         assert world.late_begins() == [], count(statuses)
+
+
+class TestBelievedVersions:
+    """Guard against calls that begin on another version than the one the router believes."""
+
+    async def test_engine_that_holds_an_older_version_than_listed_begins_no_call(
+        self, world: VersionWorld
+    ) -> None:
+        await world.start_versions(1, timeout_ms=8000)
+        engine = world.model_engines[0]
+        await asyncio.sleep(1.5)
+        world.name_version(2)
+        await world.wait_until(lambda: world.knows(2))
+        world.list_engine(engine, version=2)
+        await asyncio.sleep(0.2)
+        engine.queue_seconds = BOUND_SECONDS + 0.5
+        statuses = await asyncio.gather(*[world.write() for _ in range(3)])
+        await asyncio.sleep(1)
+        assert world.late_begins() == [], count(list(statuses))
+
+    async def test_each_send_names_the_version(self, world: VersionWorld) -> None:
+        await world.start_versions(1)
+        assert await world.write() == 200
+        assert world.model_engines[0].named == ["1"]
+
+    async def test_engine_without_a_known_version_gets_no_model_call(
+        self, world: VersionWorld
+    ) -> None:
+        await world.start_versions(1)
+        engine = world.model_engines[0]
+        entry = dict(world.store.objects["servers"][engine.endpoint_id]["spec"])
+        del entry["models"]
+        world.store.put("servers", engine.endpoint_id, entry)
+        await asyncio.sleep(0.2)
+        assert await world.write() == 503
+        assert engine.begun == []
