End a waiting call also when its version is named out of date meanwhile

A call that was sent with no end of its version in sight waited at its engine without any limit: if a newer version was named then, it began on the older one as late as its own deadline allowed, 1.2 s after the end in the test. A stream that was resumed on its exact version had no limit at all before its next event.

Cause: the limit on the wait was computed once, at the send, and only for calls whose answer had not started.

StartLimits bounds the wait until the first event of each send, and moves the end when a version is named.

Evidence: test_call_queued_when_a_version_is_named_does_not_begin_after_its_time (head of the answer late or first) and test_stream_resumed_on_an_older_version_does_not_begin_after_its_time failed before (three calls each 1.193 s too late in the first); they pass now (python -m pytest tests/test_late_versions.py -k Queued).

--- a/egretrouter/direct/_callers.py
+++ b/egretrouter/direct/_callers.py
@@ -41,6 +41,7 @@
 from egretrouter.direct._responses import CallResponder
 from egretrouter.direct._sends import OpenAnswer, OutgoingCall, Sender, SendError
 from egretrouter.direct._shared_state import SharedStateService
+from egretrouter.direct._start_limits import StartLimits
 from egretrouter.direct._time_limits import STOPPING_REASON, CallTimeLimits
 
 # A call with less time left than this is not sent.
@@ -80,6 +81,7 @@
         self._news = news
         self._guard = guard
         self._time_limits = CallTimeLimits(state=state, placement=placement)
+        self._start_limits = StartLimits(state)
         self._admission = CallAdmission(state=state, rng=rng)
         self._choices = EndpointChoices(
             state=state, placement=placement, guard=guard, limits=news.limits, rng=rng
@@ -238,7 +240,7 @@
 
     async def _open(self, call: ActiveCall, choice: Choice, left_seconds: float) -> OpenAnswer:
         exact_version = self._choices.exact_version(call, choice)
-        start_left = self._choices.start_timeout_seconds(call, choice)
+        start_left = self._start_limits.left_seconds(call.headers.model, choice.version)
         headers = self._dialect.request_headers(
             CIMultiDict(call.request.headers),
             SendHeaders(
@@ -270,7 +272,7 @@
             call_id=call.headers.call_id,
         )
         try:
-            async with asyncio.timeout(start_left):
+            async with self._start_limits.limit(call.headers.model, choice.version):
                 return await self._sender.open(choice.endpoint.address, outgoing)
         except TimeoutError as error:
             raise _version_expired(choice) from error
@@ -316,25 +318,28 @@
 
     async def _read(self, call: ActiveCall, choice: Choice, answer: OpenAnswer) -> bytes:
         """Return what has arrived; leave a silent endpoint only if the call goes on at another."""
+        if not call.events_since_send:
+            return await self._read_first(call, choice, answer)
         limit = _stall_seconds(call.route)
-        # Before the first event the call may be queued at its endpoint, which is not a stall.
-        if not call.progress.answer_started:
-            limit = self._choices.start_timeout_seconds(call, choice)
-        elif not call.events_since_send:
-            limit = None
         while True:
             try:
                 return await answer.read_available(stall_seconds=limit)
             except SendError as error:
                 if error.outcome is not SendOutcome.STALLED:
                     raise
-                if not call.progress.answer_started:
-                    raise _version_expired(choice) from error
                 call.next_choice = self._find_other_endpoint(call)
                 if call.next_choice is not None:
                     raise
             limit = STALL_POLL_SECONDS
 
+    async def _read_first(self, call: ActiveCall, choice: Choice, answer: OpenAnswer) -> bytes:
+        """Return what has arrived; until the first event the call may wait at its endpoint."""
+        try:
+            async with self._start_limits.limit(call.headers.model, choice.version):
+                return await answer.read_available(stall_seconds=None)
+        except TimeoutError as error:
+            raise _version_expired(choice) from error
+
     def _find_other_endpoint(self, call: ActiveCall) -> Choice | None:
         """Return the endpoint at which a silent stream can go on at once, if there is one."""
         now = time.monotonic()
--- a/egretrouter/direct/_choices.py
+++ b/egretrouter/direct/_choices.py
@@ -104,11 +104,3 @@
         if call.progress.answer_started and call.version is not None:
             return call.version
         return choice.version if call.headers.model is not None else None
-
-    def start_timeout_seconds(self, call: ActiveCall, choice: Choice) -> float | None:
-        """Return how long the call may queue at its endpoint, or None if there is no limit."""
-        model = call.headers.model
-        if model is None or choice.version is None:
-            return None
-        deadline = self._state.weights.start_deadline_seconds(model, choice.version)
-        return None if deadline is None else max(0.0, deadline - time.monotonic())
--- a/tests/test_late_versions.py
+++ b/tests/test_late_versions.py
@@ -114,3 +114,37 @@
         await asyncio.sleep(0.2)
         assert await world.write() == 503
         assert engine.begun == []
+
+
+class TestQueuedCalls:
+    """Guard against calls that begin at an engine long after they were sent to it."""
+
+    @pytest.mark.parametrize("heads_first", [False, True], ids=["head late", "head first"])
+    async def test_call_queued_when_a_version_is_named_does_not_begin_after_its_time(
+        self, world: VersionWorld, heads_first: bool
+    ) -> None:
+        await world.start_versions(1, timeout_ms=8000)
+        engine = world.model_engines[0]
+        engine.queue_seconds, engine.heads_first = BOUND_SECONDS + 1.5, heads_first
+        calls = [asyncio.create_task(world.write()) for _ in range(3)]
+        await asyncio.sleep(0.3)
+        world.name_version(2)
+        statuses = await asyncio.gather(*calls)
+        await asyncio.sleep(2)
+        assert world.late_begins() == [], count(list(statuses))
+
+    async def test_stream_resumed_on_an_older_version_does_not_begin_after_its_time(
+        self, world: VersionWorld
+    ) -> None:
+        await world.start_versions(1, 1, timeout_ms=8000)
+        first, second = world.model_engines
+        first.breaks_after_event = second.breaks_after_event = 2
+        first.queue_seconds = second.queue_seconds = 0.0
+        first.resumed_queue_seconds = second.resumed_queue_seconds = BOUND_SECONDS + 1.5
+        first.heads_first = second.heads_first = True
+        call = asyncio.create_task(world.write())
+        await asyncio.sleep(0.3)
+        world.name_version(2)
+        status = await call
+        await asyncio.sleep(2)
+        assert world.late_begins() == [], status
