Leave calls the time to begin on an engine eight times as slow

A call sent 0.9 s before the end of its version began after it on an engine that worked eight times as long (0.155 s too late in the test) if the engine did not drop the call when its connection was closed: some don't.

Cause: whether a call begins in time rested on two constants, 0.9 s and 0.5 s for a queue, whatever the engine's profile, and on a message, the close.

The time is computed from the published profile: eight times a first event on a full engine, and eight times the longest wait in its queue, before the end. The close remains for what takes longer still. WeightTargets has its own module; the agent knows the same time. Weighed and left out: giving the engine a deadline at the version's end, which would cut streams that began in time on a slow engine and could go on nowhere.

--- a/egretrouter/core/direct/__init__.py
+++ b/egretrouter/core/direct/__init__.py
@@ -1,12 +1,7 @@
 """Implement the routing and weight-switch decisions for directly reached endpoints, without I/O."""
 
 from egretrouter.core.direct._call import DirectCall, NextStep, SendEnded, SendOutcome
-from egretrouter.core.direct._directory import (
-    SWITCH_MARGIN_SECONDS,
-    SWITCH_QUEUE_SECONDS,
-    EndpointDirectory,
-    WeightTargets,
-)
+from egretrouter.core.direct._directory import EndpointDirectory
 from egretrouter.core.direct._endpoint_limits import EndpointLimits, LimitNews
 from egretrouter.core.direct._endpoint_run import EndpointRun
 from egretrouter.core.direct._events import EventSplitter
@@ -49,10 +44,15 @@
 from egretrouter.core.direct._repeats import RepeatBudget
 from egretrouter.core.direct._routes import RouteIndex, choose_service
 from egretrouter.core.direct._switch import Replica, WeightSwitch
+from egretrouter.core.direct._weight_targets import (
+    MIN_START_LEAD_SECONDS,
+    WeightTargets,
+    queue_lead_seconds,
+    start_lead_seconds,
+)
 
 __all__ = [
-    "SWITCH_MARGIN_SECONDS",
-    "SWITCH_QUEUE_SECONDS",
+    "MIN_START_LEAD_SECONDS",
     "CallKind",
     "CallRequirements",
     "CallerLimits",
@@ -101,5 +101,7 @@
     "choose_service",
     "first_event_seconds",
     "longest_call_seconds",
+    "queue_lead_seconds",
+    "start_lead_seconds",
     "service_seconds",
 ]
--- a/egretrouter/core/direct/_directory.py
+++ b/egretrouter/core/direct/_directory.py
@@ -1,19 +1,12 @@
-"""Track the registered endpoints and the target versions of weights."""
+"""Track the registered endpoints."""
 
 from collections.abc import Iterable
 
-from egretrouter.core.direct._records import Endpoint, EndpointState, WeightVersion
-from egretrouter.core.identifiers import EndpointId, ModelName, ServiceName
+from egretrouter.core.direct._records import Endpoint, EndpointState
+from egretrouter.core.identifiers import EndpointId, ServiceName
 
 # Registrations that expired during an outage of the store are renewed within about this time.
 LAPSE_GRACE_SECONDS = 2.0
-# A call sent this long before an older version expires starts in time on an engine with a free
-# slot; a call that has to queue needs SWITCH_QUEUE_SECONDS more.
-SWITCH_MARGIN_SECONDS = 0.9
-SWITCH_QUEUE_SECONDS = 0.5
-# Closing a connection takes this long to reach an endpoint whose link is saturated by a copy: a
-# part of a chunk may take 0.25 s there, and the close is queued behind two of them.
-CLOSE_DELAY_SECONDS = 0.6
 
 
 class EndpointDirectory:
@@ -78,65 +71,3 @@
         """Return the most recently started endpoint at an address."""
         found = [e for e in self._endpoints.values() if e.address == address]
         return max(found, key=lambda endpoint: endpoint.started_ms, default=None)
-
-
-class WeightTargets:
-    """Track the target version of each model and how long older versions may still be used."""
-
-    def __init__(
-        self, *, switch_seconds: float, margin_seconds: float, queue_seconds: float
-    ) -> None:
-        """Allow an older version for switch_seconds minus a margin for calls in transit.
-
-        For calls that may queue at their endpoint the older version expires queue_seconds sooner.
-        """
-        self._allowed_seconds = switch_seconds - margin_seconds
-        self._margin_seconds = margin_seconds
-        self._queue_seconds = queue_seconds
-        self._minimum_from: dict[ModelName, dict[int, float]] = {}
-        """The target versions of each model, and when versions older than each expire."""
-
-    def set_target(self, target: WeightVersion, *, named_seconds: float) -> bool:
-        """Set the target version of a model, and return whether it is newer than the last one.
-
-        named_seconds is a time at which no newer version than the last one had been named; with
-        minus infinity, where that is not known, older versions expire immediately.
-        """
-        versions = self._minimum_from.setdefault(target.model, {})
-        if target.version <= max(versions, default=0):
-            return False
-        versions[target.version] = named_seconds + self._allowed_seconds
-        return True
-
-    def list_targets(self) -> list[WeightVersion]:
-        """Return the target version of each model."""
-        return [
-            WeightVersion(model=model, version=max(versions))
-            for model, versions in self._minimum_from.items()
-        ]
-
-    def list_names(self) -> list[tuple[WeightVersion, float]]:
-        """Return all versions that were named, in order, with their named_seconds."""
-        return [
-            (WeightVersion(model=model, version=version), ends - self._allowed_seconds)
-            for model, versions in self._minimum_from.items()
-            for version, ends in sorted(versions.items())
-        ]
-
-    def named_seconds(self, target: WeightVersion) -> float:
-        """Return when a version was named at the earliest; minus infinity if not known."""
-        ends = self._minimum_from.get(target.model, {}).get(target.version, float("-inf"))
-        return ends - self._allowed_seconds
-
-    def start_deadline_seconds(self, model: ModelName, version: int) -> float | None:
-        """Return the time by which a call queued on this version must start; None if unlimited."""
-        ends = [s for v, s in self._minimum_from.get(model, {}).items() if v > version]
-        if not ends:
-            return None
-        return min(ends) + self._margin_seconds - CLOSE_DELAY_SECONDS
-
-    def oldest_allowed(self, model: ModelName, *, now_seconds: float, queued: bool = False) -> int:
-        """Return the oldest version that a call may start on, immediately or after queueing."""
-        versions = self._minimum_from.get(model, {})
-        at = now_seconds + (self._queue_seconds if queued else 0.0)
-        return max((v for v, effective in versions.items() if effective <= at), default=0)
--- a/egretrouter/core/direct/_switch.py
+++ b/egretrouter/core/direct/_switch.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from egretrouter.core.direct._directory import SWITCH_MARGIN_SECONDS
+from egretrouter.core.direct._weight_targets import MIN_START_LEAD_SECONDS
 from egretrouter.core.identifiers import InstanceId, ModelName, ZoneId
 
 # A copy with at least this share of its chunks is finished before the copy of a newer version
@@ -43,6 +43,8 @@
     ) -> None:
         """Allow older versions for switch_seconds, and estimate a copy to take copy_seconds."""
         self.copy_seconds = copy_seconds
+        self.start_lead_seconds = MIN_START_LEAD_SECONDS
+        """Routers send an engine no more calls this long before its version expires."""
         self._fallback_version: int | None = None
         """An older version that is copied in parallel because the newest one stalled."""
         self._interim_versions: dict[int, int] = {}
@@ -214,8 +216,7 @@
         self, version: int, serving: int, replicas: Iterable[Replica], now_seconds: float
     ) -> bool:
         """Return whether this engine may load now, so that enough others keep serving."""
-        if now_seconds >= self._expires_seconds(serving) - SWITCH_MARGIN_SECONDS:
-            # Routers send no more calls to this engine with its current version.
+        if now_seconds >= self._expires_seconds(serving) - self.start_lead_seconds:
             return True
         own = Replica(instance_id=self._own, zone=self._zone, version=serving)
         first_half = self._first_half([own, *(r for r in replicas if r.instance_id != self._own)])
--- a/egretrouter/direct/_agent.py
+++ b/egretrouter/direct/_agent.py
@@ -18,12 +18,14 @@
     WeightSource,
 )
 from egretrouter.core.direct import (
+    MIN_START_LEAD_SECONDS,
     FleetRole,
     Replica,
     RoutingTable,
     WeightSwitch,
     WeightVersion,
     service_seconds,
+    start_lead_seconds,
 )
 from egretrouter.core.errors import (
     BackendError,
@@ -124,6 +126,7 @@
         self._engine_state: EngineState | None = None
         self._draining = False
         """Whether the engine accepts no new calls, to be empty when it loads."""
+        self._start_lead_seconds = MIN_START_LEAD_SECONDS
         self._drain_seconds = 0.0
         """How long a call on a full engine usually takes."""
         self.shared_state.on_weights.append(self._set_target)
@@ -202,6 +205,7 @@
         for service in table.services:
             if service.name == self.settings.engine_service and service.engine is not None:
                 self._drain_seconds = service_seconds(service.engine)
+                self._start_lead_seconds = start_lead_seconds(service.engine)
                 for model in service.engine.models:
                     self._set_target(WeightVersion(model=model, version=FIRST_VERSION))
 
@@ -234,6 +238,7 @@
         if state is None:
             return
         serving = (state.load.versions or {}).get(switch.model, 0)
+        switch.start_lead_seconds = self._start_lead_seconds
         self._announce_version(switch.model, serving)
         now = time.monotonic()
         shares = {
--- a/egretrouter/direct/_choices.py
+++ b/egretrouter/direct/_choices.py
@@ -11,6 +11,8 @@
     EndpointLimits,
     NoEndpointAvailable,
     Placement,
+    queue_lead_seconds,
+    start_lead_seconds,
 )
 from egretrouter.direct._active_call import ActiveCall
 from egretrouter.direct._part_guard import PartGuard, PartHeld
@@ -82,19 +84,28 @@
 
     def _requirements(self, call: ActiveCall, now: float) -> CallRequirements:
         model = call.headers.model if call.service.engine is not None else None
-        weights = self._state.weights
         return CallRequirements(
             model=model,
-            oldest_version=weights.oldest_allowed(model, now_seconds=now) if model else 0,
-            oldest_queued_version=(
-                weights.oldest_allowed(model, now_seconds=now, queued=True) if model else 0
-            ),
+            oldest_version=self._oldest_allowed(call, now, queued=False),
+            oldest_queued_version=self._oldest_allowed(call, now, queued=True),
             exact_version=call.version if call.progress.answer_started else None,
             latency_left_seconds=call.arrived_seconds + call.route.latency_target_seconds - now,
             late=call.late,
             tried=call.tried,
         )
 
+    def _oldest_allowed(self, call: ActiveCall, now: float, *, queued: bool) -> int:
+        profile, model = call.service.engine, call.headers.model
+        if profile is None or model is None:
+            return 0
+        target_seconds = call.route.latency_target_seconds
+        lead = (
+            queue_lead_seconds(profile, latency_target_seconds=target_seconds)
+            if queued
+            else start_lead_seconds(profile)
+        )
+        return self._state.weights.oldest_allowed(model, now_seconds=now, lead_seconds=lead)
+
     def exact_version(self, call: ActiveCall, choice: Choice) -> int | None:
         """Return the version that the call must run on; None for calls that need no model.
 
--- a/egretrouter/direct/_shared_state.py
+++ b/egretrouter/direct/_shared_state.py
@@ -18,8 +18,6 @@
     StateStore,
 )
 from egretrouter.core.direct import (
-    SWITCH_MARGIN_SECONDS,
-    SWITCH_QUEUE_SECONDS,
     Endpoint,
     EndpointDirectory,
     FleetMember,
@@ -65,11 +63,7 @@
         super().__init__(**kwargs)
         self.routes: RouteIndex | None = None
         self.directory = EndpointDirectory()
-        self.weights = WeightTargets(
-            switch_seconds=settings.bounds.weights_ms / 1000,
-            margin_seconds=SWITCH_MARGIN_SECONDS,
-            queue_seconds=SWITCH_QUEUE_SECONDS,
-        )
+        self.weights = WeightTargets(switch_seconds=settings.bounds.weights_ms / 1000)
         self.on_configuration: list[Callable[[RoutingTable], None]] = []
         self.on_endpoints: list[Callable[[], None]] = []
         self.on_weights: list[Callable[[WeightVersion], None]] = []
--- a/tests/test_direct_weights.py
+++ b/tests/test_direct_weights.py
@@ -20,19 +20,19 @@
     """Guard against calls that start on an older version after it has expired."""
 
     def test_older_versions_expire_one_after_the_other(self) -> None:
-        targets = WeightTargets(switch_seconds=8, margin_seconds=1, queue_seconds=0.5)
+        targets = WeightTargets(switch_seconds=8)
         targets.set_target(WeightVersion(model=MODEL, version=2), named_seconds=0)
         targets.set_target(WeightVersion(model=MODEL, version=3), named_seconds=4)
-        assert targets.oldest_allowed(MODEL, now_seconds=6.9) == 0
-        assert targets.oldest_allowed(MODEL, now_seconds=7) == 2
-        assert targets.oldest_allowed(MODEL, now_seconds=11) == 3
-        assert targets.oldest_allowed(MODEL, now_seconds=6.6, queued=True) == 2
+        assert targets.oldest_allowed(MODEL, now_seconds=6.9, lead_seconds=1) == 0
+        assert targets.oldest_allowed(MODEL, now_seconds=7, lead_seconds=1) == 2
+        assert targets.oldest_allowed(MODEL, now_seconds=11, lead_seconds=1) == 3
+        assert targets.oldest_allowed(MODEL, now_seconds=6.6, lead_seconds=1.5) == 2
 
     def test_version_found_at_the_start_expires_older_ones_immediately(self) -> None:
-        targets = WeightTargets(switch_seconds=8, margin_seconds=1, queue_seconds=0.5)
+        targets = WeightTargets(switch_seconds=8)
         version = WeightVersion(model=MODEL, version=2)
         targets.set_target(version, named_seconds=-math.inf)
-        assert targets.oldest_allowed(MODEL, now_seconds=0) == 2
+        assert targets.oldest_allowed(MODEL, now_seconds=0, lead_seconds=1) == 2
 
 
 class TestWeightSwitch:
@@ -253,7 +253,7 @@
         With a CLOSE_DELAY_SECONDS of 0.25 a close still reached its engine late, behind parts of
         a copy.
         """
-        targets = WeightTargets(switch_seconds=8, margin_seconds=1, queue_seconds=0.5)
+        targets = WeightTargets(switch_seconds=8)
         targets.set_target(WeightVersion(model=MODEL, version=2), named_seconds=0)
         targets.set_target(WeightVersion(model=MODEL, version=3), named_seconds=4)
         assert targets.start_deadline_seconds(MODEL, 1) == pytest.approx(7.4)
--- a/tests/test_late_versions.py
+++ b/tests/test_late_versions.py
@@ -148,3 +148,18 @@
         status = await call
         await asyncio.sleep(2)
         assert world.late_begins() == [], status
+
+    async def test_slow_engine_that_ignores_closes_does_not_begin_calls_after_their_time(
+        self, world: VersionWorld
+    ) -> None:
+        """An engine that works eight times as long, and runs what it was sent in any case."""
+        await world.start_versions(1)
+        engine = world.model_engines[0]
+        engine.sees_closes = False
+        # A first event takes 0.14 s on a full engine of the tests.
+        engine.queue_seconds = 8 * 0.14
+        await asyncio.sleep(1.5)
+        world.name_version(2)
+        statuses = await world.write_until(time.monotonic() + BOUND_SECONDS + 0.5)
+        await asyncio.sleep(0.5)
+        assert world.late_begins() == [], count(statuses)
--- a/tests/test_name_times.py
+++ b/tests/test_name_times.py
@@ -47,14 +47,14 @@
     """Guard against counting an older version's time from anything but its successor's name."""
 
     def test_older_version_ends_by_the_time_of_the_name(self) -> None:
-        targets = WeightTargets(switch_seconds=8, margin_seconds=1, queue_seconds=0.5)
+        targets = WeightTargets(switch_seconds=8)
         target = WeightVersion(model=MODEL, version=2)
         targets.set_target(target, named_seconds=10.0)
         assert targets.named_seconds(target) == 10.0
-        assert targets.oldest_allowed(MODEL, now_seconds=17.0) == 2
+        assert targets.oldest_allowed(MODEL, now_seconds=17.0, lead_seconds=1) == 2
 
     def test_name_that_is_listed_again_does_not_prolong_the_older_version(self) -> None:
-        targets = WeightTargets(switch_seconds=8, margin_seconds=1, queue_seconds=0.5)
+        targets = WeightTargets(switch_seconds=8)
         target = WeightVersion(model=MODEL, version=2)
         assert targets.set_target(target, named_seconds=10.0)
         assert not targets.set_target(target, named_seconds=14.0)
