--- a/egretrouter/direct/_shared_state.py
+++ b/egretrouter/direct/_shared_state.py
@@ -125,7 +125,11 @@
 
     def apply_listing(self, kind: StateKind, listing: StateListing, *, after_outage: bool) -> None:
         """Apply a listing of all objects of a kind."""
-        if listing.revision < self._seen_revisions[kind]:
+        seen = self._seen_revisions[kind]
+        if listing.revision < seen:
+            log_event(
+                "state:listing_dropped", kind=kind.value, revision=listing.revision, seen=seen
+            )
             return
         at_start = kind not in self._loaded_kinds
         previous_revision = self._content_revisions[kind]
@@ -157,7 +161,13 @@
 
     def apply_changes(self, kind: StateKind, changes: StateChanges) -> None:
         """Apply the changes that a watch reported."""
-        if not changes.events or changes.revision <= self._seen_revisions[kind]:
+        seen = self._seen_revisions[kind]
+        if not changes.events:
+            return
+        if changes.revision <= seen:
+            log_event(
+                "state:changes_dropped", kind=kind.value, revision=changes.revision, seen=seen
+            )
             return
         self._seen_revisions[kind] = self._content_revisions[kind] = changes.revision
         for event in changes.events:
@@ -293,7 +303,12 @@
                 after_outage=False,
                 now_seconds=time.monotonic(),
             )
-            log_event("endpoints:from_peer", peer=peer.instance_id, count=len(state.endpoints))
+            log_event(
+                "endpoints:from_peer",
+                peer=peer.instance_id,
+                count=len(state.endpoints),
+                revision=state.endpoints_revision,
+            )
             self._notify_endpoints_changed()
         if (
             state.weights is not None
