Order the store's states by era and revision (CONFIG)

Cause: listings, watches, greetings and peers' replies compared bare revisions, and the store's went back. Listings and changes were dropped as old until the counter had passed the last revision seen, and the header Store-Era was read nowhere.

A state of the store is now named by one ordered StoreRevision, its era and its revision, wherever one is compared, kept or sent. Greetings carry the newest era heard of; a process that hears a newer one lists anew. Watches end then, since their revision names another state; an answer of an older era is an error, and pages of two eras make no listing. Peers compare names of weights by the sum of the target versions, as they do versions of the configuration: neither is ever taken back, so what any process has learned holds, whatever the copy shows.

A store without the header has one era, 0. A header that is no number of 63 bits is a malformed answer: an order that is guessed would be kept and passed on.

--- a/egretrouter/backends/_direct_ports.py
+++ b/egretrouter/backends/_direct_ports.py
@@ -12,6 +12,7 @@
     FleetMember,
     LoadReport,
     RoutingTable,
+    StoreRevision,
     WeightVersion,
 )
 from egretrouter.core.errors import BackendError, ValidationError
@@ -57,9 +58,9 @@
     """Carry all objects of a kind at one revision of the store."""
 
     items: tuple[StateItem, ...]
-    revision: int
+    revision: StoreRevision
     """Revision of the store, from which a watch must start."""
-    content_revision: int
+    content_revision: StoreRevision
     """Revision of the newest object."""
 
 
@@ -67,7 +68,8 @@
     """Carry the changes of a kind since a revision."""
 
     events: tuple[StateEvent, ...]
-    revision: int
+    revision: StoreRevision
+    """Revision of the store; the changes are complete only if its era is that of the start."""
 
 
 class StateStore(Protocol):
@@ -80,17 +82,17 @@
         """
 
     async def watch_state(
-        self, kind: StateKind, *, after_revision: int, wait_seconds: float
+        self, kind: StateKind, *, after_revision: StoreRevision, wait_seconds: float
     ) -> StateChanges:
         """Wait for changes of a kind; the result is empty if there are none within wait_seconds.
 
         Raises HistoryGoneError, BackendUnavailableError or RateLimitedError.
         """
 
-    async def register(self, member: FleetMember) -> None:
+    async def register(self, member: FleetMember) -> int:
         """Add this process to the list of processes, or update its entry.
 
-        Raises BackendError.
+        Return the era of the store that has the entry. Raises BackendError.
         """
 
     async def list_members(self) -> list[FleetMember]:
--- a/egretrouter/core/direct/__init__.py
+++ b/egretrouter/core/direct/__init__.py
@@ -47,6 +47,7 @@
 )
 from egretrouter.core.direct._repeats import RepeatBudget
 from egretrouter.core.direct._routes import RouteIndex, choose_service
+from egretrouter.core.direct._state_order import StoreRevision
 from egretrouter.core.direct._switch import Replica, WeightSwitch
 
 __all__ = [
@@ -91,6 +92,7 @@
     "SendEnded",
     "SendOutcome",
     "Service",
+    "StoreRevision",
     "Target",
     "WeightSwitch",
     "WeightTargets",
--- a/egretrouter/core/direct/_directory.py
+++ b/egretrouter/core/direct/_directory.py
@@ -30,8 +30,12 @@
         *,
         after_outage: bool,
         now_seconds: float,
-    ) -> None:
-        """Replace all entries; after an outage, keep missing endpoints for a grace period."""
+    ) -> bool:
+        """Replace all entries, and return whether others are registered than before.
+
+        After an outage, missing endpoints are kept for a grace period.
+        """
+        registered = self._endpoints.keys() - self._expires_seconds.keys()
         found = {endpoint.endpoint_id: endpoint for endpoint in endpoints}
         kept = {
             endpoint_id: endpoint
@@ -43,6 +47,7 @@
             for endpoint_id in kept
         }
         self._endpoints = {**kept, **found}
+        return found.keys() != registered
 
     def put(self, endpoint: Endpoint) -> None:
         """Add or replace an entry."""
--- a/egretrouter/core/direct/_members.py
+++ b/egretrouter/core/direct/_members.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from egretrouter.core.direct._state_order import StoreRevision
 from egretrouter.core.identifiers import Digest, InstanceId, RegionId, ZoneId
 
 
@@ -56,11 +57,15 @@
 
 
 class Revisions(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
-    """Carry the revision of each kind of shared state that a process has."""
+    """Carry how new the shared state is that a process has."""
 
     configuration: int = 0
-    endpoints: int = 0
+    """The configuration's own version, which the store keeps when it comes back from a copy."""
+    endpoints: StoreRevision = StoreRevision()
     weights: int = 0
+    """The sum of the target versions of all models, of which none is ever taken back."""
+    era: int | None = None
+    """The newest era of the store that the process has heard of."""
 
 
 class Greeting(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/egretrouter/direct/_fleet_service.py
+++ b/egretrouter/direct/_fleet_service.py
@@ -33,6 +33,7 @@
     encode_note,
 )
 from egretrouter.direct._settings import DirectSettings
+from egretrouter.direct._store_eras import StoreEras
 
 GREETING_SECONDS = 0.7
 TICK_SECONDS = 0.15
@@ -90,6 +91,8 @@
         self._settings = settings
         self._store = store
         self._rng = rng
+        self.eras = StoreEras()
+        self.eras.on_restored.append(self.gossip_update)
         self._joined = asyncio.Event()
         self._transport: asyncio.DatagramTransport
 
@@ -195,6 +198,7 @@
         greeting = note.greeting
         self._greet(self.fleet.handle_greeting(greeting, now_seconds=time.monotonic()))
         self._log_changes()
+        self.eras.hear(greeting.revisions.era, source=greeting.sender.instance_id)
         for on_revisions in self.on_revisions:
             on_revisions(greeting.sender, greeting.revisions)
 
@@ -224,7 +228,7 @@
         """Register with the store once, and add listed members that the seeds may not know."""
         while not self.should_stop:
             try:
-                await self._store.register(self.fleet.own)
+                self.eras.hear(await self._store.register(self.fleet.own), source="store")
                 for member in await self._store.list_members():
                     self.fleet.add_listed(member, now_seconds=time.monotonic())
                 self._greet([msgspec.structs.replace(self.fleet.announcement(), wants_answer=True)])
--- a/egretrouter/direct/_peer_state.py
+++ b/egretrouter/direct/_peer_state.py
@@ -7,7 +7,13 @@
 import msgspec
 
 from egretrouter.backends import StateKind
-from egretrouter.core.direct import Endpoint, FleetMember, RoutingTable, WeightVersion
+from egretrouter.core.direct import (
+    Endpoint,
+    FleetMember,
+    RoutingTable,
+    StoreRevision,
+    WeightVersion,
+)
 from egretrouter.core.errors import MalformedAnswerError
 from egretrouter.direct._logs import log_event
 from egretrouter.protocol import egretrouter_pb2 as pb
@@ -22,9 +28,8 @@
 
     configuration: RoutingTable | None = None
     endpoints: tuple[Endpoint, ...] | None = None
-    endpoints_revision: int = 0
+    endpoints_revision: StoreRevision = StoreRevision()
     weights: tuple[WeightVersion, ...] | None = None
-    weights_revision: int = 0
 
 
 class StateSource(Protocol):
--- a/egretrouter/direct/_shared_state.py
+++ b/egretrouter/direct/_shared_state.py
@@ -3,7 +3,7 @@
 import asyncio
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import msgspec
@@ -25,6 +25,7 @@
     Revisions,
     RouteIndex,
     RoutingTable,
+    StoreRevision,
     WeightTargets,
     WeightVersion,
 )
@@ -83,9 +84,9 @@
         self._peers = PeerStateClient(channels, peer_port=settings.peer_port)
         self._kinds = kinds
         self._loaded_kinds: set[StateKind] = set()
-        self._content_revisions = dict.fromkeys(StateKind, 0)
+        self._endpoints_revision = StoreRevision()
         """The revision of the newest content, which is the same in all processes that have it."""
-        self._seen_revisions = dict.fromkeys(StateKind, 0)
+        self._seen_revisions = dict.fromkeys(StateKind, StoreRevision())
         """The store's revision up to which all changes have been applied."""
         self._fetching: set[StateKind] = set()
         self._waiting: set[StateKind] = set()
@@ -132,32 +133,37 @@
             )
             return
         at_start = kind not in self._loaded_kinds
-        previous_revision = self._content_revisions[kind]
-        self._seen_revisions[kind] = listing.revision
-        if kind is StateKind.ENDPOINTS and self._listed_ids(listing) != self._current_ids():
-            # A removal leaves no object with a newer revision, so the listing's revision is used.
-            self._content_revisions[kind] = listing.revision
-        else:
-            self._content_revisions[kind] = max(previous_revision, listing.content_revision)
+        before = self._revisions()
         if kind is StateKind.ENDPOINTS:
-            self.directory.replace(
-                (item for item in listing.items if isinstance(item, Endpoint)),
-                after_outage=after_outage,
-                now_seconds=time.monotonic(),
-            )
-            self._notify_endpoints_changed()
+            listed = [item for item in listing.items if isinstance(item, Endpoint)]
+            if self._replace_endpoints(listed, listing.revision, after_outage=after_outage):
+                # A removal leaves no object with a newer revision.
+                self._endpoints_revision = listing.revision
+            else:
+                self._endpoints_revision = max(self._endpoints_revision, listing.content_revision)
         else:
             for item in listing.items:
                 self._apply_item(item, at_start=at_start)
+        self._seen_revisions[kind] = listing.revision
         self._loaded_kinds.add(kind)
-        if self._content_revisions[kind] > previous_revision:
+        if self._revisions() != before:
             self._fleet.gossip_update()
 
-    def _listed_ids(self, listing: StateListing) -> set[EndpointId]:
-        return {item.endpoint_id for item in listing.items if isinstance(item, Endpoint)}
-
-    def _current_ids(self) -> set[EndpointId]:
-        return {endpoint.endpoint_id for endpoint in self.directory.all_endpoints()}
+    def _replace_endpoints(
+        self, endpoints: Iterable[Endpoint], revision: StoreRevision, *, after_outage: bool
+    ) -> bool:
+        """Replace the endpoints, and return whether others are registered than before."""
+        kind = StateKind.ENDPOINTS
+        restored = kind in self._loaded_kinds and revision.era > self._seen_revisions[kind].era
+        if restored:
+            log_event("endpoints:restored", revision=revision, seen=self._seen_revisions[kind])
+        changed = self.directory.replace(
+            endpoints,
+            after_outage=after_outage or restored,
+            now_seconds=time.monotonic(),
+        )
+        self._notify_endpoints_changed()
+        return changed
 
     def apply_changes(self, kind: StateKind, changes: StateChanges) -> None:
         """Apply the changes that a watch reported."""
@@ -169,17 +175,18 @@
                 "state:changes_dropped", kind=kind.value, revision=changes.revision, seen=seen
             )
             return
-        self._seen_revisions[kind] = self._content_revisions[kind] = changes.revision
+        self._seen_revisions[kind] = changes.revision
         for event in changes.events:
             if event.item is not None and not isinstance(event.item, Endpoint):
                 self._apply_item(event.item)
             elif kind is StateKind.ENDPOINTS:
                 self._apply_endpoint_event(event, changes.revision)
         if kind is StateKind.ENDPOINTS:
+            self._endpoints_revision = changes.revision
             self._notify_endpoints_changed()
         self._fleet.gossip_update()
 
-    def _apply_endpoint_event(self, event: StateEvent, revision: int) -> None:
+    def _apply_endpoint_event(self, event: StateEvent, revision: StoreRevision) -> None:
         if isinstance(event.item, Endpoint):
             endpoint = event.item
             self.directory.put(endpoint)
@@ -234,17 +241,22 @@
     def _revisions(self) -> Revisions:
         return Revisions(
             configuration=self.routes.table.version if self.routes is not None else 0,
-            endpoints=self._content_revisions[StateKind.ENDPOINTS],
-            weights=self._content_revisions[StateKind.WEIGHTS],
+            endpoints=self._endpoints_revision,
+            weights=self._weights_sum(),
+            era=self._fleet.eras.newest,
         )
 
+    def _weights_sum(self) -> int:
+        """Return a number that grows with each version that is named."""
+        return sum(target.version for target in self.weights.list_targets())
+
     def _is_behind(self, kind: StateKind, peer_revisions: Revisions) -> bool:
         if kind is StateKind.CONFIGURATION:
             own = self.routes.table.version if self.routes is not None else 0
             return peer_revisions.configuration > own
         if kind is StateKind.ENDPOINTS:
             return peer_revisions.endpoints > self._seen_revisions[kind]
-        return peer_revisions.weights > self._seen_revisions[kind]
+        return peer_revisions.weights > self._weights_sum()
 
     def _handle_peer_revisions(self, peer: FleetMember, peer_revisions: Revisions) -> None:
         for kind in self._kinds:
@@ -295,29 +307,19 @@
             state.endpoints is not None
             and state.endpoints_revision > self._seen_revisions[StateKind.ENDPOINTS]
         ):
+            self._replace_endpoints(state.endpoints, state.endpoints_revision, after_outage=False)
             self._loaded_kinds.add(StateKind.ENDPOINTS)
             self._seen_revisions[StateKind.ENDPOINTS] = state.endpoints_revision
-            self._content_revisions[StateKind.ENDPOINTS] = state.endpoints_revision
-            self.directory.replace(
-                state.endpoints,
-                after_outage=False,
-                now_seconds=time.monotonic(),
-            )
+            self._endpoints_revision = state.endpoints_revision
             log_event(
                 "endpoints:from_peer",
                 peer=peer.instance_id,
                 count=len(state.endpoints),
                 revision=state.endpoints_revision,
             )
-            self._notify_endpoints_changed()
-        if (
-            state.weights is not None
-            and state.weights_revision > self._seen_revisions[StateKind.WEIGHTS]
-        ):
+        if state.weights is not None:
             at_start = StateKind.WEIGHTS not in self._loaded_kinds
             self._loaded_kinds.add(StateKind.WEIGHTS)
-            self._seen_revisions[StateKind.WEIGHTS] = state.weights_revision
-            self._content_revisions[StateKind.WEIGHTS] = state.weights_revision
             for target in state.weights:
                 self._apply_item(target, at_start=at_start)
         self._fleet.gossip_update()
@@ -335,13 +337,12 @@
                 if StateKind.ENDPOINTS in kinds and StateKind.ENDPOINTS in self._loaded_kinds
                 else None
             ),
-            endpoints_revision=self._content_revisions[StateKind.ENDPOINTS],
+            endpoints_revision=self._endpoints_revision,
             weights=(
                 tuple(self.weights.list_targets())
                 if StateKind.WEIGHTS in kinds and StateKind.WEIGHTS in self._loaded_kinds
                 else None
             ),
-            weights_revision=self._content_revisions[StateKind.WEIGHTS],
         )
 
     def snapshot(self) -> dict[str, Any]:
@@ -350,5 +351,9 @@
             "configuration_version": self.routes.table.version if self.routes else None,
             "endpoints": [msgspec.to_builtins(e) for e in self.directory.all_endpoints()],
             "weights": [msgspec.to_builtins(w) for w in self.weights.list_targets()],
-            "seen_revisions": {kind.value: seen for kind, seen in self._seen_revisions.items()},
+            "store_era": self._fleet.eras.newest,
+            "seen_revisions": {
+                kind.value: {"era": seen.era, "revision": seen.revision}
+                for kind, seen in self._seen_revisions.items()
+            },
         }
--- a/egretrouter/direct/_store_watch.py
+++ b/egretrouter/direct/_store_watch.py
@@ -1,5 +1,6 @@
 """Watch and list the shared state at the store, in few processes of each zone."""
 
+import asyncio
 import random
 import time
 from typing import Any, Protocol
@@ -13,7 +14,8 @@
     StateListing,
     StateStore,
 )
-from egretrouter.core.errors import BackendError
+from egretrouter.core.direct import StoreRevision
+from egretrouter.core.errors import BackendError, BackendUnavailableError
 from egretrouter.direct._fleet_service import FleetService
 from egretrouter.direct._logs import log_event
 
@@ -75,6 +77,8 @@
         self._watch_seconds = min(WATCH_LIMIT_SECONDS, WATCH_HISTORY_SHARE * history_seconds)
         self._elected = False
         """Whether this process was among its zone's watchers when that was last checked."""
+        self._watches: dict[StateKind, asyncio.Timeout] = {}
+        fleet.eras.on_restored.append(self._end_watches)
         self._failures = 0
         """Calls to the store that failed in a row, of any kind."""
 
@@ -102,7 +106,7 @@
         """Watch a kind at the store while this process is one of its watchers."""
         await self._wait_for_peers(kind)
         failures = 0
-        revision: int | None = None
+        revision: StoreRevision | None = None
         outage = False
         while not self.should_stop:
             if self._sink.is_loaded(kind) and not self.is_watcher(kind):
@@ -113,11 +117,9 @@
                 if revision is None:
                     revision = await self._list(kind, after_outage=outage)
                     outage = False
-                changes = await self._store.watch_state(
-                    kind, after_revision=revision, wait_seconds=self._watch_seconds
-                )
-            except HistoryGoneError:
-                log_event("store:history_gone", kind=kind.value, revision=revision)
+                changes = await self._watch_from(kind, revision)
+            except HistoryGoneError as error:
+                log_event("store:history_gone", kind=kind.value, error=str(error))
                 revision = None
             except BackendError as error:
                 failures += 1
@@ -140,6 +142,31 @@
                     log_event("store:watch_behind", kind=kind.value, events=len(changes.events))
                     revision = None
 
+    async def _watch_from(self, kind: StateKind, revision: StoreRevision) -> StateChanges:
+        """Return the changes since a revision.
+
+        Raises HistoryGoneError also if the store comes back from a copy, since the revision then
+        names another state there, and the watch could wait while it misses changes.
+        """
+        try:
+            async with asyncio.timeout(None) as self._watches[kind]:
+                changes = await self._store.watch_state(
+                    kind, after_revision=revision, wait_seconds=self._watch_seconds
+                )
+        except TimeoutError as error:
+            raise HistoryGoneError(f"the store left the era of {revision}") from error
+        finally:
+            del self._watches[kind]
+        self._fleet.eras.hear(changes.revision.era, source="store")
+        if changes.revision.era != revision.era:
+            raise HistoryGoneError(f"a watch from {revision} was answered at {changes.revision}")
+        return changes
+
+    def _end_watches(self) -> None:
+        now = asyncio.get_running_loop().time()
+        for watch in self._watches.values():
+            watch.reschedule(now)
+
     async def _wait_for_peers(self, kind: StateKind) -> None:
         """Give the process that ranks first the time to load a kind and pass it on.
 
@@ -177,8 +204,14 @@
                 listing_seconds = time.monotonic() - started
                 period = max(shortest, min(POLL_LIMIT_SECONDS, listing_seconds / POLL_LINK_SHARE))
 
-    async def _list(self, kind: StateKind, *, after_outage: bool) -> int:
+    async def _list(self, kind: StateKind, *, after_outage: bool) -> StoreRevision:
         listing = await self._store.list_state(kind)
+        eras = self._fleet.eras
+        eras.hear(listing.revision.era, source="store")
+        if eras.is_past(listing.revision.era):
+            raise BackendUnavailableError(
+                f"the listing at {listing.revision} is older than era {eras.newest}"
+            )
         self._record_success()
         self._sink.apply_listing(kind, listing, after_outage=after_outage)
         return listing.revision
--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -1,6 +1,7 @@
 """Provide stand-ins for the platform's store, engines and origin on loopback."""
 
 import asyncio
+import copy
 import hashlib
 import json
 import socket
@@ -47,11 +48,16 @@
 
 
 class StoreStandin(StandinServer):
-    """Simulate an object store with revisions, watches and a history that can be compacted."""
+    """Simulate an object store with revisions, watches and a history that can be compacted.
+
+    It can come back from a copy: then its era rises, and revisions are given out again.
+    """
 
     def __init__(self) -> None:
         super().__init__()
         self.revision = 1
+        self.era: str | None = "1"
+        """The era that all answers name, or None if they name none."""
         self.objects: dict[str, dict[str, dict[str, Any]]] = {}
         self.history: list[tuple[int, str, bool, dict[str, Any]]] = []
         self.oldest_revision = 0
@@ -78,6 +84,17 @@
         self.oldest_revision = self.revision
         self._notify_watches()
 
+    def copy(self) -> tuple[int, dict[str, dict[str, dict[str, Any]]]]:
+        """Return a copy of the content, from which the store can come back."""
+        return self.revision, copy.deepcopy(self.objects)
+
+    def restore(self, content: tuple[int, dict[str, dict[str, dict[str, Any]]]]) -> None:
+        """Come back from a copy; watches that wait go on, as if from a revision of it."""
+        self.revision, objects = content
+        self.objects = copy.deepcopy(objects)
+        self.history = [change for change in self.history if change[0] <= self.revision]
+        self.era = str(int(self.era or 0) + 1)
+
     def _record_change(self, kind: str, *, deleted: bool, stored: dict[str, Any]) -> None:
         self.history.append((self.revision, kind, deleted, stored))
         self._notify_watches()
@@ -87,6 +104,12 @@
         self._changed = asyncio.Event()
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        response = await self.answer(request)
+        if self.era is not None:
+            response.headers["Store-Era"] = self.era
+        return response
+
+    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
         self.calls.append(f"{request.method} {request.path}")
         if self.error_status:
             return web.Response(status=self.error_status)
--- a/tests/shared_state_world.py
+++ b/tests/shared_state_world.py
@@ -17,6 +17,7 @@
     FleetRole,
     Route,
     RoutingTable,
+    StoreRevision,
     Target,
 )
 from egretrouter.core.errors import BackendUnavailableError
@@ -122,23 +123,24 @@
         await self._call(newest, self.CALL_TIMEOUT_SECONDS)
         return StateListing(
             items=tuple(table for _, table in newest),
-            revision=revision,
-            content_revision=max((r for r, _ in newest), default=0),
+            revision=StoreRevision(0, revision),
+            content_revision=StoreRevision(0, max((r for r, _ in newest), default=0)),
         )
 
     async def watch_state(
-        self, kind: StateKind, *, after_revision: int, wait_seconds: float
+        self, kind: StateKind, *, after_revision: StoreRevision, wait_seconds: float
     ) -> StateChanges:
         if kind is not StateKind.CONFIGURATION:
             await asyncio.sleep(wait_seconds)
-            return StateChanges(events=(), revision=self._store.revision)
-        await self._store.wait_for_change(after_revision, wait_seconds)
-        found = [(r, table) for r, table in self._store.tables if r > after_revision]
+            return StateChanges(events=(), revision=StoreRevision(0, self._store.revision))
+        after = after_revision.revision
+        await self._store.wait_for_change(after, wait_seconds)
+        found = [(r, table) for r, table in self._store.tables if r > after]
         revision = self._store.revision
         await self._call(found, wait_seconds + 3.0)
         return StateChanges(
             events=tuple(StateEvent(name="main", item=table) for _, table in found),
-            revision=revision,
+            revision=StoreRevision(0, revision),
         )
 
     async def _call(self, found: list[tuple[int, RoutingTable]], timeout_seconds: float) -> None:
@@ -150,8 +152,8 @@
         except TimeoutError as error:
             raise BackendUnavailableError("the store did not answer in time") from error
 
-    async def register(self, member: FleetMember) -> None:
-        return
+    async def register(self, member: FleetMember) -> int:
+        return 0
 
     async def list_members(self) -> list[FleetMember]:
         return self._members
--- /dev/null
+++ b/tests/test_restored_store.py
@@ -0,0 +1,196 @@
+"""Test that processes follow a store that comes back from a copy that is some seconds old."""
+
+from collections.abc import AsyncIterator
+from typing import Any
+
+import aiohttp
+import pytest
+from aiohttp import web
+from egretrouter_platform._store import PlatformStore
+
+from egretrouter.backends import StateChanges, StateEvent, StateKind, StateListing
+from egretrouter.core.direct import (
+    Endpoint,
+    StoreRevision,
+    WeightVersion,
+)
+from egretrouter.core.errors import MalformedAnswerError
+from egretrouter.core.identifiers import ModelName, ServiceName
+from egretrouter.direct._router import DirectRouter
+from tests.helpers import wait_until
+from tests.platform_fleet import PlatformFleet
+from tests.platform_standins import StoreStandin, configuration, registration
+from tests.platform_world import PlatformWorld
+
+LOST_CHANGES = 40
+SERVICE = ServiceName("plain")
+
+
+@pytest.fixture
+async def world() -> AsyncIterator[PlatformWorld]:
+    opened = PlatformWorld()
+    await opened.start()
+    yield opened
+    await opened.stop()
+
+
+@pytest.fixture
+async def fleet() -> AsyncIterator[PlatformFleet]:
+    opened = PlatformFleet()
+    await opened.start(engines=2)
+    yield opened
+    await opened.stop()
+
+
+def version_in_force(router: DirectRouter) -> int:
+    routes = router.shared_state.routes
+    return 0 if routes is None else routes.table.version
+
+
+def ready_ids(router: DirectRouter) -> set[str]:
+    return {e.endpoint_id for e in router.shared_state.directory.ready_endpoints(SERVICE)}
+
+
+def publish_changes(store: StoreStandin, *, first: int) -> int:
+    """Publish versions of the configuration and return the last one."""
+    for version in range(first, first + LOST_CHANGES):
+        store.put("config", "main", configuration(version))
+    return first + LOST_CHANGES - 1
+
+
+class TestRestoredStore:
+    """Guard against changes that are dropped because the store's revisions went back."""
+
+    async def test_changes_after_a_restore_are_dropped_as_old(self, fleet: PlatformFleet) -> None:
+        content = fleet.store.copy()
+        last = publish_changes(fleet.store, first=2)
+        await wait_until(lambda: all(version_in_force(r) == last for r in fleet.routers))
+        fleet.store.restore(content)
+        fleet.store.put("config", "main", configuration(last + 1))
+        await wait_until(lambda: all(version_in_force(r) == last + 1 for r in fleet.routers))
+        engine = await fleet.start_engine()
+        await wait_until(lambda: all(engine.endpoint_id in ready_ids(r) for r in fleet.routers))
+        fleet.store.delete("servers", "i-0")
+        await wait_until(lambda: all("i-0" not in ready_ids(r) for r in fleet.routers))
+        fleet.store.put("versions", "m", {"model": "m", "version": 2})
+        named = [WeightVersion(model=ModelName("m"), version=2)]
+        for router in fleet.routers:
+            await wait_until(lambda r=router: r.shared_state.weights.list_targets() == named)
+
+    async def test_second_restore_in_a_row_is_missed(self, fleet: PlatformFleet) -> None:
+        content = fleet.store.copy()
+        last = publish_changes(fleet.store, first=2)
+        await wait_until(lambda: all(version_in_force(r) == last for r in fleet.routers))
+        fleet.store.restore(content)
+        fleet.store.put("config", "main", configuration(last + 1))
+        await wait_until(lambda: version_in_force(fleet.routers[0]) == last + 1)
+        fleet.store.restore(content)
+        fleet.store.put("config", "main", configuration(last + 2))
+        await wait_until(lambda: all(version_in_force(r) == last + 2 for r in fleet.routers))
+
+    async def test_older_copy_replaces_the_configuration(self, world: PlatformWorld) -> None:
+        content = world.store.copy()
+        world.store.put("config", "main", configuration(7))
+        await wait_until(lambda: version_in_force(world.router) == 7)
+        world.store.restore(content)
+        await wait_until(lambda: world.router.fleet.eras.newest == 2)
+        world.store.put("servers", "i-9", registration("127.0.0.1:1"))
+        await wait_until(lambda: "i-9" in ready_ids(world.router))
+        assert version_in_force(world.router) == 7
+
+    async def test_process_that_starts_serves_what_the_copy_has(self, fleet: PlatformFleet) -> None:
+        content = fleet.store.copy()
+        fleet.store.put("config", "main", configuration(7))
+        await wait_until(lambda: all(version_in_force(r) == 7 for r in fleet.routers))
+        fleet.store.restore(content)
+        started = await fleet.start_router()
+        await wait_until(lambda: version_in_force(started) == 7)
+
+    async def test_name_that_one_process_learned_is_lost(self, fleet: PlatformFleet) -> None:
+        """The operator's name was lost with the store, and one process had heard of it."""
+        name = WeightVersion(model=ModelName("m"), version=3)
+        fleet.routers[-1].shared_state.apply_changes(
+            StateKind.WEIGHTS,
+            StateChanges(
+                events=(StateEvent(name="m", item=name),), revision=StoreRevision(1, 10**6)
+            ),
+        )
+        fleet.store.restore(fleet.store.copy())
+        for router in fleet.routers:
+            await wait_until(lambda r=router: r.shared_state.weights.list_targets() == [name])
+
+    async def test_listing_of_the_era_before_arrives_last(self, world: PlatformWorld) -> None:
+        content = world.store.copy()
+        world.store.restore(content)
+        await wait_until(lambda: world.router.fleet.eras.newest == 2)
+        world.store.put("servers", "i-9", registration("127.0.0.1:1"))
+        await wait_until(lambda: "i-9" in ready_ids(world.router))
+        late = StoreRevision(1, 10**6)
+        world.router.shared_state.apply_listing(
+            StateKind.ENDPOINTS,
+            StateListing(items=(), revision=late, content_revision=late),
+            after_outage=False,
+        )
+        world.router.shared_state.apply_changes(
+            StateKind.ENDPOINTS,
+            StateChanges(events=(StateEvent(name="i-9", item=None),), revision=late),
+        )
+        assert "i-9" in ready_ids(world.router)
+
+
+class RestoredInListing(StoreStandin):
+    """Come back from a copy after some first pages of listings."""
+
+    def __init__(self, *, restores: int) -> None:
+        super().__init__()
+        self.restores = restores
+        self.content: Any = None
+
+    async def answer(self, request: web.BaseRequest) -> web.StreamResponse:
+        if "after" in request.query and self.restores:
+            self.restores -= 1
+            self.restore(self.content)
+        return await super().answer(request)
+
+
+class TestPlatformStore:
+    """Guard against answers of the store that are put together from two of its eras."""
+
+    @pytest.fixture
+    async def session(self) -> AsyncIterator[aiohttp.ClientSession]:
+        async with aiohttp.ClientSession() as opened:
+            yield opened
+
+    async def test_pages_of_two_eras_make_one_listing(self, session: aiohttp.ClientSession) -> None:
+        store = RestoredInListing(restores=1)
+        await store.start()
+        for name in ("a", "c", "d"):
+            store.put("servers", name, registration("127.0.0.1:1"))
+        store.content = store.copy()
+        store.put("servers", "b", registration("127.0.0.1:1"))
+        listing = await PlatformStore(session, address=store.address).list_state(
+            StateKind.ENDPOINTS
+        )
+        await store.stop()
+        assert [e.endpoint_id for e in listing.items if isinstance(e, Endpoint)] == ["a", "c", "d"]
+        assert listing.revision == StoreRevision(2, store.content[0])
+
+    @pytest.mark.parametrize("header", ["", "x", "-1", "1.5", "1e3", "٣", str(2**63), "9" * 5000])
+    async def test_era_that_is_no_number_is_taken(
+        self, session: aiohttp.ClientSession, header: str
+    ) -> None:
+        store = StoreStandin()
+        store.era = header
+        await store.start()
+        with pytest.raises(MalformedAnswerError, match="Store-Era"):
+            await PlatformStore(session, address=store.address).list_state(StateKind.ENDPOINTS)
+        await store.stop()
+
+    async def test_store_without_eras_is_refused(self, session: aiohttp.ClientSession) -> None:
+        store = StoreStandin()
+        store.era = None
+        await store.start()
+        platform = PlatformStore(session, address=store.address)
+        listing = await platform.list_state(StateKind.ENDPOINTS)
+        await store.stop()
+        assert listing.revision == StoreRevision(0, store.revision)
