--- a/egretrouter/core/direct/_directory.py
+++ b/egretrouter/core/direct/_directory.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 
+from egretrouter.core.direct._departures import Departures
 from egretrouter.core.direct._records import Endpoint, EndpointState, WeightVersion
 from egretrouter.core.identifiers import EndpointId, ModelName, ServiceName
 
@@ -19,7 +20,9 @@
 class EndpointDirectory:
     """Store the registered endpoints, with a grace period after an outage of the store."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, renewal_interval_seconds: float = 1.0) -> None:
+        """Expect endpoints to renew their registrations in the given interval."""
+        self._departures = Departures(renewal_interval_seconds=renewal_interval_seconds)
         self._endpoints: dict[EndpointId, Endpoint] = {}
         self._expires_seconds: dict[EndpointId, float] = {}
         """When to drop each endpoint that was missing from the list after an outage."""
@@ -29,19 +32,27 @@
         endpoints: Iterable[Endpoint],
         *,
         after_outage: bool,
+        restored: bool = False,
         now_seconds: float,
     ) -> bool:
         """Replace all entries, and return whether others are registered than before.
 
-        After an outage, missing endpoints are kept for a grace period.
+        After an outage, missing endpoints are kept for a grace period. If the store was restored
+        from a copy, so are those that may have registered since, and those that left since stay so.
         """
+        if restored:
+            self._departures.hold(self._endpoints.values(), now_seconds=now_seconds)
+            self._expires_seconds.clear()
         registered = self._endpoints.keys() - self._expires_seconds.keys()
-        found = {endpoint.endpoint_id: endpoint for endpoint in endpoints}
-        kept = {
-            endpoint_id: endpoint
-            for endpoint_id, endpoint in self._endpoints.items()
-            if after_outage and endpoint_id not in found and endpoint.state is EndpointState.READY
-        }
+        found = self._departures.correct(endpoints, now_seconds=now_seconds)
+        kept = {}
+        for endpoint_id, endpoint in self._endpoints.items():
+            if endpoint_id in found:
+                continue
+            if (after_outage or restored) and endpoint.state is EndpointState.READY:
+                kept[endpoint_id] = endpoint
+            else:
+                self._departures.record(endpoint, now_seconds=now_seconds)
         self._expires_seconds = {
             endpoint_id: self._expires_seconds.get(endpoint_id, now_seconds + LAPSE_GRACE_SECONDS)
             for endpoint_id in kept
@@ -51,20 +62,22 @@
 
     def put(self, endpoint: Endpoint) -> None:
         """Add or replace an entry."""
+        self._departures.forget(endpoint.endpoint_id)
         self._endpoints[endpoint.endpoint_id] = endpoint
         self._expires_seconds.pop(endpoint.endpoint_id, None)
 
-    def remove(self, endpoint_id: EndpointId) -> None:
+    def remove(self, endpoint_id: EndpointId, *, now_seconds: float) -> None:
         """Remove an entry, if it exists."""
-        self._endpoints.pop(endpoint_id, None)
+        endpoint = self._endpoints.pop(endpoint_id, None)
         self._expires_seconds.pop(endpoint_id, None)
+        if endpoint is not None:
+            self._departures.record(endpoint, now_seconds=now_seconds)
 
     def expire(self, *, now_seconds: float) -> list[EndpointId]:
         """Remove and return the endpoints that were not re-registered within the grace period."""
         expired = [e for e, until in self._expires_seconds.items() if until <= now_seconds]
         for endpoint_id in expired:
-            self._endpoints.pop(endpoint_id, None)
-            del self._expires_seconds[endpoint_id]
+            self.remove(endpoint_id, now_seconds=now_seconds)
         return expired
 
     def ready_endpoints(self, service: ServiceName) -> list[Endpoint]:
--- a/egretrouter/direct/_shared_state.py
+++ b/egretrouter/direct/_shared_state.py
@@ -61,7 +61,7 @@
         """Keep the given kinds up to date, and watch watched_kinds even if peers of the zone do."""
         super().__init__(**kwargs)
         self.routes: RouteIndex | None = None
-        self.directory = EndpointDirectory()
+        self.directory = EndpointDirectory(renewal_interval_seconds=settings.heartbeat_ms / 1000)
         self.weights = WeightTargets(
             switch_seconds=settings.bounds.weights_ms / 1000,
             margin_seconds=SWITCH_MARGIN_SECONDS,
@@ -159,7 +159,8 @@
             log_event("endpoints:restored", revision=revision, seen=self._seen_revisions[kind])
         changed = self.directory.replace(
             endpoints,
-            after_outage=after_outage or restored,
+            after_outage=after_outage,
+            restored=restored,
             now_seconds=time.monotonic(),
         )
         self._notify_endpoints_changed()
@@ -200,7 +201,7 @@
                 revision=revision,
             )
         else:
-            self.directory.remove(EndpointId(event.name))
+            self.directory.remove(EndpointId(event.name), now_seconds=time.monotonic())
             log_event("endpoints:removed", endpoint=event.name, revision=revision)
 
     def _apply_item(
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -11,11 +11,13 @@
 from egretrouter.backends import StateChanges, StateEvent, StateKind, StateListing
 from egretrouter.core.direct import (
     Endpoint,
+    EndpointDirectory,
+    EndpointState,
     StoreRevision,
     WeightVersion,
 )
 from egretrouter.core.errors import MalformedAnswerError
-from egretrouter.core.identifiers import ModelName, ServiceName
+from egretrouter.core.identifiers import EndpointId, ModelName, ServiceName, ZoneId
 from egretrouter.direct._router import DirectRouter
 from tests.helpers import wait_until
 from tests.platform_fleet import PlatformFleet
@@ -119,6 +121,21 @@
         for router in fleet.routers:
             await wait_until(lambda r=router: r.shared_state.weights.list_targets() == [name])
 
+    async def test_engine_that_left_is_used_again(self, fleet: PlatformFleet) -> None:
+        engine = await fleet.start_engine()
+        await wait_until(lambda: all(len(ready_ids(r)) == 3 for r in fleet.routers))
+        content = fleet.store.copy()
+        fleet.store.put("servers", "i-0", registration(fleet.engines[0].address, state="draining"))
+        fleet.store.delete("servers", "i-1")
+        await wait_until(lambda: all(ready_ids(r) == {"i-2"} for r in fleet.routers))
+        fleet.store.restore(content)
+        fleet.store.put("servers", "i-9", registration("127.0.0.1:1"))
+        await wait_until(lambda: all("i-9" in ready_ids(r) for r in fleet.routers))
+        assert all(ready_ids(r) == {engine.endpoint_id, "i-9"} for r in fleet.routers)
+        again = {**registration(fleet.engines[1].address), "born": 5}
+        fleet.store.put("servers", "i-1", again)
+        await wait_until(lambda: all("i-1" in ready_ids(r) for r in fleet.routers))
+
     async def test_listing_of_the_era_before_arrives_last(self, world: PlatformWorld) -> None:
         content = world.store.copy()
         world.store.restore(content)
@@ -194,3 +211,97 @@
         listing = await platform.list_state(StateKind.ENDPOINTS)
         await store.stop()
         assert listing.revision == StoreRevision(0, store.revision)
+
+
+def endpoint(
+    name: str, *, state: EndpointState = EndpointState.READY, started_ms: int = 1
+) -> Endpoint:
+    return Endpoint(
+        endpoint_id=EndpointId(name),
+        service=SERVICE,
+        address="10.0.0.1:80",
+        zone=ZoneId("z1"),
+        state=state,
+        slots=1,
+        started_ms=started_ms,
+    )
+
+
+class DirectoryWorld:
+    """Run a directory that knows a ready, a draining and two removed endpoints."""
+
+    def __init__(self) -> None:
+        self.directory = EndpointDirectory(renewal_interval_seconds=1.0)
+        self.list("ready", "draining", "removed", "missing", at=0.0)
+        self.directory.put(endpoint("draining", state=EndpointState.DRAINING))
+        self.directory.remove(EndpointId("removed"), now_seconds=1.0)
+        self.list("ready", at=2.0, but=[endpoint("draining", state=EndpointState.DRAINING)])
+
+    def list(
+        self, *names: str, at: float, but: Any = (), restored: bool = False, outage: bool = False
+    ) -> None:
+        self.directory.replace(
+            [*(endpoint(name) for name in names), *but],
+            after_outage=outage,
+            restored=restored,
+            now_seconds=at,
+        )
+
+    @property
+    def ready(self) -> set[str]:
+        return {e.endpoint_id for e in self.directory.ready_endpoints(SERVICE)}
+
+
+ALL_NAMES = ("ready", "draining", "removed", "missing")
+
+
+class TestEndpointsOfACopy:
+    """Guard against calls to endpoints that had left before the store came back from a copy."""
+
+    def test_endpoint_that_left_comes_back_with_the_copy(self) -> None:
+        world = DirectoryWorld()
+        world.list(*ALL_NAMES, at=10.0, restored=True)
+        assert world.ready == {"ready"}
+        world.list(*ALL_NAMES, at=11.0)
+        assert world.ready == {"ready"}
+
+    def test_endpoint_that_left_comes_back_with_a_second_copy(self) -> None:
+        world = DirectoryWorld()
+        world.list(*ALL_NAMES, at=10.0, restored=True)
+        world.list(*ALL_NAMES, at=14.0, restored=True)
+        world.list(*ALL_NAMES, at=18.0)
+        assert world.ready == {"ready"}
+
+    def test_endpoint_that_started_again_stays_away(self) -> None:
+        world = DirectoryWorld()
+        world.list("ready", at=10.0, restored=True, but=[endpoint("removed", started_ms=2)])
+        assert world.ready == {"ready", "removed"}
+
+    def test_endpoint_that_registered_again_stays_away(self) -> None:
+        world = DirectoryWorld()
+        world.list(*ALL_NAMES, at=10.0, restored=True)
+        world.directory.put(endpoint("removed"))
+        world.list(*ALL_NAMES, at=11.0)
+        assert world.ready == {"ready", "removed"}
+
+    def test_endpoint_that_renews_its_entry_stays_away(self) -> None:
+        world = DirectoryWorld()
+        world.list(*ALL_NAMES, at=10.0, restored=True)
+        world.list(*ALL_NAMES, at=15.1)
+        assert world.ready == set(ALL_NAMES)
+
+    def test_endpoint_that_registered_after_the_copy_is_dropped_at_once(self) -> None:
+        world = DirectoryWorld()
+        world.directory.put(endpoint("new"))
+        world.list("ready", at=10.0, restored=True)
+        assert world.ready == {"ready", "new"}
+        assert world.directory.expire(now_seconds=11.9) == []
+        assert world.directory.expire(now_seconds=12.1) == [EndpointId("new")]
+
+    def test_grace_begins_again_with_a_second_copy(self) -> None:
+        world = DirectoryWorld()
+        world.directory.put(endpoint("new"))
+        world.list("ready", at=10.0, restored=True)
+        world.list("ready", at=11.5, restored=True)
+        assert world.directory.expire(now_seconds=13.4) == []
+        assert world.directory.expire(now_seconds=13.6) == [EndpointId("new")]
