--- a/egretrouter/core/direct/__init__.py
+++ b/egretrouter/core/direct/__init__.py
@@ -43,6 +43,7 @@
 )
 from egretrouter.core.direct._repeats import RepeatBudget
 from egretrouter.core.direct._routes import RouteIndex, choose_service
+from egretrouter.core.direct._state_order import StoreRevision
 from egretrouter.core.direct._switch import Replica, WeightSwitch
 from egretrouter.core.direct._weight_targets import (
     MIN_START_LEAD_SECONDS,
@@ -93,6 +94,7 @@
     "SendEnded",
     "SendOutcome",
     "Service",
+    "StoreRevision",
     "Target",
     "WeightSwitch",
     "WeightTargets",
--- a/egretrouter/direct/_peer_state.py
+++ b/egretrouter/direct/_peer_state.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from egretrouter.backends import StateKind
-from egretrouter.core.direct import Endpoint, FleetMember, RoutingTable
+from egretrouter.core.direct import Endpoint, FleetMember, RoutingTable, StoreRevision
 from egretrouter.core.errors import MalformedAnswerError
 from egretrouter.core.identifiers import ModelName
 from egretrouter.direct._logs import log_event
@@ -32,9 +32,8 @@
 
     configuration: RoutingTable | None = None
     endpoints: tuple[Endpoint, ...] | None = None
-    endpoints_revision: int = 0
+    endpoints_revision: StoreRevision = StoreRevision()
     weights: tuple[NamedVersion, ...] | None = None
-    weights_revision: int = 0
 
 
 class StateSource(Protocol):
--- a/egretrouter/direct/_shared_state.py
+++ b/egretrouter/direct/_shared_state.py
@@ -4,7 +4,7 @@
 import math
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import Any
 
 import msgspec
@@ -25,6 +25,7 @@
     Revisions,
     RouteIndex,
     RoutingTable,
+    StoreRevision,
     WeightTargets,
     WeightVersion,
 )
@@ -62,7 +63,7 @@
         """Keep the given kinds up to date, and watch watched_kinds even if peers of the zone do."""
         super().__init__(**kwargs)
         self.routes: RouteIndex | None = None
-        self.directory = EndpointDirectory()
+        self.directory = EndpointDirectory(renewal_interval_seconds=settings.heartbeat_ms / 1000)
         self.weights = WeightTargets(switch_seconds=settings.bounds.weights_ms / 1000)
         self.on_configuration: list[Callable[[RoutingTable], None]] = []
         self.on_endpoints: list[Callable[[], None]] = []
@@ -81,18 +82,19 @@
         self._peers = PeerStateClient(channels, peer_port=settings.peer_port)
         self._kinds = kinds
         self._loaded_kinds: set[StateKind] = set()
-        self._content_revisions = dict.fromkeys(StateKind, 0)
+        self._endpoints_revision = StoreRevision()
         """The revision of the newest content, which is the same in all processes that have it."""
-        self._seen_revisions = dict.fromkeys(StateKind, 0)
+        self._seen_revisions = dict.fromkeys(StateKind, StoreRevision())
         """The store's revision up to which all changes have been applied."""
-        self._name_times = NameTimes()
+        self._sum_times: NameTimes[int] = NameTimes()
+        self._revision_times: NameTimes[StoreRevision] = NameTimes()
         self._fetching: set[StateKind] = set()
         self._waiting: set[StateKind] = set()
         """Kinds that are fetched from a peer unless they come another way before."""
         self._fetch_tasks: set[asyncio.Task[None]] = set()
         self._heard_seconds: float | None = None
         """When a peer first announced a configuration that this process does not have yet."""
-        fleet.revisions = self._revisions
+        fleet.revisions = self._announced_revisions
         fleet.on_revisions.append(self._handle_peer_revisions)
 
     @property
@@ -131,58 +133,86 @@
         asked_seconds: float,
     ) -> None:
         """Apply a listing of all objects of a kind."""
-        if listing.revision < self._seen_revisions[kind]:
+        seen = self._seen_revisions[kind]
+        if listing.revision < seen:
+            log_event(
+                "state:listing_dropped", kind=kind.value, revision=listing.revision, seen=seen
+            )
             return
+        before = self._revisions()
         # Names between this listing and the last one known may have been replaced by later ones.
         named_seconds = self._weights_newest_seconds()
-        self._name_times.record(
-            listing.content_revision if kind is StateKind.WEIGHTS else listing.revision,
-            at_seconds=asked_seconds,
-        )
-        previous_revision = self._content_revisions[kind]
-        self._seen_revisions[kind] = listing.revision
-        if kind is StateKind.ENDPOINTS and self._listed_ids(listing) != self._current_ids():
-            # A removal leaves no object with a newer revision, so the listing's revision is used.
-            self._content_revisions[kind] = listing.revision
-        else:
-            self._content_revisions[kind] = max(previous_revision, listing.content_revision)
         if kind is StateKind.ENDPOINTS:
-            self.directory.replace(
-                (item for item in listing.items if isinstance(item, Endpoint)),
-                after_outage=after_outage,
-                now_seconds=time.monotonic(),
-            )
-            self._notify_endpoints_changed()
+            listed = [item for item in listing.items if isinstance(item, Endpoint)]
+            if self._replace_endpoints(listed, listing.revision, after_outage=after_outage):
+                # A removal leaves no object with a newer revision.
+                self._endpoints_revision = listing.revision
+            else:
+                self._endpoints_revision = max(self._endpoints_revision, listing.content_revision)
         else:
             for item in listing.items:
                 self._apply_item(item, named_seconds=named_seconds)
+        self._seen_revisions[kind] = listing.revision
         self._loaded_kinds.add(kind)
-        if self._content_revisions[kind] > previous_revision:
+        self._record_name_times(kind, listing, asked_seconds)
+        if self._revisions() != before:
             self._fleet.gossip_update()
 
-    def _listed_ids(self, listing: StateListing) -> set[EndpointId]:
-        return {item.endpoint_id for item in listing.items if isinstance(item, Endpoint)}
+    def _record_name_times(
+        self, kind: StateKind, listing: StateListing, asked_seconds: float
+    ) -> None:
+        """Record that what is known now of names is all that there was when a listing was asked."""
+        self._revision_times.record(listing.revision, at_seconds=asked_seconds)
+        if kind is StateKind.WEIGHTS:
+            self._sum_times.record(self._weights_sum(), at_seconds=asked_seconds)
 
-    def _current_ids(self) -> set[EndpointId]:
-        return {endpoint.endpoint_id for endpoint in self.directory.all_endpoints()}
+    def _replace_endpoints(
+        self, endpoints: Iterable[Endpoint], revision: StoreRevision, *, after_outage: bool
+    ) -> bool:
+        """Replace the endpoints, and return whether others are registered than before."""
+        kind = StateKind.ENDPOINTS
+        restored = kind in self._loaded_kinds and revision.era > self._seen_revisions[kind].era
+        if restored:
+            log_event("endpoints:restored", revision=revision, seen=self._seen_revisions[kind])
+        changed = self.directory.replace(
+            endpoints,
+            after_outage=after_outage,
+            restored=restored,
+            now_seconds=time.monotonic(),
+        )
+        self._notify_endpoints_changed()
+        return changed
 
     def apply_changes(self, kind: StateKind, changes: StateChanges) -> None:
         """Apply the changes that a watch reported."""
-        if not changes.events or changes.revision <= self._seen_revisions[kind]:
+        seen = self._seen_revisions[kind]
+        if not changes.events:
             return
-        self._seen_revisions[kind] = self._content_revisions[kind] = changes.revision
+        if changes.revision <= seen:
+            log_event(
+                "state:changes_dropped", kind=kind.value, revision=changes.revision, seen=seen
+            )
+            return
+        self._seen_revisions[kind] = changes.revision
         for event in changes.events:
             if event.item is not None and not isinstance(event.item, Endpoint):
-                # A watch delivers every change, so nothing was named between this and the last one.
-                named = self._name_times.unchanged_until(event.revision - 1)
-                self._apply_item(event.item, named_seconds=named)
+                self._apply_item(event.item, named_seconds=self._event_seconds(event, changes))
             elif kind is StateKind.ENDPOINTS:
                 self._apply_endpoint_event(event, changes.revision)
         if kind is StateKind.ENDPOINTS:
+            self._endpoints_revision = changes.revision
             self._notify_endpoints_changed()
         self._fleet.gossip_update()
 
-    def _apply_endpoint_event(self, event: StateEvent, revision: int) -> None:
+    def _event_seconds(self, event: StateEvent, changes: StateChanges) -> float:
+        """Return the last time at which a change that a watch reported had surely not been made.
+
+        A watch reports every change, so nothing was named between this and the one before.
+        """
+        before = StoreRevision(changes.revision.era, event.revision - 1)
+        return max(self._weights_newest_seconds(), self._revision_times.unchanged_until(before))
+
+    def _apply_endpoint_event(self, event: StateEvent, revision: StoreRevision) -> None:
         if isinstance(event.item, Endpoint):
             endpoint = event.item
             self.directory.put(endpoint)
@@ -196,7 +226,7 @@
                 revision=revision,
             )
         else:
-            self.directory.remove(EndpointId(event.name))
+            self.directory.remove(EndpointId(event.name), now_seconds=time.monotonic())
             log_event("endpoints:removed", endpoint=event.name, revision=revision)
 
     def _apply_item(
@@ -224,7 +254,7 @@
         """Return the last time at which this process surely knew the newest of all versions."""
         if StateKind.WEIGHTS not in self._loaded_kinds:
             return -math.inf
-        return self._name_times.unchanged_until(self._seen_revisions[StateKind.WEIGHTS])
+        return self._sum_times.unchanged_until(self._weights_sum())
 
     def _apply_configuration(self, table: RoutingTable, *, peer: str | None = None) -> None:
         # An active configuration is never replaced by an older version.
@@ -249,22 +279,30 @@
     def _revisions(self) -> Revisions:
         return Revisions(
             configuration=self.routes.table.version if self.routes is not None else 0,
-            endpoints=self._content_revisions[StateKind.ENDPOINTS],
-            weights=self._content_revisions[StateKind.WEIGHTS],
-            weights_age_seconds=time.monotonic() - self._weights_newest_seconds(),
+            endpoints=self._endpoints_revision,
+            weights=self._weights_sum(),
+            era=self._fleet.eras.newest,
         )
 
+    def _announced_revisions(self) -> Revisions:
+        age = time.monotonic() - self._weights_newest_seconds()
+        return msgspec.structs.replace(self._revisions(), weights_age_seconds=age)
+
+    def _weights_sum(self) -> int:
+        """Return a number that grows with each version that is named."""
+        return sum(target.version for target in self.weights.list_targets())
+
     def _is_behind(self, kind: StateKind, peer_revisions: Revisions) -> bool:
         if kind is StateKind.CONFIGURATION:
             own = self.routes.table.version if self.routes is not None else 0
             return peer_revisions.configuration > own
         if kind is StateKind.ENDPOINTS:
             return peer_revisions.endpoints > self._seen_revisions[kind]
-        return peer_revisions.weights > self._seen_revisions[kind]
+        return peer_revisions.weights > self._weights_sum()
 
     def _handle_peer_revisions(self, peer: FleetMember, peer_revisions: Revisions) -> None:
         age = peer_revisions.weights_age_seconds + GREETING_DELAY_SECONDS
-        self._name_times.record(peer_revisions.weights, at_seconds=time.monotonic() - age)
+        self._sum_times.record(peer_revisions.weights, at_seconds=time.monotonic() - age)
         for kind in self._kinds:
             if not self._is_behind(kind, peer_revisions):
                 continue
@@ -316,24 +354,19 @@
             state.endpoints is not None
             and state.endpoints_revision > self._seen_revisions[StateKind.ENDPOINTS]
         ):
+            self._replace_endpoints(state.endpoints, state.endpoints_revision, after_outage=False)
             self._loaded_kinds.add(StateKind.ENDPOINTS)
             self._seen_revisions[StateKind.ENDPOINTS] = state.endpoints_revision
-            self._content_revisions[StateKind.ENDPOINTS] = state.endpoints_revision
-            self.directory.replace(
-                state.endpoints,
-                after_outage=False,
-                now_seconds=time.monotonic(),
+            self._endpoints_revision = state.endpoints_revision
+            log_event(
+                "endpoints:from_peer",
+                peer=peer.instance_id,
+                count=len(state.endpoints),
+                revision=state.endpoints_revision,
             )
-            log_event("endpoints:from_peer", peer=peer.instance_id, count=len(state.endpoints))
-            self._notify_endpoints_changed()
-        if (
-            state.weights is not None
-            and state.weights_revision > self._seen_revisions[StateKind.WEIGHTS]
-        ):
+        if state.weights is not None:
             known = self._weights_newest_seconds()
             self._loaded_kinds.add(StateKind.WEIGHTS)
-            self._seen_revisions[StateKind.WEIGHTS] = state.weights_revision
-            self._content_revisions[StateKind.WEIGHTS] = state.weights_revision
             for name in state.weights:
                 target = WeightVersion(model=name.model, version=name.version)
                 self._apply_item(target, named_seconds=max(known, asked_seconds - name.age_seconds))
@@ -352,13 +385,12 @@
                 if StateKind.ENDPOINTS in kinds and StateKind.ENDPOINTS in self._loaded_kinds
                 else None
             ),
-            endpoints_revision=self._content_revisions[StateKind.ENDPOINTS],
+            endpoints_revision=self._endpoints_revision,
             weights=(
                 self._names_for_peers()
                 if StateKind.WEIGHTS in kinds and StateKind.WEIGHTS in self._loaded_kinds
                 else None
             ),
-            weights_revision=self._content_revisions[StateKind.WEIGHTS],
         )
 
     def _names_for_peers(self) -> tuple[NamedVersion, ...]:
@@ -376,5 +408,9 @@
             "configuration_version": self.routes.table.version if self.routes else None,
             "endpoints": [msgspec.to_builtins(e) for e in self.directory.all_endpoints()],
             "weights": [msgspec.to_builtins(w) for w in self.weights.list_targets()],
-            "seen_revisions": {kind.value: seen for kind, seen in self._seen_revisions.items()},
+            "store_era": self._fleet.eras.newest,
+            "seen_revisions": {
+                kind.value: {"era": seen.era, "revision": seen.revision}
+                for kind, seen in self._seen_revisions.items()
+            },
         }
--- a/tests/test_name_times.py
+++ b/tests/test_name_times.py
@@ -12,7 +12,7 @@
     """Test the last time at which no change beyond a revision had been made."""
 
     def test_change_was_made_after_the_last_answer_without_it(self) -> None:
-        times = NameTimes()
+        times: NameTimes[int] = NameTimes()
         times.record(7, at_seconds=1.0)
         times.record(7, at_seconds=3.0)
         times.record(9, at_seconds=5.0)
@@ -20,23 +20,23 @@
         assert times.unchanged_until(9) == 5.0
 
     def test_answer_that_arrives_late_takes_nothing_back(self) -> None:
-        times = NameTimes()
+        times: NameTimes[int] = NameTimes()
         times.record(7, at_seconds=3.0)
         times.record(7, at_seconds=1.0)
         assert times.unchanged_until(7) == 3.0
 
     def test_nothing_is_known_of_a_change_before_the_first_answer(self) -> None:
-        times = NameTimes()
+        times: NameTimes[int] = NameTimes()
         times.record(7, at_seconds=3.0)
         assert times.unchanged_until(6) == -math.inf
 
     def test_peer_without_a_known_age_tells_nothing(self) -> None:
-        times = NameTimes()
+        times: NameTimes[int] = NameTimes()
         times.record(7, at_seconds=-math.inf)
         assert times.unchanged_until(7) == -math.inf
 
     def test_number_of_kept_revisions_is_bounded(self) -> None:
-        times = NameTimes()
+        times: NameTimes[int] = NameTimes()
         for revision in range(1000):
             times.record(revision, at_seconds=float(revision))
         assert times.unchanged_until(1000) == 999.0
