Register processes again when the store comes back from a copy (CONFIG)

Cause: a process entered itself in the store's list of processes once. A copy from before that has no entry, nobody wrote it again, and processes that started later could not find this one there.

A process registers again after each era that it hears of, within 2 s at random, so that not all write at once. Registering returns the era of the store that took the entry, so that a restore while a process starts is noticed too.

Evidence: tests/test_restored_store.py::TestRestoredStore::test_process_is_missing_from_the_list fails on the commit before ('the condition did not become true').

--- a/egretrouter/direct/_fleet_service.py
+++ b/egretrouter/direct/_fleet_service.py
@@ -40,6 +40,8 @@
 JOIN_GREETING_SECONDS = 0.1
 JOIN_SECONDS = 1.0
 REGISTER_RETRY_SECONDS = 2.0
+# All processes renew their entries after the store comes back from a copy, spread over this time.
+RENEWAL_SPREAD_SECONDS = 2.0
 
 _HEALTH_EVENTS = {
     MemberHealth.ALIVE: "fleet:member_seen",
@@ -92,7 +94,9 @@
         self._store = store
         self._rng = rng
         self.eras = StoreEras()
-        self.eras.on_restored.append(self.gossip_update)
+        self.eras.on_restored.append(self._handle_restored_store)
+        self._entry_lost = asyncio.Event()
+        """Set when the store may no longer have this process in its list."""
         self._joined = asyncio.Event()
         self._transport: asyncio.DatagramTransport
 
@@ -225,8 +229,9 @@
 
     @Service.task
     async def _register(self) -> None:
-        """Register with the store once, and add listed members that the seeds may not know."""
+        """Register with the store, again after each restore, and add the listed members."""
         while not self.should_stop:
+            self._entry_lost.clear()
             try:
                 self.eras.hear(await self._store.register(self.fleet.own), source="store")
                 for member in await self._store.list_members():
@@ -237,7 +242,13 @@
                 await self.sleep(REGISTER_RETRY_SECONDS * (0.5 + self._rng.random()))
             else:
                 self._joined.set()
-                return
+                await self._entry_lost.wait()
+                await self.sleep(RENEWAL_SPREAD_SECONDS * self._rng.random())
+
+    def _handle_restored_store(self) -> None:
+        """Tell the others that the store came back from a copy, and register again."""
+        self._entry_lost.set()
+        self.gossip_update()
 
     def snapshot(self) -> dict[str, Any]:
         """Return the state for the state dump."""
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -6,7 +6,7 @@
 import aiohttp
 import pytest
 from aiohttp import web
-from egretrouter_platform._store import PlatformStore
+from egretrouter_platform._store import PROCESSES_KIND, PlatformStore
 
 from egretrouter.backends import StateChanges, StateEvent, StateKind, StateListing
 from egretrouter.core.direct import (
@@ -136,6 +136,17 @@
         fleet.store.put("servers", "i-1", again)
         await wait_until(lambda: all("i-1" in ready_ids(r) for r in fleet.routers))
 
+    async def test_process_is_missing_from_the_list(self, fleet: PlatformFleet) -> None:
+        content = fleet.store.copy()
+        content[1].pop(PROCESSES_KIND)
+        fleet.store.restore(content)
+        await wait_until(
+            lambda: (
+                set(fleet.store.objects.get(PROCESSES_KIND, {}))
+                == {"front-1", "front-2", "front-3"}
+            )
+        )
+
     async def test_listing_of_the_era_before_arrives_last(self, world: PlatformWorld) -> None:
         content = world.store.copy()
         world.store.restore(content)
