Let the next listing keep the grace after an outage (CONFIG)

Cause: the directory kept missing endpoints for 2 s after an outage or a restore, but the next listing, at most 1 s later, was no first one and dropped them. Endpoints register again within about 2 s.

--- a/egretrouter/core/direct/_directory.py
+++ b/egretrouter/core/direct/_directory.py
@@ -49,7 +49,8 @@
         for endpoint_id, endpoint in self._endpoints.items():
             if endpoint_id in found:
                 continue
-            if (after_outage or restored) and endpoint.state is EndpointState.READY:
+            in_grace = after_outage or restored or endpoint_id in self._expires_seconds
+            if in_grace and endpoint.state is EndpointState.READY:
                 kept[endpoint_id] = endpoint
             else:
                 self._departures.record(endpoint, now_seconds=now_seconds)
