--- a/egretrouter/core/direct/_directory.py
+++ b/egretrouter/core/direct/_directory.py
@@ -93,6 +93,15 @@
         """Return all endpoints, including draining ones."""
         return list(self._endpoints.values())
 
+    def registered_endpoints(self) -> list[Endpoint]:
+        """Return the endpoints in the store's list, without those kept for a grace period."""
+        return [e for e in self._endpoints.values() if e.endpoint_id not in self._expires_seconds]
+
+    @property
+    def in_grace(self) -> bool:
+        """Return whether missing endpoints are kept for a grace period."""
+        return bool(self._expires_seconds)
+
     def newest_at(self, address: str) -> Endpoint | None:
         """Return the most recently started endpoint at an address."""
         found = [e for e in self._endpoints.values() if e.address == address]
--- a/egretrouter/direct/_peer_state.py
+++ b/egretrouter/direct/_peer_state.py
@@ -29,6 +29,8 @@
     configuration: RoutingTable | None = None
     endpoints: tuple[Endpoint, ...] | None = None
     endpoints_revision: StoreRevision = StoreRevision()
+    endpoints_in_grace: bool = False
+    """Whether endpoints that are missing may still register again after an outage of the store."""
     weights: tuple[WeightVersion, ...] | None = None
 
 
--- a/egretrouter/direct/_shared_state.py
+++ b/egretrouter/direct/_shared_state.py
@@ -308,7 +308,11 @@
             state.endpoints is not None
             and state.endpoints_revision > self._seen_revisions[StateKind.ENDPOINTS]
         ):
-            self._replace_endpoints(state.endpoints, state.endpoints_revision, after_outage=False)
+            self._replace_endpoints(
+                state.endpoints,
+                state.endpoints_revision,
+                after_outage=state.endpoints_in_grace,
+            )
             self._loaded_kinds.add(StateKind.ENDPOINTS)
             self._seen_revisions[StateKind.ENDPOINTS] = state.endpoints_revision
             self._endpoints_revision = state.endpoints_revision
@@ -334,11 +338,12 @@
                 else None
             ),
             endpoints=(
-                tuple(self.directory.all_endpoints())
+                tuple(self.directory.registered_endpoints())
                 if StateKind.ENDPOINTS in kinds and StateKind.ENDPOINTS in self._loaded_kinds
                 else None
             ),
             endpoints_revision=self._endpoints_revision,
+            endpoints_in_grace=StateKind.ENDPOINTS in kinds and self.directory.in_grace,
             weights=(
                 tuple(self.weights.list_targets())
                 if StateKind.WEIGHTS in kinds and StateKind.WEIGHTS in self._loaded_kinds
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -1,5 +1,6 @@
 """Test that processes follow a store that comes back from a copy that is some seconds old."""
 
+import time
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -16,6 +17,7 @@
     StoreRevision,
     WeightVersion,
 )
+from egretrouter.core.direct._directory import LAPSE_GRACE_SECONDS
 from egretrouter.core.errors import MalformedAnswerError
 from egretrouter.core.identifiers import EndpointId, ModelName, ServiceName, ZoneId
 from egretrouter.direct._router import DirectRouter
@@ -166,6 +168,27 @@
         assert "i-9" in ready_ids(world.router)
 
 
+class TestOutage:
+    """Guard against processes that keep different endpoints after an outage of the store."""
+
+    async def test_peer_keeps_an_endpoint_that_did_not_register_again(
+        self, fleet: PlatformFleet
+    ) -> None:
+        first, second = (router.shared_state for router in fleet.routers[:2])
+        revision = StoreRevision(1, 10**6)
+        left = [e for e in first.directory.all_endpoints() if e.endpoint_id == "i-1"]
+        first.apply_listing(
+            StateKind.ENDPOINTS,
+            StateListing(items=tuple(left), revision=revision, content_revision=revision),
+            after_outage=True,
+        )
+        state = first.export_state({StateKind.ENDPOINTS})
+        second._apply_peer_state(state, fleet.routers[0].fleet.fleet.own)
+        assert len(second.directory.all_endpoints()) == 2
+        later = time.monotonic() + LAPSE_GRACE_SECONDS + 1.0
+        assert second.directory.expire(now_seconds=later) == ["i-0"]
+
+
 class RestoredInListing(StoreStandin):
     """Come back from a copy after some first pages of listings."""
 
