--- a/egretrouter/core/direct/_directory.py
+++ b/egretrouter/core/direct/_directory.py
@@ -42,7 +42,8 @@
         for endpoint_id, endpoint in self._endpoints.items():
             if endpoint_id in found:
                 continue
-            if (after_outage or restored) and endpoint.state is EndpointState.READY:
+            in_grace = after_outage or restored or endpoint_id in self._expires_seconds
+            if in_grace and endpoint.state is EndpointState.READY:
                 kept[endpoint_id] = endpoint
             else:
                 self._departures.record(endpoint, now_seconds=now_seconds)
@@ -85,6 +86,15 @@
         """Return all endpoints, including draining ones."""
         return list(self._endpoints.values())
 
+    def registered_endpoints(self) -> list[Endpoint]:
+        """Return the endpoints in the store's list, without those kept for a grace period."""
+        return [e for e in self._endpoints.values() if e.endpoint_id not in self._expires_seconds]
+
+    @property
+    def in_grace(self) -> bool:
+        """Return whether missing endpoints are kept for a grace period."""
+        return bool(self._expires_seconds)
+
     def newest_at(self, address: str) -> Endpoint | None:
         """Return the most recently started endpoint at an address."""
         found = [e for e in self._endpoints.values() if e.address == address]
