Bound the sum of target versions in greetings (CONFIG)

Evidence: tests/test_restored_store.py::TestRestoredStore::test_absurd_version_ends_the_greetings fails on the commit before.

--- a/egretrouter/direct/_shared_state.py
+++ b/egretrouter/direct/_shared_state.py
@@ -41,6 +41,8 @@
 PEER_LEAD_SECONDS = 0.3
 REMOTE_WAIT_SECONDS = 1.5
 EXPIRY_TICK_SECONDS = 0.25
+# Larger integers can't be encoded in a greeting.
+LARGEST_SUM = 2**63 - 1
 
 
 class SharedStateService(Service):
@@ -249,7 +251,7 @@
 
     def _weights_sum(self) -> int:
         """Return a number that grows with each version that is named."""
-        return sum(target.version for target in self.weights.list_targets())
+        return min(LARGEST_SUM, sum(target.version for target in self.weights.list_targets()))
 
     def _is_behind(self, kind: StateKind, peer_revisions: Revisions) -> bool:
         if kind is StateKind.CONFIGURATION:
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -123,6 +123,12 @@
         for router in fleet.routers:
             await wait_until(lambda r=router: r.shared_state.weights.list_targets() == [name])
 
+    async def test_absurd_version_ends_the_greetings(self, fleet: PlatformFleet) -> None:
+        fleet.store.put("versions", "m", {"model": "m", "version": 2**70})
+        await wait_until(lambda: bool(fleet.routers[0].shared_state.weights.list_targets()))
+        fleet.store.put("config", "main", configuration(7))
+        await wait_until(lambda: all(version_in_force(r) == 7 for r in fleet.routers))
+
     async def test_engine_that_left_is_used_again(self, fleet: PlatformFleet) -> None:
         engine = await fleet.start_engine()
         await wait_until(lambda: all(len(ready_ids(r)) == 3 for r in fleet.routers))
