Test that a waiting watch ends when the store comes back from a copy (CONFIG)

Evidence: without the end of watches in StoreWatchService the test fails with 'the condition did not become true'. The store's stand-in answers 410 to a watch from a revision that it does not have.

--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -133,6 +133,8 @@
 
     async def _watch(self, request: web.BaseRequest, kind: str) -> web.StreamResponse:
         after = int(request.query["watch"])
+        if after > self.revision:
+            return web.Response(status=410)
         deadline = asyncio.get_running_loop().time() + int(request.query["wait_ms"]) / 1000
         while True:
             if after < self.oldest_revision:
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -20,6 +20,7 @@
 from egretrouter.core.direct._directory import LAPSE_GRACE_SECONDS
 from egretrouter.core.errors import MalformedAnswerError
 from egretrouter.core.identifiers import EndpointId, ModelName, ServiceName, ZoneId
+from egretrouter.direct import _store_watch
 from egretrouter.direct._router import DirectRouter
 from tests.helpers import wait_until
 from tests.platform_fleet import PlatformFleet
@@ -174,6 +175,32 @@
         assert "i-9" in ready_ids(world.router)
 
 
+class TestWaitingWatch:
+    """Guard against a watch that waits at a revision that now names another state."""
+
+    @pytest.fixture
+    async def unpolled(self, monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[PlatformWorld]:
+        monkeypatch.setattr(_store_watch, "WEIGHTS_POLL_SECONDS", 1000.0)
+        opened = PlatformWorld()
+        await opened.start()
+        yield opened
+        await opened.stop()
+
+    async def test_waiting_watch_misses_what_is_given_out_again(
+        self, unpolled: PlatformWorld
+    ) -> None:
+        store = unpolled.store
+        content = store.copy()
+        store.put("versions", "m", {"model": "m", "version": 2})
+        weights = unpolled.router.shared_state.weights
+        await wait_until(lambda: [w.version for w in weights.list_targets()] == [2])
+        store.restore(content)
+        # The watch waits after this revision, so it would never report this change.
+        store.put("versions", "m", {"model": "m", "version": 3})
+        unpolled.router.fleet.eras.hear(2, source="front-9")
+        await wait_until(lambda: [w.version for w in weights.list_targets()] == [3])
+
+
 class TestOutage:
     """Guard against processes that keep different endpoints after an outage of the store."""
 
