--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -1,6 +1,5 @@
 """Test that processes follow a store that comes back from a copy that is some seconds old."""
 
-import time
 import time
 from collections.abc import AsyncIterator
 from typing import Any
@@ -21,6 +20,7 @@
 from egretrouter.core.direct._directory import LAPSE_GRACE_SECONDS
 from egretrouter.core.errors import MalformedAnswerError
 from egretrouter.core.identifiers import EndpointId, ModelName, ServiceName, ZoneId
+from egretrouter.direct import _store_watch
 from egretrouter.direct._router import DirectRouter
 from tests.helpers import wait_until
 from tests.platform_fleet import PlatformFleet
@@ -124,6 +124,12 @@
         for router in fleet.routers:
             await wait_until(lambda r=router: r.shared_state.weights.list_targets() == [name])
 
+    async def test_absurd_version_ends_the_greetings(self, fleet: PlatformFleet) -> None:
+        fleet.store.put("versions", "m", {"model": "m", "version": 2**70})
+        await wait_until(lambda: bool(fleet.routers[0].shared_state.weights.list_targets()))
+        fleet.store.put("config", "main", configuration(7))
+        await wait_until(lambda: all(version_in_force(r) == 7 for r in fleet.routers))
+
     async def test_engine_that_left_is_used_again(self, fleet: PlatformFleet) -> None:
         engine = await fleet.start_engine()
         await wait_until(lambda: all(len(ready_ids(r)) == 3 for r in fleet.routers))
@@ -170,6 +176,32 @@
         assert "i-9" in ready_ids(world.router)
 
 
+class TestWaitingWatch:
+    """Guard against a watch that waits at a revision that now names another state."""
+
+    @pytest.fixture
+    async def unpolled(self, monkeypatch: pytest.MonkeyPatch) -> AsyncIterator[PlatformWorld]:
+        monkeypatch.setattr(_store_watch, "POLL_SECONDS", 1000.0)
+        opened = PlatformWorld()
+        await opened.start()
+        yield opened
+        await opened.stop()
+
+    async def test_waiting_watch_misses_what_is_given_out_again(
+        self, unpolled: PlatformWorld
+    ) -> None:
+        store = unpolled.store
+        content = store.copy()
+        store.put("versions", "m", {"model": "m", "version": 2})
+        weights = unpolled.router.shared_state.weights
+        await wait_until(lambda: [w.version for w in weights.list_targets()] == [2])
+        store.restore(content)
+        # The watch waits after this revision, so it would never report this change.
+        store.put("versions", "m", {"model": "m", "version": 3})
+        unpolled.router.fleet.eras.hear(2, source="front-9")
+        await wait_until(lambda: [w.version for w in weights.list_targets()] == [3])
+
+
 class TestOutage:
     """Guard against processes that keep different endpoints after an outage of the store."""
 
@@ -183,9 +215,11 @@
             StateKind.ENDPOINTS,
             StateListing(items=tuple(left), revision=revision, content_revision=revision),
             after_outage=True,
+            asked_seconds=time.monotonic(),
         )
         state = first.export_state({StateKind.ENDPOINTS})
-        second._apply_peer_state(state, fleet.routers[0].fleet.fleet.own)
+        peer = fleet.routers[0].fleet.fleet.own
+        second._apply_peer_state(state, peer, asked_seconds=time.monotonic())
         assert len(second.directory.all_endpoints()) == 2
         later = time.monotonic() + LAPSE_GRACE_SECONDS + 1.0
         assert second.directory.expire(now_seconds=later) == ["i-0"]
