--- a/tests/odd_entries.py
+++ b/tests/odd_entries.py
@@ -70,9 +70,42 @@
     "models as a number": spec(models=b"1"),
 }
 
+# Values that can be read, but that no engine could have written.
+_UNUSABLE_SPECS: dict[str, bytes] = {
+    **{
+        f"{field}: 300 digits": spec(**{field: b"9" * 300})
+        for field in ("slots", "born", "cold_left_ms")
+    },
+    "negative slots": spec(slots=b"-1"),
+    "huge slots": spec(slots=b"9" * 18),
+    "negative start": spec(born=b"-1"),
+    "huge time to stay slow": spec(cold_left_ms=b"1e300"),
+    "negative time to stay slow": spec(cold_left_ms=b"-1e300"),
+    "no address": spec(addr=b'""'),
+    "port 70000": spec(addr=b'"127.0.0.1:70000"'),
+    "port -1": spec(addr=b'"127.0.0.1:-1"'),
+    "port 0": spec(addr=b'"127.0.0.1:0"'),
+    "no port": spec(addr=b'"127.0.0.1"'),
+    "empty port": spec(addr=b'"127.0.0.1:"'),
+    "port of other digits": spec(addr='"127.0.0.1:\u0667\u0660\u0660\u0661"'.encode()),
+    "port of 5,000 digits": spec(addr=b'"127.0.0.1:%s"' % _MANY_DIGITS),
+    "port with a path": spec(addr=b'"127.0.0.1:7001/x"'),
+    "port with a sign": spec(addr=b'"127.0.0.1:+7001"'),
+    "host name": spec(addr=b'"engine.example:7001"'),
+    "no host": spec(addr=b'":7001"'),
+    "user before the host": spec(addr=b'"x@127.0.0.1:7001"'),
+    "space in the address": spec(addr=b'" 127.0.0.1:7001"'),
+    "zero byte in the address": spec(addr=b'"127.0.0.1\\u0000:7001"'),
+    "huge address": spec(addr=b'"%s:7001"' % (b"1" * 100_000)),
+    "huge zone": spec(zone=b'"%s"' % (b"z" * 100_000)),
+    "huge version of a model": spec(models=b'[{"name":"m","version":%s}]' % (b"9" * 300)),
+    "negative version of a model": spec(models=b'[{"name":"m","version":-1}]'),
+}
+
 # Each is an entry of engines that names no engine to use.
 ODD_ENTRIES: dict[str, bytes] = {
     **{name: stored(_NAME, content) for name, content in _ODD_SPECS.items()},
+    **{name: stored(_NAME, content) for name, content in _UNUSABLE_SPECS.items()},
     "name that is a number": stored(b"7", spec()),
     "name that is null": stored(b"null", spec()),
     "name that is a list": stored(b"[]", spec()),
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -1,6 +1,7 @@
 """Test that an odd entry of the store costs no more than itself."""
 
 import asyncio
+import json
 from collections.abc import AsyncIterator
 from typing import Any
 
@@ -20,6 +21,7 @@
     spec,
     stored,
 )
+from tests.platform_standins import configuration
 from tests.platform_world import PlatformWorld
 
 KIND = "servers"
@@ -122,7 +124,9 @@
             ("i-2", False),
         ]
 
-    @pytest.mark.parametrize("odd", ["slots: 100,000 lists", "born: 1e999", "zone: NaN"])
+    @pytest.mark.parametrize(
+        "odd", ["slots: 100,000 lists", "born: 1e999", "zone: NaN", "port 70000"]
+    )
     async def test_entry_that_becomes_odd_names_no_engine(
         self, raw: RawStore, store: PlatformStore, odd: str
     ) -> None:
@@ -197,11 +201,30 @@
         assert not world.router.crashed
         assert not world.router.should_stop
 
+    @pytest.mark.parametrize("odd", ["port 70000", "port -1", "zero byte in the address"])
+    async def test_address_that_nothing_can_reach_gets_no_call(
+        self, raw: RawStore, world: PlatformWorld, odd: str
+    ) -> None:
+        raw.put_raw(KIND, ODD_ENTRIES[odd])
+        await world.start(engines=1)
+        # As many as the good engine has slots, so that none is refused.
+        calls = [world.call("/sale/x", call_id=f"c-{n}") for n in range(4)]
+        assert [status for status, _, _ in await asyncio.gather(*calls)] == [200] * 4
+
     async def test_odd_configuration_leaves_the_last_good_one_in_force(
         self, raw: RawStore, world: PlatformWorld
     ) -> None:
         await world.start(engines=1)
-        for content in (b"null", nested(3000), b'{"version":1e999,"routes":[]}', b'{"version":2}'):
+        table = json.dumps(configuration(2))
+        for content in (
+            b"null",
+            nested(3000),
+            b'{"version":1e999,"routes":[]}',
+            b'{"version":2}',
+            table.replace('"version": 2', '"version": ' + "9" * 30).encode(),
+            table.replace('"timeout_ms": 800', '"timeout_ms": 1e300').encode(),
+            table.replace('"attempts": 2', '"attempts": ' + "9" * 30).encode(),
+        ):
             raw.put_raw("config", stored(b'"main"', content))
             await asyncio.sleep(0.1)
             assert (await world.call("/read/x"))[0] == 200
