Know only processes that a datagram can reach

Callers saw processes that ended, or that the others took for failed, after one record of a process with an impossible value had come in: from the list of processes or in a datagram, from where greetings carried it on to all.

Cause: sending to "a..b" or "x\0" raises what is no OSError, so that asyncio closes the socket for all datagrams, and the next one raises in the service. A revision of 64 bits grew by one when the process defended itself, and no datagram can carry the result. Other host names are resolved on the event loop. What an agent "serves" was converted to an integer. Ages, limits and loads that are NaN or infinite went into choices.

Change: records of processes, loads and news are checked where they are read, from the list and from datagrams. A note is rejected if its sender's own record or report is odd; what it says of others is left out item by item. Records have at most 8 KB, as a greeting carries several in 64 KB.

--- a/egretrouter/core/direct/__init__.py
+++ b/egretrouter/core/direct/__init__.py
@@ -1,6 +1,13 @@
 """Implement the routing and weight-switch decisions for directly reached endpoints, without I/O."""
 
 from egretrouter.core.direct._call import DirectCall, NextStep, SendEnded, SendOutcome
+from egretrouter.core.direct._checks import (
+    RecordMalformedError,
+    check_limit_news,
+    check_load,
+    check_member,
+    check_part_news,
+)
 from egretrouter.core.direct._directory import (
     SWITCH_MARGIN_SECONDS,
     SWITCH_QUEUE_SECONDS,
@@ -100,4 +107,9 @@
     "first_event_seconds",
     "longest_call_seconds",
     "service_seconds",
+    "RecordMalformedError",
+    "check_limit_news",
+    "check_load",
+    "check_member",
+    "check_part_news",
 ]
--- /dev/null
+++ b/egretrouter/core/direct/_checks.py
@@ -0,0 +1,96 @@
+"""Check what other processes and writers say, beyond the types of its fields."""
+
+import math
+import re
+from typing import Any
+
+import msgspec
+
+from egretrouter.core.addresses import check_host
+from egretrouter.core.direct._endpoint_limits import LimitNews
+from egretrouter.core.direct._members import FleetMember
+from egretrouter.core.direct._placement import LoadReport
+from egretrouter.core.direct._quarantine import PartNews
+from egretrouter.core.errors import ValidationError
+
+MAX_INTEGER = 2**53
+"""Counters up to this can still be increased and sent on."""
+MAX_CALLS = 1_000_000
+MAX_PACE = 1e6
+# A process may learn something while it builds a note, which makes the age slightly negative.
+MIN_AGE_SECONDS = -1.0
+MAX_AGE_SECONDS = 1e9
+MAX_RATE_PER_SECOND = 1e9
+MAX_MEMBER_BYTES = 8192
+"""A greeting carries several records, and a datagram not more than 64 KB."""
+
+_SERVING = re.compile(r"(.+/[0-9]{1,16})?", re.ASCII | re.DOTALL)
+
+
+class RecordMalformedError(ValidationError):
+    """A record of another process has a value that none could have."""
+
+
+def check_member(member: FleetMember) -> FleetMember:
+    """Return a record that can be stored and sent on.
+
+    Raises RecordMalformedError or AddressMalformedError.
+    """
+    check_host(member.address)
+    _check_range("started_ms", member.started_ms, 0, MAX_INTEGER)
+    _check_range("revision", member.revision, 0, MAX_INTEGER)
+    if _SERVING.fullmatch(member.serving) is None:
+        raise RecordMalformedError(
+            f"serving is {member.serving[:80]!r}, expected MODEL/VERSION or nothing"
+        )
+    size = len(msgspec.msgpack.encode(member))
+    if size > MAX_MEMBER_BYTES:
+        raise RecordMalformedError(
+            f"the record of {member.instance_id[:80]!r} has {size} bytes, "
+            f"expected at most {MAX_MEMBER_BYTES}"
+        )
+    return member
+
+
+def check_load(report: LoadReport) -> LoadReport:
+    """Return a load report that can be computed with.
+
+    Raises RecordMalformedError.
+    """
+    for name in ("running", "queued", "slots"):
+        _check_range(name, getattr(report, name), 0, MAX_CALLS)
+    _check_range("pace", report.pace, 0, MAX_PACE)
+    _check_range("started_ms", report.started_ms, 0, MAX_INTEGER)
+    for version in (report.versions or {}).values():
+        _check_range("version", version, 0, MAX_INTEGER)
+    return report
+
+
+def check_part_news(news: PartNews) -> PartNews:
+    """Return news of a part whose ages can be computed with.
+
+    Raises RecordMalformedError.
+    """
+    for crash in news.crashes:
+        _check_range("age_seconds", crash.age_seconds, MIN_AGE_SECONDS, MAX_AGE_SECONDS)
+        _check_range("started_ms", crash.run.started_ms, 0, MAX_INTEGER)
+    if news.sound_age_seconds is not None:
+        _check_range("sound_age_seconds", news.sound_age_seconds, MIN_AGE_SECONDS, MAX_AGE_SECONDS)
+    return news
+
+
+def check_limit_news(news: LimitNews) -> LimitNews:
+    """Return news of a limit that can be computed with.
+
+    Raises RecordMalformedError.
+    """
+    _check_range("age_seconds", news.age_seconds, MIN_AGE_SECONDS, MAX_AGE_SECONDS)
+    _check_range("started_ms", news.run.started_ms, 0, MAX_INTEGER)
+    if news.limit_per_second is not None:
+        _check_range("limit_per_second", news.limit_per_second, 0, MAX_RATE_PER_SECOND)
+    return news
+
+
+def _check_range(name: str, value: Any, lowest: float, highest: float) -> None:
+    if not (math.isfinite(value) and lowest <= value <= highest):
+        raise RecordMalformedError(f"{name} is {value}, expected {lowest} to {highest:g}")
--- a/egretrouter/direct/_fleet_service.py
+++ b/egretrouter/direct/_fleet_service.py
@@ -29,6 +29,7 @@
     LoadNote,
     NewsNote,
     Note,
+    NoteMalformedError,
     decode_note,
     encode_note,
 )
@@ -169,7 +170,7 @@
     def _handle_datagram(self, data: bytes) -> None:
         try:
             note = decode_note(data)
-        except msgspec.MsgspecError as error:
+        except NoteMalformedError as error:
             log_event("fleet:datagram_malformed", error=str(error))
             return
         self._handle_note(note)
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -152,6 +152,25 @@
         members = await store.list_members()
         assert [member.instance_id for member in members] == ["front-1", "front-2"]
 
+    @pytest.mark.parametrize(
+        "process",
+        [
+            b'{"role":"router","zone":"z1","region":"r1","address":"%s"}' % address
+            for address in (
+                b"", b"a.example", b"127.0.0.1:7", b"127.0.0", b"a..b", b"x\\u0000", b"9" * 70_000
+            )
+        ] + [
+            b'{"role":"owner","zone":"z1","region":"r1","address":"127.0.0.1"}',
+            b'{"role":"agent","zone":"%s","region":"r1","address":"127.0.0.1"}' % (b"z" * 70_000),
+        ],
+        ids=str,
+    )  # fmt: skip
+    async def test_process_that_nothing_can_reach_is_left_out(
+        self, raw: RawStore, store: PlatformStore, process: bytes
+    ) -> None:
+        raw.items["egretrouter-processes"] = [stored(b'"front-1"', process)]
+        assert await store.list_members() == []
+
 
 @pytest.fixture
 async def world(raw: RawStore) -> AsyncIterator[PlatformWorld]:
