Leave odd items out of a peer's shared state

Callers saw a router or agent that could not fetch the list of engines from another process as long as that one passed on an odd item, and that used engines with impossible addresses which the other had taken from the list.

Cause: a reply was decoded as a whole, only the types of its fields were checked, and RecursionError was not caught.

Change: if a reply can't be decoded, its endpoints and versions are decoded one by one; each is checked as those of the store are. What can't be read at all is a MalformedAnswerError, whatever the decoder raises.

--- a/egretrouter/core/direct/__init__.py
+++ b/egretrouter/core/direct/__init__.py
@@ -3,10 +3,12 @@
 from egretrouter.core.direct._call import DirectCall, NextStep, SendEnded, SendOutcome
 from egretrouter.core.direct._checks import (
     RecordMalformedError,
+    check_endpoint,
     check_limit_news,
     check_load,
     check_member,
     check_part_news,
+    check_weight_version,
 )
 from egretrouter.core.direct._directory import (
     SWITCH_MARGIN_SECONDS,
@@ -108,8 +110,10 @@
     "longest_call_seconds",
     "service_seconds",
     "RecordMalformedError",
+    "check_endpoint",
     "check_limit_news",
     "check_load",
     "check_member",
     "check_part_news",
+    "check_weight_version",
 ]
--- a/egretrouter/core/direct/_checks.py
+++ b/egretrouter/core/direct/_checks.py
@@ -6,11 +6,12 @@
 
 import msgspec
 
-from egretrouter.core.addresses import check_host
+from egretrouter.core.addresses import check_address, check_host
 from egretrouter.core.direct._endpoint_limits import LimitNews
 from egretrouter.core.direct._members import FleetMember
 from egretrouter.core.direct._placement import LoadReport
 from egretrouter.core.direct._quarantine import PartNews
+from egretrouter.core.direct._records import Endpoint, WeightVersion
 from egretrouter.core.errors import ValidationError
 
 MAX_INTEGER = 2**53
@@ -52,6 +53,29 @@
     return member
 
 
+def check_endpoint(endpoint: Endpoint) -> Endpoint:
+    """Return a registration that names an engine to use.
+
+    Raises RecordMalformedError or AddressMalformedError.
+    """
+    check_address(endpoint.address)
+    _check_range("slots", endpoint.slots, 0, MAX_CALLS)
+    _check_range("started_ms", endpoint.started_ms, 0, MAX_INTEGER)
+    _check_range("cold_seconds", endpoint.cold_seconds, 0, MAX_AGE_SECONDS)
+    for weights in endpoint.weights or ():
+        _check_range("version", weights.version, 0, MAX_INTEGER)
+    return endpoint
+
+
+def check_weight_version(target: WeightVersion) -> WeightVersion:
+    """Return a target version that processes can send to each other.
+
+    Raises RecordMalformedError.
+    """
+    _check_range("version", target.version, 0, MAX_INTEGER)
+    return target
+
+
 def check_load(report: LoadReport) -> LoadReport:
     """Return a load report that can be computed with.
 
--- a/egretrouter/direct/_peer_state.py
+++ b/egretrouter/direct/_peer_state.py
@@ -1,14 +1,23 @@
 """Encode the shared state for peers, and fetch it from them."""
 
 import time
-from typing import Protocol
+from collections.abc import Callable
+from typing import Any, Protocol, TypeVar
 
 import grpc
 import msgspec
 
 from egretrouter.backends import StateKind
-from egretrouter.core.direct import Endpoint, FleetMember, RoutingTable, WeightVersion
-from egretrouter.core.errors import MalformedAnswerError
+from egretrouter.core.decoding import DECODE_ERRORS
+from egretrouter.core.direct import (
+    Endpoint,
+    FleetMember,
+    RoutingTable,
+    WeightVersion,
+    check_endpoint,
+    check_weight_version,
+)
+from egretrouter.core.errors import MalformedAnswerError, ValidationError
 from egretrouter.direct._logs import log_event
 from egretrouter.protocol import egretrouter_pb2 as pb
 from egretrouter.protocol import egretrouter_pb2_grpc as pb_grpc
@@ -16,6 +25,8 @@
 
 PEER_TIMEOUT_SECONDS = 1.5
 
+_Item = TypeVar("_Item")
+
 
 class SharedState(msgspec.Struct, frozen=True, kw_only=True, omit_defaults=True):
     """Represent the shared state that one process sends to another."""
@@ -60,15 +71,57 @@
 
 
 def decode_reply(reply: pb.StateReply) -> SharedState:
-    """Decode a peer's reply.
+    """Decode a peer's reply, without the items that have an impossible value.
 
     Raises MalformedAnswerError.
     """
     data = inflate(reply.state) if reply.deflated else reply.state
     try:
-        return msgspec.msgpack.decode(data, type=SharedState)
-    except msgspec.MsgspecError as error:
+        state = _decode_state(data)
+    except DECODE_ERRORS as error:
         raise MalformedAnswerError(f"shared state of a peer: {error}") from error
+    return msgspec.structs.replace(
+        state,
+        endpoints=_keep_valid(state.endpoints, check_endpoint),
+        weights=_keep_valid(state.weights, check_weight_version),
+    )
+
+
+def _decode_state(data: bytes) -> SharedState:
+    try:
+        return msgspec.msgpack.decode(data, type=SharedState)
+    except DECODE_ERRORS:
+        fields: dict[str, Any] = msgspec.msgpack.decode(data, type=dict[str, msgspec.Raw])
+        for name, item_type in (("endpoints", Endpoint), ("weights", WeightVersion)):
+            if name in fields:
+                fields[name] = _keep_decodable(fields[name], item_type)
+        return msgspec.msgpack.decode(msgspec.msgpack.encode(fields), type=SharedState)
+
+
+def _keep_decodable(content: msgspec.Raw, item_type: type[Any]) -> list[msgspec.Raw]:
+    kept = []
+    for item in msgspec.msgpack.decode(content, type=list[msgspec.Raw]):
+        try:
+            msgspec.msgpack.decode(item, type=item_type)
+        except DECODE_ERRORS as error:
+            log_event("state:peer_item_malformed", error=str(error))
+        else:
+            kept.append(item)
+    return kept
+
+
+def _keep_valid(
+    items: tuple[_Item, ...] | None, check: Callable[[_Item], _Item]
+) -> tuple[_Item, ...] | None:
+    if items is None:
+        return None
+    kept = []
+    for item in items:
+        try:
+            kept.append(check(item))
+        except ValidationError as error:
+            log_event("state:peer_item_malformed", error=str(error))
+    return tuple(kept)
 
 
 class PeerStateClient:
--- a/tests/test_peer_state.py
+++ b/tests/test_peer_state.py
@@ -1,6 +1,7 @@
 """Test how processes encode shared state for each other."""
 
 import zlib
+from typing import Any
 
 import msgspec
 import pytest
@@ -70,3 +71,63 @@
         monkeypatch.setattr(_deflate, "MESSAGE_LIMIT_BYTES", 1000)
         with pytest.raises(MalformedAnswerError):
             decode_reply(pb.StateReply(state=state, deflated=True))
+
+
+def endpoint(name: str, **changes: Any) -> dict[str, Any]:
+    return {
+        "endpoint_id": name,
+        "service": "plain",
+        "address": "127.0.0.1:7001",
+        "zone": "z1",
+        "state": "ready",
+        "slots": 4,
+        **changes,
+    }
+
+
+ODD_ENDPOINTS: list[Any] = [
+    7,
+    None,
+    [],
+    {},
+    endpoint("i-odd", slots="4"),
+    endpoint("i-odd", slots=-1),
+    endpoint("i-odd", slots=2**64 - 1),
+    endpoint("i-odd", address="127.0.0.1:70000"),
+    endpoint("i-odd", address="engine.example:80"),
+    endpoint("i-odd", state="sleeping"),
+    endpoint("i-odd", cold_seconds=float("nan")),
+    endpoint("i-odd", cold_seconds=float("inf")),
+    endpoint("i-odd", weights=[{"model": "m", "version": 2**64 - 1}]),
+    endpoint("i-odd", zone=msgspec.Raw(b"\xa2\xff\xfe")),
+]
+
+
+class TestOddItems:
+    """Guard against one odd item of a peer's reply that costs the rest of the reply."""
+
+    @pytest.mark.parametrize("odd", ODD_ENDPOINTS, ids=range(len(ODD_ENDPOINTS)))
+    def test_odd_endpoint_leaves_the_others(self, odd: Any) -> None:
+        state = {
+            "endpoints": [endpoint("i-1"), odd, endpoint("i-2")],
+            "endpoints_revision": 7,
+            "a field of a later version": [1],
+        }
+        decoded = decode_reply(pb.StateReply(state=msgspec.msgpack.encode(state)))
+        assert [e.endpoint_id for e in decoded.endpoints or ()] == ["i-1", "i-2"]
+        assert decoded.endpoints_revision == 7
+
+    @pytest.mark.parametrize("version", [-1, 2**64 - 1, "2", 1.5, None])
+    def test_odd_version_leaves_the_others(self, version: Any) -> None:
+        targets = [{"model": m, "version": v} for m, v in (("a", 1), ("b", version), ("c", 3))]
+        state = msgspec.msgpack.encode({"weights": targets, "weights_revision": 7})
+        decoded = decode_reply(pb.StateReply(state=state))
+        assert [(t.model, t.version) for t in decoded.weights or ()] == [("a", 1), ("c", 3)]
+
+    @pytest.mark.parametrize("levels", [2_000, 100_000])
+    @pytest.mark.parametrize("field", ["endpoints", "nobody-reads"])
+    def test_reply_that_is_nested_deeply_is_an_error(self, levels: int, field: str) -> None:
+        nested = msgspec.Raw(b"\x91" * levels + b"\x01")
+        state = msgspec.msgpack.encode({field: nested})
+        with pytest.raises(MalformedAnswerError):
+            decode_reply(pb.StateReply(state=state))
