Check the numbers of engines' reports and the origin's manifests

Callers saw agents that ended because of one number in an engine's report, or because of what the origin or its address in the configuration said.

Cause: reports and manifests were checked by type only. A count of 300 digits was put into the datagram for routers, which can't carry it; an address with port 70000 raised ValueError and one with an empty label UnicodeError, none of which is a BackendError; a malformed manifest of another agent wasn't caught. RecursionError wasn't caught anywhere.

--- a/egretrouter/core/weights/_manifest.py
+++ b/egretrouter/core/weights/_manifest.py
@@ -2,20 +2,24 @@
 
 import hashlib
 from collections.abc import Iterable
+from typing import Annotated
 
 import msgspec
 
+from egretrouter.core.decoding import DECODE_ERRORS
 from egretrouter.core.digests import DigestAlgorithm, chunk_digest, content_digest
 from egretrouter.core.errors import CorruptedChunkError, ManifestMismatchError
 from egretrouter.core.identifiers import ChunkIndex, Digest, ModelName, VersionName
 
 DEFAULT_CHUNK_BYTES = 256 * 1024
+MAX_CHUNK_BYTES = 2**40
+"""Far more than any chunk has, so that sums of lengths can be computed with."""
 
 
 class ChunkSpec(msgspec.Struct, frozen=True, kw_only=True):
     """Describe one chunk by its length and digest."""
 
-    length_bytes: int
+    length_bytes: Annotated[int, msgspec.Meta(ge=0, le=MAX_CHUNK_BYTES)]
     digest: Digest
 
 
@@ -56,7 +60,7 @@
             )
         try:
             return msgspec.json.decode(content, type=cls)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             raise ManifestMismatchError(f"manifest is malformed: {error}") from error
 
     def verify_chunk(self, index: ChunkIndex, content: bytes) -> None:
--- a/egretrouter/direct/_manifests.py
+++ b/egretrouter/direct/_manifests.py
@@ -72,4 +72,8 @@
 
     async def _fetch_from_peer(self, address: str, digest: Digest) -> Manifest | None:
         content = await self._copies.manifest_from_peer(f"{address}:{self._peer_port}", digest)
-        return Manifest.from_json(content) if content else None
+        try:
+            return Manifest.from_json(content) if content else None
+        except ManifestMismatchError as error:
+            log_event("weights:peer_manifest_malformed", peer=address, error=str(error))
+            return None
