Let odd content on the own path cost no more than itself

Callers of the product's own path saw the same: one odd entry in the instance list or in a list of objects made the whole list an error, and content that is nested deeply, a counter of 64 bits in gossip or a date that no calendar has in Retry-After ended the process that read it.

Cause: lists were decoded as a whole; places of decoding caught MsgspecError or ValueError, but not RecursionError and OverflowError; counters that grow had no bound; the record of who may give orders was decoded in the state machine, where nothing caught a failure.

Change: lists are split as those of the platform's store are, by egretrouter/core/json_parts.py, which was in platform/ before. Decoders catch DECODE_ERRORS. Generations, counters and counts have bounds, addresses of the instance list a valid IP address and port. An odd record of the order lease counts as no answer.

--- a/egretrouter/backends/_engine.py
+++ b/egretrouter/backends/_engine.py
@@ -8,6 +8,7 @@
 
 from egretrouter.backends._http import Answer, HttpCaller
 from egretrouter.backends._ports import EngineReport
+from egretrouter.core.decoding import DECODE_ERRORS
 from egretrouter.core.errors import (
     LostAnswerError,
     MalformedAnswerError,
@@ -60,7 +61,7 @@
             raise self._caller.unexpected_answer("GET", url, answer)
         try:
             return msgspec.json.decode(answer.content, type=EngineReport)
-        except ValueError as error:
+        except DECODE_ERRORS as error:
             raise MalformedAnswerError(
                 f"endpoint {self.endpoint_id}: malformed report: {error}"
             ) from error
@@ -117,7 +118,7 @@
             return
         try:
             refusal = msgspec.json.decode(answer.content, type=_RefusalBody).error
-        except ValueError:
+        except DECODE_ERRORS:
             raise self._caller.unexpected_answer("POST", url, answer) from None
         error_type = (
             StaleFencingNumberError if refusal.code == "stale_fencing_number" else OrderError
--- a/egretrouter/backends/_http.py
+++ b/egretrouter/backends/_http.py
@@ -223,7 +223,7 @@
     except ValueError:
         try:
             seconds = parsedate_to_datetime(value).timestamp() - time()
-        except ValueError:
+        except (ValueError, OverflowError):
             return DEFAULT_RETRY_AFTER_SECONDS
     # float also accepts "inf", which min bounds, and "nan", which differs from itself and gives the
     # default.
--- a/egretrouter/backends/_object_store.py
+++ b/egretrouter/backends/_object_store.py
@@ -1,19 +1,22 @@
 """Call the platform's object API over HTTP."""
 
 import base64
-from collections.abc import AsyncIterator, Callable, Mapping
+from collections.abc import AsyncIterator, Callable, Iterator, Mapping
 
 import aiohttp
 import msgspec
+from eliot import log_message
 
 from egretrouter.backends._http import HttpCaller
 from egretrouter.backends._ports import StoredObject
+from egretrouter.core.decoding import DECODE_ERRORS, quote_content
 from egretrouter.core.errors import (
     LostAnswerError,
     MalformedAnswerError,
     ObjectMissingError,
     VersionConflictError,
 )
+from egretrouter.core.json_parts import split_list
 
 MAX_OBJECT_BYTES = 1024 * 1024
 MAX_LIST_BYTES = 64 * 1024 * 1024
@@ -26,10 +29,6 @@
     content: str
 
 
-class _ObjectList(msgspec.Struct, frozen=True):
-    objects: tuple[_ListedObject, ...]
-
-
 class HttpObjectStore:
     """Implement ObjectStore over HTTP, with a timeout for every request."""
 
@@ -96,16 +95,8 @@
         if answer.status != 200:
             raise self._caller.unexpected_answer("GET", url, answer)
         try:
-            entries = msgspec.json.decode(answer.content, type=_ObjectList).objects
-            return [
-                StoredObject(
-                    key=entry.key,
-                    content=base64.b64decode(entry.content, validate=True),
-                    version=entry.version,
-                )
-                for entry in entries
-            ]
-        except ValueError as error:
+            return list(_decode_objects(answer.content))
+        except DECODE_ERRORS as error:
             raise MalformedAnswerError(f"object store: malformed list: {error}") from error
 
     async def watch(self, key: str, *, after_version: int) -> AsyncIterator[StoredObject]:
@@ -131,6 +122,20 @@
             yield StoredObject(key=key, content=answer.content, version=version)
 
 
+def _decode_objects(content: bytes) -> Iterator[StoredObject]:
+    """Yield the objects that can be read; the others are logged."""
+    for entry in split_list(content, "objects"):
+        try:
+            listed = msgspec.json.decode(entry, type=_ListedObject)
+            decoded = base64.b64decode(listed.content, validate=True)
+        except DECODE_ERRORS as error:
+            log_message(
+                "object_store:entry_malformed", error=str(error), content=quote_content(entry)
+            )
+        else:
+            yield StoredObject(key=listed.key, content=decoded, version=listed.version)
+
+
 def _precondition_headers(expected_version: int | None) -> dict[str, str]:
     if expected_version is None:
         return {}
--- a/egretrouter/core/_fencing_messages.py
+++ b/egretrouter/core/_fencing_messages.py
@@ -1,5 +1,7 @@
 """Define the messages and commands of the order lease."""
 
+from typing import Annotated
+
 import msgspec
 
 from egretrouter.core.errors import OrderError
@@ -9,7 +11,7 @@
 class FencingRecord(msgspec.Struct, frozen=True, kw_only=True):
     """Record in the store which agent may give orders to an endpoint, and its fencing number."""
 
-    number: int
+    number: Annotated[int, msgspec.Meta(ge=0, le=2**53)]
     instance_id: InstanceId
     life: str
     """Unique for each start of a process; shows whether a write with a lost answer took effect."""
--- a/egretrouter/core/addresses.py
+++ b/egretrouter/core/addresses.py
@@ -1,12 +1,15 @@
 """Check addresses that others wrote, before anything connects to them."""
 
 import ipaddress
+import re
+from collections.abc import Callable
 
 from egretrouter.core.errors import ValidationError
 
 MAX_PORT = 65_535
-MAX_ADDRESS_CHARACTERS = 21
-"""The length of the longest IPv4 address with a port."""
+MAX_ADDRESS_CHARACTERS = 64
+"""More than the longest IP address with a port."""
+_PORT = re.compile(r"[0-9]{1,5}", re.ASCII)
 
 
 class AddressMalformedError(ValidationError):
@@ -19,7 +22,7 @@
     Raises AddressMalformedError.
     """
     try:
-        ipaddress.IPv4Address(text[: MAX_ADDRESS_CHARACTERS + 1])
+        ipaddress.IPv4Address(text)
     except ValueError as error:
         raise AddressMalformedError(
             f"address is {_quote(text)}, expected an IPv4 address such as '10.0.0.1'"
@@ -32,15 +35,39 @@
 
     Raises AddressMalformedError.
     """
-    host, _, port = text[: MAX_ADDRESS_CHARACTERS + 1].rpartition(":")
-    if not (port.isascii() and port.isdigit() and 1 <= int(port) <= MAX_PORT):
+    return _check_address(text, check_host)
+
+
+def check_any_address(text: str) -> str:
+    """Return a text that is an IPv4 address, or an IPv6 address in brackets, with a port.
+
+    Raises AddressMalformedError.
+    """
+    return _check_address(text, _check_any_host)
+
+
+def _check_any_host(text: str) -> None:
+    if not (text.startswith("[") and text.endswith("]")):
+        check_host(text)
+        return
+    try:
+        ipaddress.IPv6Address(text[1:-1])
+    except ValueError as error:
+        raise AddressMalformedError(
+            f"address is {_quote(text)}, expected an IP address such as '[fd00::1]'"
+        ) from error
+
+
+def _check_address(text: str, check: Callable[[str], object]) -> str:
+    host, _, port = text.rpartition(":") if len(text) <= MAX_ADDRESS_CHARACTERS else ("", "", "")
+    if not (_PORT.fullmatch(port) and 1 <= int(port) <= MAX_PORT):
         raise AddressMalformedError(
             f"address is {_quote(text)}, expected an IPv4 address and a port from 1 to {MAX_PORT} "
             "such as '10.0.0.1:80'"
         )
-    check_host(host)
+    check(host)
     return text
 
 
 def _quote(text: str) -> str:
-    return repr(text[: 2 * MAX_ADDRESS_CHARACTERS])
+    return repr(text[:MAX_ADDRESS_CHARACTERS])
--- a/egretrouter/core/calls/_claim_messages.py
+++ b/egretrouter/core/calls/_claim_messages.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from egretrouter.core.calls._answers import CallState, Target
+from egretrouter.core.decoding import DECODE_ERRORS
 from egretrouter.core.digests import content_digest
 from egretrouter.core.errors import ValidationError
 from egretrouter.core.identifiers import Digest, InstanceId, WorkspaceId
@@ -70,7 +71,7 @@
             return cls()
         try:
             return msgspec.msgpack.decode(content, type=cls)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             raise ValidationError(f"claim shard is malformed: {error}") from error
 
 
--- a/egretrouter/core/configuration/_configuration.py
+++ b/egretrouter/core/configuration/_configuration.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Mapping
+from typing import Annotated
 
 import msgspec
 from pydantic import TypeAdapter
@@ -13,12 +14,15 @@
     OperatorFile,
     PlainServiceFile,
 )
+from egretrouter.core.decoding import DECODE_ERRORS
 from egretrouter.core.digests import content_digest
 from egretrouter.core.errors import ValidationError
 from egretrouter.core.identifiers import Digest, Generation, PublicationId, ServiceName
 
 DEPLOYMENT_PART = "deployment"
 SERVICE_PART_PREFIX = "service/"
+MAX_GENERATION = 2**53
+"""Far more than are ever published, and messages between processes can carry it."""
 
 FILE_ADAPTER: TypeAdapter[DeploymentFile | ModelServiceFile | PlainServiceFile] = TypeAdapter(
     OperatorFile
@@ -32,7 +36,7 @@
 class ConfigurationIndex(msgspec.Struct, frozen=True, kw_only=True):
     """Map part names to digests for one generation."""
 
-    generation: Generation
+    generation: Annotated[Generation, msgspec.Meta(ge=0, le=MAX_GENERATION)]
     publication_id: PublicationId
     parts: dict[str, Digest]
     earlier_publications: tuple[PublicationId, ...] = ()
@@ -50,7 +54,7 @@
         """
         try:
             return msgspec.json.decode(content, type=cls)
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             raise ConfigurationError(f"configuration index is malformed: {error}") from error
 
 
--- a/platform/egretrouter_platform/_json_parts.py
+++ b/egretrouter/core/json_parts.py
@@ -4,6 +4,10 @@
 from collections.abc import Iterator
 from itertools import pairwise
 
+import msgspec
+
+from egretrouter.core.decoding import DECODE_ERRORS
+
 _TOKEN = re.compile(rb'"[^"\\]*+(?:\\.[^"\\]*+)*+"|[\[{]+|[\]}]+|,', re.DOTALL)
 _KEY = re.compile(rb'\s*"([^"\\]*+)"\s*:', re.DOTALL)
 
@@ -59,3 +63,16 @@
         for key, member in keys
         if key is not None
     }
+
+
+def split_list(content: bytes, key: str) -> list[msgspec.Raw]:
+    """Return the items of a list in an object; each of them may be malformed.
+
+    Raises one of DECODE_ERRORS if the object itself can't be read.
+    """
+    try:
+        members = msgspec.json.decode(content, type=dict[str, msgspec.Raw])
+        return msgspec.json.decode(members.get(key, b"null"), type=list[msgspec.Raw])
+    except DECODE_ERRORS:
+        # Even to skip an item the decoder has to go through it.
+        return [msgspec.Raw(i) for i in split_items(split_members(content).get(key, b""))]
--- a/egretrouter/core/membership/_gossip.py
+++ b/egretrouter/core/membership/_gossip.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from egretrouter.core.decoding import DECODE_ERRORS
 from egretrouter.core.errors import ValidationError
 from egretrouter.core.identifiers import InstanceId, ZoneId
 from egretrouter.core.membership._records import LoadSample, Member, ZoneSummary
@@ -111,5 +112,5 @@
     """
     try:
         return _DECODER.decode(payload)
-    except msgspec.MsgspecError as error:
+    except DECODE_ERRORS as error:
         raise GossipMalformedError(f"gossip of {len(payload)} bytes: {error}") from error
--- a/egretrouter/core/membership/_records.py
+++ b/egretrouter/core/membership/_records.py
@@ -1,11 +1,17 @@
 """Define the records that the members of a zone exchange about each other."""
 
 from enum import Enum
+from typing import Annotated
 
 import msgspec
 
 from egretrouter.core.identifiers import Digest, Generation, InstanceId, ServiceName, ZoneId
 
+# A counter of this size can still be increased and sent; NaN and infinity can't be computed with.
+_Counter = Annotated[int, msgspec.Meta(ge=0, le=2**53)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=10**9)]
+_Amount = Annotated[float, msgspec.Meta(ge=0, le=1e12)]
+
 
 class MemberStatus(Enum):
     """List the statuses of a member in the view of one process."""
@@ -50,9 +56,9 @@
 class LoadReport(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
     """Carry the load of an endpoint as reported by its agent."""
 
-    queued_calls: int = 0
-    running_calls: int = 0
-    calls_per_second: float = 0.0
+    queued_calls: _Count = 0
+    running_calls: _Count = 0
+    calls_per_second: _Amount = 0.0
 
 
 class Member(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
@@ -62,10 +68,10 @@
     zone: ZoneId
     role: MemberRole
     address: str
-    incarnation: int = 1
+    incarnation: _Counter = 1
     status: MemberStatus = MemberStatus.ALIVE
     facts: Facts = Facts()
-    facts_version: int = 0
+    facts_version: _Counter = 0
 
     @property
     def precedence(self) -> tuple[int, int]:
@@ -77,8 +83,8 @@
     """Carry a member's changing state; a higher sequence is newer within an incarnation."""
 
     instance_id: InstanceId
-    incarnation: int
-    sequence: int
+    incarnation: _Counter
+    sequence: _Counter
     load: LoadReport | None = None
     """None for routers."""
     generation: Generation = Generation(0)
@@ -98,9 +104,9 @@
 
     service: ServiceName
     version_digest: Digest
-    ready: int
-    queued_calls: int
-    calls_per_second: float
+    ready: _Count
+    queued_calls: _Count
+    calls_per_second: _Amount
     samples: tuple[tuple[InstanceId, str], ...]
     """Instance ids and addresses of a few ready replicas."""
 
@@ -109,10 +115,10 @@
     """Summarize one zone for the members of other zones."""
 
     zone: ZoneId
-    routers: int
-    agents: int
+    routers: _Count
+    agents: _Count
     versions: tuple[VersionSummary, ...]
     contacts: tuple[tuple[InstanceId, str], ...]
     """Instance ids and addresses of the zone's gateway members."""
-    age_seconds: float = 0.0
+    age_seconds: Annotated[float, msgspec.Meta(ge=-1e9, le=1e9)] = 0.0
     """Time since the summary was made, measured by its sender, so that clocks need not agree."""
--- a/egretrouter/core/status.py
+++ b/egretrouter/core/status.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from egretrouter.core.decoding import DECODE_ERRORS
 from egretrouter.core.errors import ValidationError
 from egretrouter.core.identifiers import Digest, Generation, InstanceId, ServiceName, ZoneId
 from egretrouter.core.membership import Member, MemberRole, MemberStatus, highest_ranked
@@ -50,7 +51,7 @@
         """
         try:
             return msgspec.json.decode(content, type=cls)
-        except (msgspec.DecodeError, msgspec.ValidationError) as error:
+        except DECODE_ERRORS as error:
             raise StatusMalformedError(f"the status of a zone is malformed: {error}") from error
 
     def to_json(self) -> bytes:
--- a/egretrouter/daemons/_claims.py
+++ b/egretrouter/daemons/_claims.py
@@ -35,6 +35,7 @@
     WriteShard,
     shard_of,
 )
+from egretrouter.core.decoding import DECODE_ERRORS
 from egretrouter.core.digests import content_digest
 from egretrouter.core.errors import (
     BackendError,
@@ -117,7 +118,7 @@
             if reply is not None:
                 try:
                     return msgspec.msgpack.decode(reply.decided, type=ClaimDecided), False
-                except msgspec.MsgspecError as error:
+                except DECODE_ERRORS as error:
                     log_message("claims:reply_malformed", owner=owner[0], error=str(error))
         return await self._place_locally(message), True
 
@@ -169,7 +170,7 @@
                 reply.decided = msgspec.msgpack.encode(await self._place_locally(place))
             else:
                 self._dispatch(msgspec.msgpack.decode(request.end, type=EndClaim))
-        except msgspec.MsgspecError as error:
+        except DECODE_ERRORS as error:
             raise ProtocolError(f"forwarded claim is malformed: {error}") from error
         return reply
 
--- a/egretrouter/daemons/_lease.py
+++ b/egretrouter/daemons/_lease.py
@@ -13,6 +13,7 @@
 from mode import Service
 
 from egretrouter.backends import Engine, ObjectStore
+from egretrouter.core.decoding import DECODE_ERRORS
 from egretrouter.core.errors import (
     BackendError,
     ObjectMissingError,
@@ -25,6 +26,7 @@
     EndpointGuard,
     EndpointReported,
     EndpointUnresponsive,
+    FencingRecord,
     GiveOrder,
     LeaseCommand,
     LeaseHeld,
@@ -154,6 +156,12 @@
             return NumberRead(sequence=command.sequence, content=b"", version=0)
         except BackendError:
             return AnswerLost()
+        try:
+            if stored.content:
+                msgspec.json.decode(stored.content, type=FencingRecord)
+        except DECODE_ERRORS as error:
+            log_message("lease:record_malformed", key=command.key, error=str(error))
+            return AnswerLost()
         return NumberRead(sequence=command.sequence, content=stored.content, version=stored.version)
 
     @_execute.register
