Drop an engine whose entry became odd in an outage of the store

Callers could be sent for 2 s to an engine whose entry had become odd while the store was away: what is missing from the first listing afterwards is kept that long, as it may come back.

Cause: an odd entry counted as missing there. It exists, and names no engine.

Change: a listing carries the names of the entries that can't be decoded, and these are removed at once.

--- a/egretrouter/backends/_direct_ports.py
+++ b/egretrouter/backends/_direct_ports.py
@@ -61,6 +61,8 @@
     """Revision of the store, from which a watch must start."""
     content_revision: int
     """Revision of the newest object."""
+    malformed: tuple[str, ...] = ()
+    """Names of objects that exist but can't be decoded."""
 
 
 class StateChanges(msgspec.Struct, frozen=True, kw_only=True):
--- a/egretrouter/direct/_shared_state.py
+++ b/egretrouter/direct/_shared_state.py
@@ -141,6 +141,9 @@
                 after_outage=after_outage,
                 now_seconds=time.monotonic(),
             )
+            # Only a missing entry may come back after an outage; a malformed one names no engine.
+            for name in listing.malformed:
+                self.directory.remove(EndpointId(name))
             self._notify_endpoints_changed()
         else:
             for item in listing.items:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -251,6 +251,22 @@
         assert world.router.shared_state.routes.table.version == 1
 
 
+class TestOutage:
+    """Guard against an engine that is used although its entry became odd during an outage."""
+
+    async def test_entry_that_became_odd_in_an_outage_names_no_engine(
+        self, raw: RawStore, world: PlatformWorld, store: PlatformStore
+    ) -> None:
+        await world.start(engines=2)
+        state = world.router.shared_state
+        raw.items[KIND] = [stored(b'"i-0"', b"null", revision=b"99")]
+        raw.revision = 99
+        listing = await store.list_state(StateKind.ENDPOINTS)
+        state.apply_listing(StateKind.ENDPOINTS, listing, after_outage=True)
+        # The entry that is missing may still come back.
+        assert [e.endpoint_id for e in state.directory.all_endpoints()] == ["i-1"]
+
+
 class TestLog:
     """Guard against a log that each listing fills with the same entries."""
 
