--- a/tests/test_odd_backends.py
+++ b/tests/test_odd_backends.py
@@ -10,6 +10,8 @@
 import msgspec
 import pytest
 from egretrouter_platform._dialect import PlatformDialect
+from hypothesis import given
+from hypothesis import strategies as st
 
 from egretrouter.backends import HttpEngine, HttpInstanceList, HttpObjectStore, StoredObject
 from egretrouter.backends._http import DEFAULT_RETRY_AFTER_SECONDS, parse_retry_after
@@ -18,6 +20,7 @@
 from egretrouter.core.errors import MalformedAnswerError, ValidationError
 from egretrouter.core.fencing import AnswerLost, ReadNumber
 from egretrouter.core.identifiers import EndpointId, InstanceId, ZoneId
+from egretrouter.core.json_parts import JsonStructureError, split_items
 from egretrouter.core.membership import Member, MemberRole
 from egretrouter.core.membership._gossip import (
     GossipMalformedError,
@@ -222,3 +225,41 @@
         message = await service._read_number(ReadNumber(key="k", sequence=1))
         assert message == AnswerLost()
         service.lease.handle(message, now_seconds=1.0)
+
+
+class TestJsonParts:
+    """Guard against parts that are cut at a bracket or comma within a string, or too slowly."""
+
+    @pytest.mark.parametrize(
+        ("content", "items"),
+        [
+            (b"[]", []),
+            (b" { } ", []),
+            (b"[1]", [b"1"]),
+            (b'[1, "a,b]" ,{"x":[1,2,{}]},[[]]]', [b"1", b'"a,b]"', b'{"x":[1,2,{}]}', b"[[]]"]),
+            (b'["\\"]","\\\\",""]', [b'"\\"]"', b'"\\\\"', b'""']),
+            (b"[[[[]]],[[]]]", [b"[[[]]]", b"[[]]"]),
+            (b'["\xff,",nul]', [b'"\xff,"', b"nul"]),
+        ],
+    )
+    def test_items(self, content: bytes, items: list[bytes]) -> None:
+        assert split_items(content) == items
+
+    @pytest.mark.parametrize("content", [b"", b"1", b"[", b"[1", b'["]', b"[1]]", b"[[1]", b'{"a"'])
+    def test_unbalanced_content_is_an_error(self, content: bytes) -> None:
+        with pytest.raises(JsonStructureError):
+            split_items(content)
+
+    def test_items_are_found_with_few_steps_for_each(self) -> None:
+        large = nested(200_000, b'{"a":', b"}")
+        assert split_items(b"[1,%s,2]" % large) == [b"1", large, b"2"]
+
+    @given(
+        st.recursive(
+            st.none() | st.booleans() | st.integers() | st.text(),
+            lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner),
+        )
+    )
+    def test_items_of_any_list_are_those_that_were_joined(self, value: Any) -> None:
+        items = [json.dumps(value).encode()] * 3
+        assert split_items(b"[" + b" , ".join(items) + b"]") == items
