--- a/egretrouter/direct/_shared_state.py
+++ b/egretrouter/direct/_shared_state.py
@@ -146,8 +146,7 @@
         # Names between this listing and the last one known may have been replaced by later ones.
         named_seconds = self._weights_newest_seconds()
         if kind is StateKind.ENDPOINTS:
-            listed = [item for item in listing.items if isinstance(item, Endpoint)]
-            if self._replace_endpoints(listed, listing.revision, after_outage=after_outage):
+            if self._replace_by_listing(listing, after_outage=after_outage):
                 # A removal leaves no object with a newer revision.
                 self._endpoints_revision = listing.revision
             else:
@@ -169,6 +168,16 @@
         if kind is StateKind.WEIGHTS:
             self._sum_times.record(self._weights_sum(), at_seconds=asked_seconds)
 
+    def _replace_by_listing(self, listing: StateListing, *, after_outage: bool) -> bool:
+        listed = [item for item in listing.items if isinstance(item, Endpoint)]
+        changed = self._replace_endpoints(listed, listing.revision, after_outage=after_outage)
+        # Only a missing entry may come back after an outage; a malformed one names no engine.
+        for name in listing.malformed:
+            self.directory.remove(EndpointId(name), now_seconds=time.monotonic())
+        if listing.malformed:
+            self._notify_endpoints_changed()
+        return changed
+
     def _replace_endpoints(
         self, endpoints: Iterable[Endpoint], revision: StoreRevision, *, after_outage: bool
     ) -> bool:
