Count the time of a suspended machine in the age of a version's name

What callers saw: after a machine had been suspended, its router sent calls on an older version until that much later than 8 s after the newer one's name, also once it was in touch again.

Cause: the age of a name was counted on the monotonic clock, which stands still while the machine is suspended. The same held for the ages that a process tells its peers after a suspension.

Evidence: tests/test_suspended_machines.py failed before with "assert 200 == 503": the call began on version 1 though the bound had passed on the boot clock.

Change: everything that concerns the time of a name reads the boot clock. Timers of asyncio stay on the monotonic clock, so a wait at an endpoint that was running at the suspension is still ended later by the time of the suspension.

--- a/egretrouter/core/direct/_name_times.py
+++ b/egretrouter/core/direct/_name_times.py
@@ -28,7 +28,7 @@
     def unchanged_until(self, revision: int) -> float:
         """Return the last time at which no change beyond a revision had surely been made.
 
-        Seconds of the monotonic clock; minus infinity if nothing is known.
+        Seconds of the machine's boot clock; minus infinity if nothing is known.
         """
         times = (s for known, s in self._seconds_by_revision.items() if known <= revision)
         return max(times, default=-math.inf)
--- a/egretrouter/direct/_agent.py
+++ b/egretrouter/direct/_agent.py
@@ -3,7 +3,6 @@
 import asyncio
 import math
 import random
-import time
 from collections.abc import Collection
 from typing import Any
 
@@ -37,6 +36,7 @@
 from egretrouter.daemons._metrics import AgentMetrics
 from egretrouter.daemons._peers import PeersServicer
 from egretrouter.daemons._weight_transfers import CopyPeer, WeightTransfers
+from egretrouter.direct._boot_clock import boot_seconds
 from egretrouter.direct._copy_limits import copy_limits, copy_seconds, narrow_link
 from egretrouter.direct._logs import log_event
 from egretrouter.direct._manifests import ManifestFinder
@@ -220,7 +220,7 @@
             )
         named = self.shared_state.weights.named_seconds(target)
         # Where it is not known when the version was named, the agent acts as if it were now.
-        now = time.monotonic()
+        now = boot_seconds()
         switch.set_target(target.version, now_seconds=named if math.isfinite(named) else now)
 
     @Service.task
@@ -240,7 +240,7 @@
         serving = (state.load.versions or {}).get(switch.model, 0)
         switch.start_lead_seconds = self._start_lead_seconds
         self._announce_version(switch.model, serving)
-        now = time.monotonic()
+        now = boot_seconds()
         shares = {
             version: self.copies.held_share(manifest)
             for (model, version), manifest in self._manifests.items()
--- a/egretrouter/direct/_choices.py
+++ b/egretrouter/direct/_choices.py
@@ -15,6 +15,7 @@
     start_lead_seconds,
 )
 from egretrouter.direct._active_call import ActiveCall
+from egretrouter.direct._boot_clock import boot_seconds
 from egretrouter.direct._part_guard import PartGuard, PartHeld
 from egretrouter.direct._shared_state import SharedStateService
 
@@ -86,15 +87,15 @@
         model = call.headers.model if call.service.engine is not None else None
         return CallRequirements(
             model=model,
-            oldest_version=self._oldest_allowed(call, now, queued=False),
-            oldest_queued_version=self._oldest_allowed(call, now, queued=True),
+            oldest_version=self._oldest_allowed(call, queued=False),
+            oldest_queued_version=self._oldest_allowed(call, queued=True),
             exact_version=call.version if call.progress.answer_started else None,
             latency_left_seconds=call.arrived_seconds + call.route.latency_target_seconds - now,
             late=call.late,
             tried=call.tried,
         )
 
-    def _oldest_allowed(self, call: ActiveCall, now: float, *, queued: bool) -> int:
+    def _oldest_allowed(self, call: ActiveCall, *, queued: bool) -> int:
         profile, model = call.service.engine, call.headers.model
         if profile is None or model is None:
             return 0
@@ -104,7 +105,9 @@
             if queued
             else start_lead_seconds(profile)
         )
-        return self._state.weights.oldest_allowed(model, now_seconds=now, lead_seconds=lead)
+        return self._state.weights.oldest_allowed(
+            model, now_seconds=boot_seconds(), lead_seconds=lead
+        )
 
     def exact_version(self, call: ActiveCall, choice: Choice) -> int | None:
         """Return the version that the call must run on; None for calls that need no model.
--- a/egretrouter/direct/_shared_state.py
+++ b/egretrouter/direct/_shared_state.py
@@ -29,6 +29,7 @@
     WeightVersion,
 )
 from egretrouter.core.identifiers import EndpointId
+from egretrouter.direct._boot_clock import boot_seconds
 from egretrouter.direct._fleet_service import FleetService
 from egretrouter.direct._logs import log_event
 from egretrouter.direct._peer_state import NamedVersion, PeerStateClient, SharedState
@@ -210,7 +211,7 @@
         elif isinstance(item, WeightVersion) and self.weights.set_target(
             item, named_seconds=named_seconds
         ):
-            age = time.monotonic() - named_seconds
+            age = boot_seconds() - named_seconds
             log_event(
                 "weights:named",
                 model=item.model,
@@ -251,7 +252,7 @@
             configuration=self.routes.table.version if self.routes is not None else 0,
             endpoints=self._content_revisions[StateKind.ENDPOINTS],
             weights=self._content_revisions[StateKind.WEIGHTS],
-            weights_age_seconds=time.monotonic() - self._weights_newest_seconds(),
+            weights_age_seconds=boot_seconds() - self._weights_newest_seconds(),
         )
 
     def _is_behind(self, kind: StateKind, peer_revisions: Revisions) -> bool:
@@ -264,7 +265,7 @@
 
     def _handle_peer_revisions(self, peer: FleetMember, peer_revisions: Revisions) -> None:
         age = peer_revisions.weights_age_seconds + GREETING_DELAY_SECONDS
-        self._name_times.record(peer_revisions.weights, at_seconds=time.monotonic() - age)
+        self._name_times.record(peer_revisions.weights, at_seconds=boot_seconds() - age)
         for kind in self._kinds:
             if not self._is_behind(kind, peer_revisions):
                 continue
@@ -298,7 +299,7 @@
         if kind in self._fetching or not self._is_behind(kind, announced):
             return
         self._fetching.add(kind)
-        asked = time.monotonic()
+        asked = boot_seconds()
         try:
             state = await self._peers.fetch(kind, peer)
         finally:
@@ -362,7 +363,7 @@
         )
 
     def _names_for_peers(self) -> tuple[NamedVersion, ...]:
-        now = time.monotonic()
+        now = boot_seconds()
         return tuple(
             NamedVersion(
                 model=target.model, version=target.version, age_seconds=now - named_seconds
--- a/egretrouter/direct/_start_limits.py
+++ b/egretrouter/direct/_start_limits.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import contextlib
-import time
 from collections.abc import AsyncIterator
 
 from egretrouter.core.direct import WeightVersion
 from egretrouter.core.identifiers import ModelName
+from egretrouter.direct._boot_clock import boot_seconds
 from egretrouter.direct._shared_state import SharedStateService
 
 
@@ -23,7 +23,7 @@
         if model is None or version is None:
             return None
         deadline = self._state.weights.start_deadline_seconds(model, version)
-        return None if deadline is None else max(0.0, deadline - time.monotonic())
+        return None if deadline is None else max(0.0, deadline - boot_seconds())
 
     @contextlib.asynccontextmanager
     async def limit(self, model: ModelName | None, version: int | None) -> AsyncIterator[None]:
--- a/egretrouter/direct/_store_watch.py
+++ b/egretrouter/direct/_store_watch.py
@@ -14,6 +14,7 @@
     StateStore,
 )
 from egretrouter.core.errors import BackendError
+from egretrouter.direct._boot_clock import boot_seconds
 from egretrouter.direct._fleet_service import FleetService
 from egretrouter.direct._logs import log_event
 
@@ -49,7 +50,7 @@
         after_outage: bool,
         asked_seconds: float,
     ) -> None:
-        """Apply all objects of a kind, as they were at asked_seconds or later."""
+        """Apply all objects of a kind, as they were at asked_seconds of the boot clock or later."""
 
     def apply_changes(self, kind: StateKind, changes: StateChanges) -> None:
         """Apply the changes that a watch reported."""
@@ -185,7 +186,7 @@
                 )
 
     async def _list(self, kind: StateKind, *, after_outage: bool) -> int:
-        asked = time.monotonic()
+        asked = boot_seconds()
         listing = await self._store.list_state(kind)
         self._record_success()
         self._sink.apply_listing(kind, listing, after_outage=after_outage, asked_seconds=asked)
--- a/tests/shared_state_world.py
+++ b/tests/shared_state_world.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import random
+import time
 from types import SimpleNamespace
 from typing import Any
 
@@ -211,6 +212,7 @@
         clock = SimpleNamespace(monotonic=loop.time, time=loop.time)
         for module in (_fleet_service, _shared_state, _store_watch):
             monkeypatch.setattr(module, "time", clock)
+        monkeypatch.setattr(time, "clock_gettime", lambda _: loop.time())
         self.network = loop.network
         self.network.region_bits_per_second = REGION_BITS_PER_SECOND
         self.store = FleetStore(loop)
--- /dev/null
+++ b/tests/test_suspended_machines.py
@@ -0,0 +1,49 @@
+"""Test that time in which a machine was suspended counts for the versions of weights."""
+
+import time
+from collections.abc import AsyncIterator, Callable
+
+import pytest
+
+from tests.version_world import VERSION_MS, VersionWorld
+
+Suspend = Callable[[float], None]
+
+
+@pytest.fixture
+async def world() -> AsyncIterator[VersionWorld]:
+    opened = VersionWorld()
+    yield opened
+    await opened.stop()
+
+
+@pytest.fixture
+def suspend(monkeypatch: pytest.MonkeyPatch) -> Suspend:
+    """Suspend the machine: the monotonic clock stands still, and the boot clock goes on."""
+    suspended_seconds = 0.0
+    read_clock = time.clock_gettime
+
+    def read_with_suspensions(clock: int) -> float:
+        return read_clock(clock) + (suspended_seconds if clock == time.CLOCK_BOOTTIME else 0.0)
+
+    def suspend(seconds: float) -> None:
+        nonlocal suspended_seconds
+        suspended_seconds += seconds
+
+    monkeypatch.setattr(time, "clock_gettime", read_with_suspensions)
+    return suspend
+
+
+class TestSuspendedRouter:
+    """Guard against a version's age that does not grow while the machine is suspended."""
+
+    async def test_older_version_expires_while_the_machine_is_suspended(
+        self, world: VersionWorld, suspend: Suspend
+    ) -> None:
+        await world.start_versions(1)
+        world.name_version(2)
+        await world.wait_until(lambda: world.knows(2))
+        assert await world.write() == 200
+        suspend(VERSION_MS / 1000)
+        assert await world.write() == 503
+        assert len(world.model_engines[0].begun) == 1
