Test that a name in a peer's reply is counted from the name

The tests of late names ran one router, so that no test covered the ages that processes tell each other in greetings and replies. These run two zones of four routers and two agents in virtual time, with one watcher of the store per zone: every process counts a version from its name or up to 3 s before it, also one whose datagrams arrive 4 s late.

The stand-in store of the shared state now also answers listings and watches of versions, and the virtual network holds the datagrams of a frozen process.

--- a/tests/shared_state_world.py
+++ b/tests/shared_state_world.py
@@ -11,7 +11,7 @@
 import msgspec
 import pytest
 
-from egretrouter.backends import StateChanges, StateEvent, StateKind, StateListing
+from egretrouter.backends import StateChanges, StateEvent, StateItem, StateKind, StateListing
 from egretrouter.core.direct import (
     CallKind,
     FleetMember,
@@ -19,9 +19,10 @@
     Route,
     RoutingTable,
     Target,
+    WeightVersion,
 )
 from egretrouter.core.errors import BackendUnavailableError
-from egretrouter.core.identifiers import InstanceId, RegionId, ServiceName, ZoneId
+from egretrouter.core.identifiers import InstanceId, ModelName, RegionId, ServiceName, ZoneId
 from egretrouter.direct import _fleet_service, _shared_state, _store_watch
 from egretrouter.direct._fleet_service import FleetService
 from egretrouter.direct._peer_state import StateReplies
@@ -37,6 +38,8 @@
 AGENT_BITS_PER_SECOND = 3.8e6
 REGION_BITS_PER_SECOND = 13e6
 PEER_PORTS = (7700, 7701)
+MODEL = ModelName("m1")
+NAME_BYTES = 100
 WORDS = "bafepidorukatelomunisazehi"
 
 
@@ -69,11 +72,12 @@
 
 
 class FleetStore:
-    """Hold one configuration and answer listings and watches over the network."""
+    """Hold one configuration and one model's version, and answer calls over the network."""
 
     def __init__(self, loop: VirtualLoop) -> None:
         self.revision = 1
         self.tables: list[tuple[int, RoutingTable]] = []
+        self.names: list[tuple[int, WeightVersion]] = []
         self.served_bytes = 0
         self.unreachable: set[str] = set()
         """Addresses of processes that the store does not answer."""
@@ -89,6 +93,20 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
+    def name_version(self, version: int) -> None:
+        """Name a version of the model, of which every watch learns."""
+        self.revision += 1
+        self.names.append((self.revision, WeightVersion(model=MODEL, version=version)))
+        self._sizes[self.revision] = NAME_BYTES
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def changes(self, kind: StateKind) -> list[tuple[int, StateItem]]:
+        """Return all changes of a kind with their revisions."""
+        if kind is StateKind.CONFIGURATION:
+            return list(self.tables)
+        return list(self.names) if kind is StateKind.WEIGHTS else []
+
     async def answer(self, address: str, revisions: list[int]) -> None:
         """Send the objects of some revisions to a process."""
         size = 200 + sum(self._sizes[revision] for revision in revisions)
@@ -96,10 +114,12 @@
         await asyncio.sleep(STORE_ANSWER_SECONDS)
         await self._loop.network.transfer(STORE_ADDRESS, address, size)
 
-    async def wait_for_change(self, after_revision: int, wait_seconds: float) -> None:
-        """Wait until there is a configuration after a revision."""
+    async def wait_for_change(
+        self, kind: StateKind, after_revision: int, wait_seconds: float
+    ) -> None:
+        """Wait until there is a change of a kind after a revision."""
         deadline = self._loop.time() + wait_seconds
-        while not any(revision > after_revision for revision, _ in self.tables):
+        while not any(revision > after_revision for revision, _ in self.changes(kind)):
             try:
                 async with asyncio.timeout_at(deadline):
                     await self._changed.wait()
@@ -118,11 +138,11 @@
         self._members = members
 
     async def list_state(self, kind: StateKind) -> StateListing:
-        newest = self._store.tables[-1:] if kind is StateKind.CONFIGURATION else []
+        newest = self._store.changes(kind)[-1:]
         revision = self._store.revision
         await self._call(newest, self.CALL_TIMEOUT_SECONDS)
         return StateListing(
-            items=tuple(table for _, table in newest),
+            items=tuple(item for _, item in newest),
             revision=revision,
             content_revision=max((r for r, _ in newest), default=0),
         )
@@ -130,19 +150,16 @@
     async def watch_state(
         self, kind: StateKind, *, after_revision: int, wait_seconds: float
     ) -> StateChanges:
-        if kind is not StateKind.CONFIGURATION:
-            await asyncio.sleep(wait_seconds)
-            return StateChanges(events=(), revision=self._store.revision)
-        await self._store.wait_for_change(after_revision, wait_seconds)
-        found = [(r, table) for r, table in self._store.tables if r > after_revision]
+        await self._store.wait_for_change(kind, after_revision, wait_seconds)
+        found = [(r, item) for r, item in self._store.changes(kind) if r > after_revision]
         revision = self._store.revision
         await self._call(found, wait_seconds + 3.0)
         return StateChanges(
-            events=tuple(StateEvent(name="main", item=table) for _, table in found),
+            events=tuple(StateEvent(name="main", item=item, revision=r) for r, item in found),
             revision=revision,
         )
 
-    async def _call(self, found: list[tuple[int, RoutingTable]], timeout_seconds: float) -> None:
+    async def _call(self, found: list[tuple[int, StateItem]], timeout_seconds: float) -> None:
         try:
             async with asyncio.timeout(timeout_seconds):
                 if self._address in self._store.unreachable:
@@ -208,7 +225,14 @@
 class SharedStateWorld:
     """Run the fleets, the shared state and the store of a deployment without sockets."""
 
-    def __init__(self, loop: VirtualLoop, monkeypatch: pytest.MonkeyPatch, *, seed: int) -> None:
+    def __init__(
+        self,
+        loop: VirtualLoop,
+        monkeypatch: pytest.MonkeyPatch,
+        *,
+        seed: int,
+        kinds: tuple[StateKind, ...] = (StateKind.CONFIGURATION,),
+    ) -> None:
         clock = SimpleNamespace(monotonic=loop.time, time=loop.time)
         for module in (_fleet_service, _shared_state, _store_watch):
             monkeypatch.setattr(module, "time", clock)
@@ -225,6 +249,7 @@
         self.applied_seconds: dict[int, dict[str, float]] = {}
         """When each router put a version into force, by version and address."""
         self._loop = loop
+        self._kinds = kinds
         self._rng = random.Random(seed)
         self._members: list[FleetMember] = []
         self._replies: dict[str, StateReplies] = {}
@@ -269,7 +294,7 @@
             store=store,
             fleet=fleet,
             channels=PeerChannels(self, address),
-            kinds=(StateKind.CONFIGURATION,),
+            kinds=self._kinds,
             rng=random.Random(self._rng.random()),
         )
         self.states[address] = state
--- /dev/null
+++ b/tests/test_version_spread.py
@@ -0,0 +1,94 @@
+"""Test that each process counts a version from its name, however late and by whom it hears."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+
+import pytest
+
+from egretrouter.backends import StateKind
+from egretrouter.core.direct import WeightVersion
+from tests.shared_state_world import MODEL, SharedStateWorld
+from tests.virtual_network import VirtualLoop, run_virtual
+
+SETTLE_SECONDS = 6.0
+FIRST, SECOND = (WeightVersion(model=MODEL, version=version) for version in (1, 2))
+# The watcher lists once a second, and each peer that passes its knowledge on takes half a second
+# off it.
+LARGEST_DOUBT_SECONDS = 3.0
+
+StartFleet = Callable[[VirtualLoop], Awaitable[SharedStateWorld]]
+
+
+@pytest.fixture
+def fleet(monkeypatch: pytest.MonkeyPatch) -> StartFleet:
+    async def start(loop: VirtualLoop) -> SharedStateWorld:
+        world = SharedStateWorld(loop, monkeypatch, seed=1, kinds=(StateKind.WEIGHTS,))
+        world.store.name_version(FIRST.version)
+        await world.start(zones=2, routers=4, agents=2)
+        await asyncio.sleep(SETTLE_SECONDS)
+        return world
+
+    return start
+
+
+def named_seconds(world: SharedStateWorld) -> dict[str, float]:
+    """Return from when each process that knows it counts the second version."""
+    return {
+        address: state.weights.named_seconds(SECOND)
+        for address, state in world.states.items()
+        if SECOND in state.weights.list_targets()
+    }
+
+
+def find_router(world: SharedStateWorld, *, watches: bool) -> str:
+    """Return a router of the first zone that watches the store, or does not."""
+    return next(
+        address
+        for address in world.routers[:4]
+        if (world.fleets[address].fleet.watch_rank() == 0) is watches
+    )
+
+
+def freeze(world: SharedStateWorld, address: str) -> None:
+    """Let nothing reach a process, neither from its peers nor from the store."""
+    world.network.hold(address)
+    world.store.unreachable.add(address)
+
+
+def thaw(world: SharedStateWorld, address: str) -> None:
+    """Let a process go on, with the datagrams that have come for it."""
+    world.store.unreachable.discard(address)
+    world.network.release(address)
+
+
+class TestPeerReplies:
+    """Guard against counting a version from when a peer's reply brought it."""
+
+    def test_name_in_a_peers_reply_is_counted_from_the_name(self, fleet: StartFleet) -> None:
+        async def main(loop: VirtualLoop) -> tuple[float, dict[str, float]]:
+            world = await fleet(loop)
+            named = loop.time()
+            world.store.name_version(SECOND.version)
+            await asyncio.sleep(3.0)
+            return named, named_seconds(world)
+
+        named, counted = run_virtual(main)
+        assert len(counted) == 12
+        assert max(counted.values()) <= named
+        assert min(counted.values()) >= named - LARGEST_DOUBT_SECONDS
+
+    def test_name_in_a_late_reply_is_counted_from_the_name(self, fleet: StartFleet) -> None:
+        async def main(loop: VirtualLoop) -> tuple[float, float]:
+            world = await fleet(loop)
+            late = find_router(world, watches=False)
+            freeze(world, late)
+            named = loop.time()
+            world.store.name_version(SECOND.version)
+            await asyncio.sleep(4.0)
+            assert late not in named_seconds(world)
+            thaw(world, late)
+            await asyncio.sleep(1.0)
+            return named, named_seconds(world)[late]
+
+        named, counted = run_virtual(main)
+        assert named - LARGEST_DOUBT_SECONDS <= counted <= named
--- a/tests/virtual_network.py
+++ b/tests/virtual_network.py
@@ -99,6 +99,8 @@
         self.zone_latency_seconds = 0.0009
         self.region_latency_seconds = 0.0018
         self.hosts: dict[str, Host] = {}
+        self.held: dict[str, list[Callable[[], None]]] = {}
+        """Datagrams that wait at hosts whose processes are frozen."""
         self._loop = loop
         self._region_links: dict[tuple[str, str], Link] = {}
         self._protocols: dict[tuple[str, int], Any] = {}
@@ -123,6 +125,15 @@
         between = self.region_link(sender.region, receiver.region)
         return [sender.uplink, between, receiver.downlink], self.region_latency_seconds
 
+    def hold(self, address: str) -> None:
+        """Keep the datagrams for a host until they are released."""
+        self.held[address] = []
+
+    def release(self, address: str) -> None:
+        """Deliver the datagrams that were kept for a host."""
+        for deliver in self.held.pop(address):
+            deliver()
+
     async def transfer(self, source: str, target: str, size_bytes: int) -> None:
         """Wait until a flow of some bytes has arrived."""
         links, latency_seconds = self._path(source, target)
@@ -151,6 +162,9 @@
         self._loop.call_at(sent + latency_seconds, self._deliver, source, target, data)
 
     def _deliver(self, source: tuple[str, int], target: tuple[str, int], data: bytes) -> None:
+        if target[0] in self.held:
+            self.held[target[0]].append(lambda: self._deliver(source, target, data))
+            return
         protocol = self._protocols.get(target)
         if protocol is not None:
             protocol.datagram_received(data, source)
