Take no greeting for new that waited on its way

What callers saw: a router that had been frozen for 6 s while a version was named counted the older version's time from 3.4 s after the name, and sent calls on the older version by as much too long, when it was in touch again.

Cause: a greeting was taken to have arrived within 0.5 s. The greetings that wait at a frozen process, or behind a full link, say "this was the newest 0.3 s ago" and are read seconds later, so they proved a time at which the name had long been made.

Change: each greeting carries its sender's clock. The difference between the clocks of two machines is constant, so a greeting that shows a larger difference than the smallest known one was on its way longer by that much. Greetings without that time, from processes of the last release, prove nothing.

--- a/egretrouter/core/direct/__init__.py
+++ b/egretrouter/core/direct/__init__.py
@@ -44,6 +44,7 @@
 from egretrouter.core.direct._repeats import RepeatBudget
 from egretrouter.core.direct._routes import RouteIndex, choose_service
 from egretrouter.core.direct._switch import Replica, WeightSwitch
+from egretrouter.core.direct._transit_times import TransitTimes
 from egretrouter.core.direct._weight_targets import (
     MIN_START_LEAD_SECONDS,
     WeightTargets,
@@ -94,6 +95,7 @@
     "SendOutcome",
     "Service",
     "Target",
+    "TransitTimes",
     "WeightSwitch",
     "WeightTargets",
     "WeightVersion",
--- a/egretrouter/core/direct/_members.py
+++ b/egretrouter/core/direct/_members.py
@@ -63,6 +63,8 @@
     weights: int = 0
     weights_age_seconds: float = float("inf")
     """How long ago the weights were certainly the newest; infinite if that is not known."""
+    sent_seconds: float = float("-inf")
+    """When this was sent, by the boot clock of the sender's machine."""
 
 
 class Greeting(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- /dev/null
+++ b/egretrouter/core/direct/_transit_times.py
@@ -0,0 +1,54 @@
+"""Bound from above how long messages of peers were on their way."""
+
+import math
+
+import msgspec
+
+from egretrouter.core.identifiers import InstanceId
+
+# The shortest of a peer's messages in a row is on its way no longer than this.
+SHORTEST_TRANSIT_SECONDS = 0.5
+# Seconds that the clocks of two machines may drift apart in each second.
+CLOCK_DRIFT = 2e-4
+KEPT_PEERS = 4096
+
+
+class _Offset(msgspec.Struct, frozen=True):
+    """The smallest difference between this machine's clock and a time that a peer sent."""
+
+    seconds: float
+    recorded_seconds: float
+
+
+class TransitTimes:
+    """Compare the times at which a peer sent its messages with those at which they arrived.
+
+    The clocks of two machines have no common zero, but the difference between them is constant.
+    A message that shows a larger difference than another one was on its way longer by that much:
+    it waited for a link, or at this process while it was frozen.
+
+    Load pattern: a few messages a second from each of a few peers.
+    """
+
+    def __init__(self) -> None:
+        self._offsets: dict[tuple[InstanceId, int], _Offset] = {}
+
+    def record(
+        self, peer: InstanceId, *, started_ms: int, sent_seconds: float, now_seconds: float
+    ) -> float:
+        """Record a message, and return how long it was on its way at the most.
+
+        sent_seconds is by the sender's clock; the result is infinite if it is not known.
+        """
+        if math.isinf(sent_seconds):
+            return math.inf
+        difference = now_seconds - sent_seconds
+        known = self._offsets.pop((peer, started_ms), None)
+        smallest = difference
+        if known is not None:
+            drift = CLOCK_DRIFT * (now_seconds - known.recorded_seconds)
+            smallest = min(difference, known.seconds + drift)
+        self._offsets[peer, started_ms] = _Offset(smallest, now_seconds)
+        if len(self._offsets) > KEPT_PEERS:
+            del self._offsets[next(iter(self._offsets))]
+        return difference - smallest + SHORTEST_TRANSIT_SECONDS
--- a/egretrouter/direct/_shared_state.py
+++ b/egretrouter/direct/_shared_state.py
@@ -25,6 +25,7 @@
     Revisions,
     RouteIndex,
     RoutingTable,
+    TransitTimes,
     WeightTargets,
     WeightVersion,
 )
@@ -41,8 +42,6 @@
 PEER_LEAD_SECONDS = 0.3
 REMOTE_WAIT_SECONDS = 1.5
 EXPIRY_TICK_SECONDS = 0.25
-# A greeting between processes in touch arrives within this time.
-GREETING_DELAY_SECONDS = 0.5
 
 
 class SharedStateService(Service):
@@ -87,6 +86,7 @@
         self._seen_revisions = dict.fromkeys(StateKind, 0)
         """The store's revision up to which all changes have been applied."""
         self._name_times = NameTimes()
+        self._transit_times = TransitTimes()
         self._fetching: set[StateKind] = set()
         self._waiting: set[StateKind] = set()
         """Kinds that are fetched from a peer unless they come another way before."""
@@ -248,11 +248,13 @@
             listener()
 
     def _revisions(self) -> Revisions:
+        now = boot_seconds()
         return Revisions(
             configuration=self.routes.table.version if self.routes is not None else 0,
             endpoints=self._content_revisions[StateKind.ENDPOINTS],
             weights=self._content_revisions[StateKind.WEIGHTS],
-            weights_age_seconds=boot_seconds() - self._weights_newest_seconds(),
+            weights_age_seconds=now - self._weights_newest_seconds(),
+            sent_seconds=now,
         )
 
     def _is_behind(self, kind: StateKind, peer_revisions: Revisions) -> bool:
@@ -264,8 +266,17 @@
         return peer_revisions.weights > self._seen_revisions[kind]
 
     def _handle_peer_revisions(self, peer: FleetMember, peer_revisions: Revisions) -> None:
-        age = peer_revisions.weights_age_seconds + GREETING_DELAY_SECONDS
-        self._name_times.record(peer_revisions.weights, at_seconds=boot_seconds() - age)
+        now = boot_seconds()
+        transit = self._transit_times.record(
+            peer.instance_id,
+            started_ms=peer.started_ms,
+            sent_seconds=peer_revisions.sent_seconds,
+            now_seconds=now,
+        )
+        self._name_times.record(
+            peer_revisions.weights,
+            at_seconds=now - transit - peer_revisions.weights_age_seconds,
+        )
         for kind in self._kinds:
             if not self._is_behind(kind, peer_revisions):
                 continue
--- a/tests/test_version_spread.py
+++ b/tests/test_version_spread.py
@@ -92,3 +92,25 @@
 
         named, counted = run_virtual(main)
         assert named - LARGEST_DOUBT_SECONDS <= counted <= named
+
+
+class TestDelayedGreetings:
+    """Guard against greetings that prove less than they say because they were long on their way."""
+
+    def test_greeting_that_waited_at_a_frozen_process_does_not_prolong_the_older_version(
+        self, fleet: StartFleet
+    ) -> None:
+        async def main(loop: VirtualLoop) -> tuple[float, float]:
+            world = await fleet(loop)
+            frozen = find_router(world, watches=False)
+            freeze(world, frozen)
+            await asyncio.sleep(2.0)
+            named = loop.time()
+            world.store.name_version(SECOND.version)
+            await asyncio.sleep(4.0)
+            thaw(world, frozen)
+            await asyncio.sleep(1.0)
+            return named, named_seconds(world)[frozen]
+
+        named, counted = run_virtual(main)
+        assert counted <= named
