--- a/tests/platform_standins.py
+++ b/tests/platform_standins.py
@@ -61,6 +61,8 @@
         self.delay_watches = False
         self.silent_kinds: set[str] = set()
         """Kinds of which nothing is answered, neither listings nor watches."""
+        self.after_page: Callable[[], None] = lambda: None
+        """Called when a page of a listing has been read."""
         self.calls: list[str] = []
         self._changed = asyncio.Event()
 
@@ -104,6 +106,7 @@
             after = request.query.get("after", "")
             items = [item for item in items if item["meta"]["name"] > after]
             page = {"items": items[:2], "more": len(items) > 2, "store_revision": self.revision}
+            self.after_page()
             return web.json_response(page)
         body = json.loads(await request.read())
         name = body["meta"]["name"]
