End waiting calls by their version's time after a suspension

What callers saw: a call that waited at its engine while the router's machine was suspended was ended later by the time of the suspension, and began on a version whose time was over.

Cause: the timer that ends the wait runs on the monotonic clock, which leaves suspensions out.

Evidence: test_waiting_call_ends_once_the_machine_goes_on printed "assert 200 == 502" before: the call began 1.5 s after it was sent, when its time had passed.

Change: a process that finds out that its machine was suspended, at most 0.25 s after it goes on, logs it and sets the timers of all waits anew.

Result: python -m pytest -n 2 tests/test_suspended_machines.py tests/test_late_versions.py tests/test_version_spread.py: all passed.

--- a/egretrouter/direct/_boot_clock.py
+++ b/egretrouter/direct/_boot_clock.py
@@ -10,3 +10,8 @@
     grow meanwhile.
     """
     return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+def suspended_seconds() -> float:
+    """Return for how long the machine has been suspended since it started, in all."""
+    return boot_seconds() - time.monotonic()
--- a/egretrouter/direct/_shared_state.py
+++ b/egretrouter/direct/_shared_state.py
@@ -30,7 +30,7 @@
     WeightVersion,
 )
 from egretrouter.core.identifiers import EndpointId
-from egretrouter.direct._boot_clock import boot_seconds
+from egretrouter.direct._boot_clock import boot_seconds, suspended_seconds
 from egretrouter.direct._fleet_service import FleetService
 from egretrouter.direct._logs import log_event
 from egretrouter.direct._peer_state import NamedVersion, PeerStateClient, SharedState
@@ -42,6 +42,8 @@
 PEER_LEAD_SECONDS = 0.3
 REMOTE_WAIT_SECONDS = 1.5
 EXPIRY_TICK_SECONDS = 0.25
+# Shorter differences between the clocks come from the time between reading them.
+MIN_SUSPENSION_SECONDS = 0.05
 
 
 class SharedStateService(Service):
@@ -67,6 +69,8 @@
         self.on_configuration: list[Callable[[RoutingTable], None]] = []
         self.on_endpoints: list[Callable[[], None]] = []
         self.on_weights: list[Callable[[WeightVersion], None]] = []
+        self.on_resumed: list[Callable[[], None]] = []
+        """Called after the machine was suspended, as timers leave that time out."""
         self._settings = settings
         self._fleet = fleet
         self._store_watch = StoreWatchService(
@@ -116,13 +120,22 @@
             task.cancel()
 
     async def _expire(self) -> None:
+        suspended = suspended_seconds()
         while not self.should_stop:
             await self.sleep(EXPIRY_TICK_SECONDS)
+            before, suspended = suspended, suspended_seconds()
+            if suspended - before > MIN_SUSPENSION_SECONDS:
+                self._notify_resumed(suspended - before)
             gone = self.directory.expire(now_seconds=time.monotonic())
             if gone:
                 log_event("endpoints:lapsed", endpoints=gone)
                 self._notify_endpoints_changed()
 
+    def _notify_resumed(self, seconds: float) -> None:
+        log_event("process:resumed", suspended_seconds=round(seconds, 3))
+        for listener in self.on_resumed:
+            listener()
+
     def apply_listing(
         self,
         kind: StateKind,
--- a/egretrouter/direct/_start_limits.py
+++ b/egretrouter/direct/_start_limits.py
@@ -16,7 +16,8 @@
     def __init__(self, state: SharedStateService) -> None:
         self._state = state
         self._running: dict[asyncio.Timeout, WeightVersion] = {}
-        state.on_weights.append(self._handle_name)
+        state.on_weights.append(lambda _: self._reschedule())
+        state.on_resumed.append(self._reschedule)
 
     def left_seconds(self, model: ModelName | None, version: int | None) -> float | None:
         """Return how long a call may wait to begin now, or None if there is no limit yet."""
@@ -39,8 +40,8 @@
         finally:
             del self._running[limit]
 
-    def _handle_name(self, name: WeightVersion) -> None:
+    def _reschedule(self) -> None:
         for limit, used in self._running.items():
             left = self.left_seconds(used.model, used.version)
-            if used.model == name.model and left is not None and not limit.expired():
+            if left is not None and not limit.expired():
                 limit.reschedule(asyncio.get_running_loop().time() + left)
--- a/tests/test_suspended_machines.py
+++ b/tests/test_suspended_machines.py
@@ -1,5 +1,6 @@
 """Test that time in which a machine was suspended counts for the versions of weights."""
 
+import asyncio
 import time
 from collections.abc import AsyncIterator, Callable
 
@@ -47,3 +48,18 @@
         suspend(VERSION_MS / 1000)
         assert await world.write() == 503
         assert len(world.model_engines[0].begun) == 1
+
+    async def test_waiting_call_ends_once_the_machine_goes_on(
+        self, world: VersionWorld, suspend: Suspend
+    ) -> None:
+        """The timer that ends the wait stood still, and the engine began the call too late."""
+        await world.start_versions(1, timeout_ms=8000)
+        engine = world.model_engines[0]
+        engine.queue_seconds = 1.5
+        call = asyncio.create_task(world.write())
+        await world.wait_until(lambda: engine.named)
+        world.name_version(2)
+        await world.wait_until(lambda: world.knows(2))
+        suspend(VERSION_MS / 1000)
+        assert await call == 502
+        assert engine.begun == []
