Take versions from peers of the last release

What callers saw: nothing yet; found by review. During an update, processes of the new release took no versions from those of the last one.

Cause: the age in a peer's reply was a required field, so a reply without it was malformed as a whole.

Evidence: tests/test_mixed_releases.py printed "Object missing required field `age_seconds`" before.

Change: a name without an age is of unknown age.

Result: python -m pytest tests/test_mixed_releases.py: 1 passed.

--- a/egretrouter/direct/_peer_state.py
+++ b/egretrouter/direct/_peer_state.py
@@ -23,7 +23,7 @@
 
     model: ModelName
     version: int
-    age_seconds: float
+    age_seconds: float = float("inf")
     """How long ago it was named at the most; infinite if that is not known."""
 
 
