Take no first greetings of a peer as proof, as all may have waited

Cause: the first greeting of a peer has none to be compared with, and was taken to have arrived within 0.5 s.

The trace showed the first greeting of a router of the other zone, sent at 7.25 s, read at 12.0 s and recorded as of 10.57 s; the name was at 8.0 s.

Change: greetings prove nothing until 1 s after a peer's first one was read, by when a backlog has been read.

--- a/egretrouter/core/direct/_transit_times.py
+++ b/egretrouter/core/direct/_transit_times.py
@@ -8,6 +8,8 @@
 
 # The shortest of a peer's messages in a row is on its way no longer than this.
 SHORTEST_TRANSIT_SECONDS = 0.5
+# All messages that waited at this process are read this long after the first of them.
+BACKLOG_SECONDS = 1.0
 # Seconds that the clocks of two machines may drift apart in each second.
 CLOCK_DRIFT = 2e-4
 KEPT_PEERS = 4096
@@ -18,6 +20,8 @@
 
     seconds: float
     recorded_seconds: float
+    first_seconds: float
+    """When the first message of the peer was recorded."""
 
 
 class TransitTimes:
@@ -38,17 +42,20 @@
     ) -> float:
         """Record a message, and return how long it was on its way at the most.
 
-        sent_seconds is by the sender's clock; the result is infinite if it is not known.
+        sent_seconds is by the sender's clock. The result is infinite if that is not known, and for
+        the first messages of a peer, which may all have waited.
         """
         if math.isinf(sent_seconds):
             return math.inf
         difference = now_seconds - sent_seconds
         known = self._offsets.pop((peer, started_ms), None)
-        smallest = difference
+        smallest, first = difference, now_seconds
         if known is not None:
             drift = CLOCK_DRIFT * (now_seconds - known.recorded_seconds)
-            smallest = min(difference, known.seconds + drift)
-        self._offsets[peer, started_ms] = _Offset(smallest, now_seconds)
+            smallest, first = min(difference, known.seconds + drift), known.first_seconds
+        self._offsets[peer, started_ms] = _Offset(smallest, now_seconds, first)
         if len(self._offsets) > KEPT_PEERS:
             del self._offsets[next(iter(self._offsets))]
+        if now_seconds - first < BACKLOG_SECONDS:
+            return math.inf
         return difference - smallest + SHORTEST_TRANSIT_SECONDS
