--- a/egretrouter/core/direct/__init__.py
+++ b/egretrouter/core/direct/__init__.py
@@ -56,6 +56,7 @@
 from egretrouter.core.direct._routes import RouteIndex, choose_service
 from egretrouter.core.direct._state_order import StoreRevision
 from egretrouter.core.direct._switch import Replica, WeightSwitch
+from egretrouter.core.direct._transit_times import TransitTimes
 from egretrouter.core.direct._weight_targets import (
     MIN_START_LEAD_SECONDS,
     WeightTargets,
@@ -108,6 +109,7 @@
     "Service",
     "StoreRevision",
     "Target",
+    "TransitTimes",
     "WeightSwitch",
     "WeightTargets",
     "WeightVersion",
--- a/egretrouter/core/direct/_members.py
+++ b/egretrouter/core/direct/_members.py
@@ -68,6 +68,8 @@
     """The newest era of the store that the process has heard of."""
     weights_age_seconds: float = float("inf")
     """How long ago the weights were certainly the newest; infinite if that is not known."""
+    sent_seconds: float = float("-inf")
+    """When this was sent, by the boot clock of the sender's machine."""
 
 
 class Greeting(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/egretrouter/core/direct/_name_times.py
+++ b/egretrouter/core/direct/_name_times.py
@@ -33,7 +33,7 @@
     def unchanged_until(self, state: _State) -> float:
         """Return the last time at which no change beyond a state had surely been made.
 
-        Seconds of the monotonic clock; minus infinity if nothing is known.
+        Seconds of the machine's boot clock; minus infinity if nothing is known.
         """
         times = (s for known, s in self._seconds_by_state.items() if known <= state)
         return max(times, default=-math.inf)
--- a/egretrouter/core/direct/_records.py
+++ b/egretrouter/core/direct/_records.py
@@ -161,5 +161,5 @@
 
     model: ModelName
     version: int
-    age_seconds: float
+    age_seconds: float = float("inf")
     """How long ago it was named at the most; infinite if that is not known."""
--- a/egretrouter/direct/_shared_state.py
+++ b/egretrouter/direct/_shared_state.py
@@ -27,10 +27,12 @@
     RouteIndex,
     RoutingTable,
     StoreRevision,
+    TransitTimes,
     WeightTargets,
     WeightVersion,
 )
 from egretrouter.core.identifiers import EndpointId
+from egretrouter.direct._boot_clock import boot_seconds, suspended_seconds
 from egretrouter.direct._fleet_service import FleetService
 from egretrouter.direct._logs import log_event
 from egretrouter.direct._peer_state import PeerStateClient, SharedState
@@ -42,10 +44,10 @@
 PEER_LEAD_SECONDS = 0.3
 REMOTE_WAIT_SECONDS = 1.5
 EXPIRY_TICK_SECONDS = 0.25
-# A greeting between processes in touch arrives within this time.
-GREETING_DELAY_SECONDS = 0.5
 # Larger integers can't be encoded in a greeting.
 LARGEST_SUM = 2**63 - 1
+# Shorter differences between the clocks come from the time between reading them.
+MIN_SUSPENSION_SECONDS = 0.05
 
 
 class SharedStateService(Service):
@@ -71,6 +73,8 @@
         self.on_configuration: list[Callable[[RoutingTable], None]] = []
         self.on_endpoints: list[Callable[[], None]] = []
         self.on_weights: list[Callable[[WeightVersion], None]] = []
+        self.on_resumed: list[Callable[[], None]] = []
+        """Called after the machine was suspended, as timers leave that time out."""
         self._settings = settings
         self._fleet = fleet
         self._store_watch = StoreWatchService(
@@ -91,6 +95,7 @@
         """The store's revision up to which all changes have been applied."""
         self._sum_times: NameTimes[int] = NameTimes()
         self._revision_times: NameTimes[StoreRevision] = NameTimes()
+        self._transit_times = TransitTimes()
         self._fetching: set[StateKind] = set()
         self._waiting: set[StateKind] = set()
         """Kinds that are fetched from a peer unless they come another way before."""
@@ -120,13 +125,22 @@
             task.cancel()
 
     async def _expire(self) -> None:
+        suspended = suspended_seconds()
         while not self.should_stop:
             await self.sleep(EXPIRY_TICK_SECONDS)
+            before, suspended = suspended, suspended_seconds()
+            if suspended - before > MIN_SUSPENSION_SECONDS:
+                self._notify_resumed(suspended - before)
             gone = self.directory.expire(now_seconds=time.monotonic())
             if gone:
                 log_event("endpoints:lapsed", endpoints=gone)
                 self._notify_endpoints_changed()
 
+    def _notify_resumed(self, seconds: float) -> None:
+        log_event("process:resumed", suspended_seconds=round(seconds, 3))
+        for listener in self.on_resumed:
+            listener()
+
     def apply_listing(
         self,
         kind: StateKind,
@@ -252,7 +266,7 @@
         elif isinstance(item, WeightVersion) and self.weights.set_target(
             item, named_seconds=named_seconds
         ):
-            age = time.monotonic() - named_seconds
+            age = boot_seconds() - named_seconds
             log_event(
                 "weights:named",
                 model=item.model,
@@ -297,8 +311,12 @@
         )
 
     def _announced_revisions(self) -> Revisions:
-        age = time.monotonic() - self._weights_newest_seconds()
-        return msgspec.structs.replace(self._revisions(), weights_age_seconds=age)
+        now = boot_seconds()
+        return msgspec.structs.replace(
+            self._revisions(),
+            weights_age_seconds=now - self._weights_newest_seconds(),
+            sent_seconds=now,
+        )
 
     def _weights_sum(self) -> int:
         """Return a number that grows with each version that is named."""
@@ -313,8 +331,17 @@
         return peer_revisions.weights > self._weights_sum()
 
     def _handle_peer_revisions(self, peer: FleetMember, peer_revisions: Revisions) -> None:
-        age = peer_revisions.weights_age_seconds + GREETING_DELAY_SECONDS
-        self._sum_times.record(peer_revisions.weights, at_seconds=time.monotonic() - age)
+        now = boot_seconds()
+        transit = self._transit_times.record(
+            peer.instance_id,
+            started_ms=peer.started_ms,
+            sent_seconds=peer_revisions.sent_seconds,
+            now_seconds=now,
+        )
+        self._sum_times.record(
+            peer_revisions.weights,
+            at_seconds=now - transit - peer_revisions.weights_age_seconds,
+        )
         for kind in self._kinds:
             if not self._is_behind(kind, peer_revisions):
                 continue
@@ -348,7 +375,7 @@
         if kind in self._fetching or not self._is_behind(kind, announced):
             return
         self._fetching.add(kind)
-        asked = time.monotonic()
+        asked = boot_seconds()
         try:
             state = await self._peers.fetch(kind, peer)
         finally:
@@ -411,7 +438,7 @@
         )
 
     def _names_for_peers(self) -> tuple[NamedVersion, ...]:
-        now = time.monotonic()
+        now = boot_seconds()
         return tuple(
             NamedVersion(
                 model=target.model, version=target.version, age_seconds=now - named_seconds
--- a/egretrouter/direct/_start_limits.py
+++ b/egretrouter/direct/_start_limits.py
@@ -2,11 +2,11 @@
 
 import asyncio
 import contextlib
-import time
 from collections.abc import AsyncIterator
 
 from egretrouter.core.direct import WeightVersion
 from egretrouter.core.identifiers import ModelName
+from egretrouter.direct._boot_clock import boot_seconds
 from egretrouter.direct._shared_state import SharedStateService
 
 
@@ -16,14 +16,15 @@
     def __init__(self, state: SharedStateService) -> None:
         self._state = state
         self._running: dict[asyncio.Timeout, WeightVersion] = {}
-        state.on_weights.append(self._handle_name)
+        state.on_weights.append(lambda _: self._reschedule())
+        state.on_resumed.append(self._reschedule)
 
     def left_seconds(self, model: ModelName | None, version: int | None) -> float | None:
         """Return how long a call may wait to begin now, or None if there is no limit yet."""
         if model is None or version is None:
             return None
         deadline = self._state.weights.start_deadline_seconds(model, version)
-        return None if deadline is None else max(0.0, deadline - time.monotonic())
+        return None if deadline is None else max(0.0, deadline - boot_seconds())
 
     @contextlib.asynccontextmanager
     async def limit(self, model: ModelName | None, version: int | None) -> AsyncIterator[None]:
@@ -39,8 +40,8 @@
         finally:
             del self._running[limit]
 
-    def _handle_name(self, name: WeightVersion) -> None:
+    def _reschedule(self) -> None:
         for limit, used in self._running.items():
             left = self.left_seconds(used.model, used.version)
-            if used.model == name.model and left is not None and not limit.expired():
+            if left is not None and not limit.expired():
                 limit.reschedule(asyncio.get_running_loop().time() + left)
--- a/egretrouter/direct/_store_watch.py
+++ b/egretrouter/direct/_store_watch.py
@@ -16,6 +16,7 @@
 )
 from egretrouter.core.direct import StoreRevision
 from egretrouter.core.errors import BackendError, BackendUnavailableError
+from egretrouter.direct._boot_clock import boot_seconds
 from egretrouter.direct._fleet_service import FleetService
 from egretrouter.direct._logs import log_event
 
@@ -51,7 +52,7 @@
         after_outage: bool,
         asked_seconds: float,
     ) -> None:
-        """Apply all objects of a kind, as they were at asked_seconds or later."""
+        """Apply all objects of a kind, as they were at asked_seconds of the boot clock or later."""
 
     def apply_changes(self, kind: StateKind, changes: StateChanges) -> None:
         """Apply the changes that a watch reported."""
@@ -212,7 +213,7 @@
                 )
 
     async def _list(self, kind: StateKind, *, after_outage: bool) -> StoreRevision:
-        asked = time.monotonic()
+        asked = boot_seconds()
         listing = await self._store.list_state(kind)
         eras = self._fleet.eras
         eras.hear(listing.revision.era, source="store")
--- a/tests/test_peer_state.py
+++ b/tests/test_peer_state.py
@@ -7,7 +7,7 @@
 import pytest
 
 from egretrouter.backends import StateKind
-from egretrouter.core.direct import RoutingTable
+from egretrouter.core.direct import RoutingTable, StoreRevision
 from egretrouter.core.errors import MalformedAnswerError
 from egretrouter.direct._peer_state import SharedState, StateReplies, decode_reply
 from egretrouter.protocol import egretrouter_pb2 as pb
@@ -110,12 +110,12 @@
     def test_odd_endpoint_leaves_the_others(self, odd: Any) -> None:
         state = {
             "endpoints": [endpoint("i-1"), odd, endpoint("i-2")],
-            "endpoints_revision": 7,
+            "endpoints_revision": [0, 7],
             "a field of a later version": [1],
         }
         decoded = decode_reply(pb.StateReply(state=msgspec.msgpack.encode(state)))
         assert [e.endpoint_id for e in decoded.endpoints or ()] == ["i-1", "i-2"]
-        assert decoded.endpoints_revision == 7
+        assert decoded.endpoints_revision == StoreRevision(0, 7)
 
     @pytest.mark.parametrize("version", [-1, 2**64 - 1, "2", 1.5, None])
     def test_odd_version_leaves_the_others(self, version: Any) -> None:
