Refuse single-run calls that a stopping router may not finish

Callers saw: streams that may not be repeated were taken in the first 2.6 s after SIGTERM and broken off in the middle when the router stopped.

Cause: such a call was sent if it ended in time at the slowest pace that engines reported at that moment. The engine may grow slower afterwards, and nothing bounded the call but its own deadline, which lay beyond the stop.

Evidence: tests/test_late_in_grace.py stops one router in calm (grace period 5 s) beside engines that become 6 times slower than reported. Before: 4 of 6 calls of the route that runs once were cut at 4.55 s, those sent 1.0 s or later after SIGTERM (python -m pytest -s tests/test_late_in_grace.py).

Change: GracePeriod.may_send uses the estimate only for calls that may run again, whose callers can repeat or resume them.

The price is one retry for each such call in the 2.6 s.

--- a/egretrouter/direct/_time_limits.py
+++ b/egretrouter/direct/_time_limits.py
@@ -52,6 +52,7 @@
         allowed = self._grace.may_send(
             ends_by_seconds=call.deadline_seconds + ANSWER_SLACK_SECONDS,
             longest_seconds=longest,
+            repeatable=call.route.repeatable,
             now_seconds=now,
         )
         log_event(
--- a/tests/test_grace_period.py
+++ b/tests/test_grace_period.py
@@ -29,19 +29,32 @@
 class TestGracePeriod:
     """Guard against calls that are taken by an estimate and cut at the stop."""
 
-    @given(now=st.floats(0, 10), ends_by=st.floats(0, 20), longest=st.floats(0, 20))
+    @given(
+        now=st.floats(0, 10),
+        ends_by=st.floats(0, 20),
+        longest=st.floats(0, 20),
+        repeatable=st.booleans(),
+    )
     def test_call_is_sent_that_may_last_beyond_the_stop(
-        self, now: float, ends_by: float, longest: float
+        self, now: float, ends_by: float, longest: float, repeatable: bool
     ) -> None:
-        allowed = GRACE.may_send(ends_by_seconds=ends_by, longest_seconds=longest, now_seconds=now)
+        allowed = GRACE.may_send(
+            ends_by_seconds=ends_by,
+            longest_seconds=longest,
+            repeatable=repeatable,
+            now_seconds=now,
+        )
         surely = ends_by <= GRACE.stop_seconds
-        if now > GRACE.rotation_end_seconds:
+        if now > GRACE.rotation_end_seconds or not repeatable:
             assert allowed == surely
         else:
             assert allowed == (surely or now + longest <= GRACE.stop_seconds)
 
     def test_unknown_length_counts_as_endless(self) -> None:
-        assert not GRACE.may_send(ends_by_seconds=8.0, now_seconds=0.0)
+        assert not GRACE.may_send(ends_by_seconds=8.0, repeatable=True, now_seconds=0.0)
+
+    def test_call_that_may_run_only_once_is_sent_by_an_estimate(self) -> None:
+        assert not GRACE.may_send(ends_by_seconds=8.0, longest_seconds=0.1, now_seconds=0.0)
 
 
 class TestLongestCall:
