Give endpoints no more time than a stopping router has

Callers saw: a call that a stopping router had sent to an engine and that was still in the engine's queue at the stop was answered 504, unknown, though it had not run. Where an engine keeps calls whose connection is closed, such a call could begin after the stop.

Cause: each send carried the call's own deadline, which may lie seconds beyond the stop. The router then gave the call up itself and could not know what had become of it.

The engine gives the call up by itself and says whether it has run.

--- a/egretrouter/direct/_callers.py
+++ b/egretrouter/direct/_callers.py
@@ -197,7 +197,7 @@
 
     async def _send(self, call: ActiveCall, choice: Choice) -> web.StreamResponse:
         now = time.monotonic()
-        left = call.deadline_seconds - now
+        left = self._time_limits.send_deadline_seconds(call) - now
         if left < MIN_SEND_SECONDS:
             return self._responder.end_call(call, call.progress.abort(), 504, "the time is up")
         endpoint = choice.endpoint
--- a/egretrouter/direct/_time_limits.py
+++ b/egretrouter/direct/_time_limits.py
@@ -65,6 +65,16 @@
         )
         return allowed
 
+    def send_deadline_seconds(self, call: ActiveCall) -> float:
+        """Return until when an endpoint may work on a call, or keep it in its queue.
+
+        An endpoint that gives a call up in time says whether it has run; a router that stops can
+        only guess.
+        """
+        if self._grace is None:
+            return call.deadline_seconds
+        return min(call.deadline_seconds, self._grace.stop_seconds - ANSWER_SLACK_SECONDS)
+
     @contextlib.asynccontextmanager
     async def limit(self, call: ActiveCall) -> AsyncIterator[None]:
         """Raise TimeoutError in the block when the call's time is up or the router stops."""
