Send no call of a stopping router into an engine's queue by an estimate

Callers saw: late calls of a stopping router waited in the queue of a full engine until the router stopped, and were refused only then.

Cause: the estimate of a call's longest time allows for one and a half seconds of silence, but not for the queue of an engine that is full already. A call could be sent wherever the load left room for its latency target, which includes part of a queue.

Evidence: tests/test_late_in_grace.py, engines that report as many running calls as they have slots.

Change: a call that a stopping router takes by the estimate may not queue. It goes to an engine with room, as calls that are late already do, or is refused after the usual wait for capacity. Calls that surely end before the stop, and streams that have begun, may queue as before.

--- a/egretrouter/core/direct/_placement.py
+++ b/egretrouter/core/direct/_placement.py
@@ -36,9 +36,9 @@
 # Agents report at about this interval, and until the next report all routers use the same one.
 REPORT_INTERVAL_SECONDS = 0.15
 ARRIVAL_WINDOW_SECONDS = 1.0
-# A call that is already late is sent only to an endpoint below this share of its slots, where no
-# call is queued.
-LATE_SLOT_SHARE = 0.85
+# A call that must not queue, or is already late, is sent only to an endpoint below this share of
+# its slots, where no call is queued.
+UNQUEUED_SLOT_SHARE = 0.85
 # A sound engine may send nothing for about a second and then go on.
 SILENCE_SECONDS = 1.5
 # Endpoints that register no number of slots are assumed to have few.
@@ -118,6 +118,8 @@
     """How soon the answer must start to meet the latency target."""
     late: bool = False
     """Whether the call can no longer meet its latency target."""
+    may_queue: bool = True
+    """Whether the call may wait in an endpoint's queue."""
     tried: Collection[EndpointId] = ()
 
 
@@ -311,8 +313,9 @@
     ) -> float:
         """Return the number of calls at which an endpoint can't answer another one in time."""
         slots = self._slots(endpoint)
-        if requirements.late or version < requirements.oldest_queued_version:
-            return LATE_SLOT_SHARE * slots
+        queues = requirements.may_queue and version >= requirements.oldest_queued_version
+        if requirements.late or not queues:
+            return UNQUEUED_SLOT_SHARE * slots
         if profile is None:
             return slots + PLAIN_QUEUE_FACTOR * slots
         spare = max(0.0, requirements.latency_left_seconds - first_event_seconds(profile))
--- a/egretrouter/direct/_callers.py
+++ b/egretrouter/direct/_callers.py
@@ -82,7 +82,12 @@
         self._time_limits = CallTimeLimits(state=state, placement=placement)
         self._admission = CallAdmission(state=state, rng=rng)
         self._choices = EndpointChoices(
-            state=state, placement=placement, guard=guard, limits=news.limits, rng=rng
+            state=state,
+            placement=placement,
+            guard=guard,
+            limits=news.limits,
+            time_limits=self._time_limits,
+            rng=rng,
         )
 
     @property
--- a/egretrouter/direct/_choices.py
+++ b/egretrouter/direct/_choices.py
@@ -15,6 +15,7 @@
 from egretrouter.direct._active_call import ActiveCall
 from egretrouter.direct._part_guard import PartGuard, PartHeld
 from egretrouter.direct._shared_state import SharedStateService
+from egretrouter.direct._time_limits import CallTimeLimits
 
 # Agents report their engines' load at about this interval.
 CAPACITY_POLL_SECONDS = 0.1
@@ -35,12 +36,14 @@
         placement: Placement,
         guard: PartGuard,
         limits: EndpointLimits,
+        time_limits: CallTimeLimits,
         rng: random.Random,
     ) -> None:
         self._state = state
         self._placement = placement
         self._guard = guard
         self._limits = limits
+        self._time_limits = time_limits
         self._rng = rng
 
     async def choose(self, call: ActiveCall) -> Choice | NoEndpointAvailable | PartHeld:
@@ -92,6 +95,7 @@
             exact_version=call.version if call.progress.answer_started else None,
             latency_left_seconds=call.arrived_seconds + call.route.latency_target_seconds - now,
             late=call.late,
+            may_queue=self._time_limits.may_queue(call),
             tried=call.tried,
         )
 
--- a/egretrouter/direct/_time_limits.py
+++ b/egretrouter/direct/_time_limits.py
@@ -50,7 +50,7 @@
         now = time.monotonic()
         longest = self._longest_seconds(call, now)
         allowed = self._grace.may_send(
-            ends_by_seconds=call.deadline_seconds + ANSWER_SLACK_SECONDS,
+            ends_by_seconds=_ends_by_seconds(call),
             longest_seconds=longest,
             repeatable=call.route.repeatable,
             now_seconds=now,
@@ -65,6 +65,12 @@
         )
         return allowed
 
+    def may_queue(self, call: ActiveCall) -> bool:
+        """Return whether a call may wait in an endpoint's queue, for which no estimate allows."""
+        if self._grace is None or call.progress.may_have_run:
+            return True
+        return _ends_by_seconds(call) <= self._grace.stop_seconds
+
     def send_deadline_seconds(self, call: ActiveCall) -> float:
         """Return until when an endpoint may work on a call, or keep it in its queue.
 
@@ -78,7 +84,7 @@
     @contextlib.asynccontextmanager
     async def limit(self, call: ActiveCall) -> AsyncIterator[None]:
         """Raise TimeoutError in the block when the call's time is up or the router stops."""
-        end = call.deadline_seconds + ANSWER_SLACK_SECONDS
+        end = _ends_by_seconds(call)
         if self._grace is not None:
             end = min(end, self._grace.stop_seconds)
         limit = asyncio.timeout_at(_loop_seconds(end))
@@ -103,5 +109,9 @@
         )
 
 
+def _ends_by_seconds(call: ActiveCall) -> float:
+    return call.deadline_seconds + ANSWER_SLACK_SECONDS
+
+
 def _loop_seconds(monotonic_seconds: float) -> float:
     return asyncio.get_running_loop().time() + (monotonic_seconds - time.monotonic())
--- a/tests/test_late_in_grace.py
+++ b/tests/test_late_in_grace.py
@@ -1,13 +1,19 @@
 """Test what becomes of calls that a stopping router takes late in its grace period."""
 
+import asyncio
+import time
 from collections.abc import AsyncIterator
 
 import pytest
 
-from tests.late_grace_world import GRACE_SECONDS, LateGraceWorld, SentCall
+from egretrouter.core.direct import LoadReport
+from egretrouter.core.identifiers import EndpointId
+from tests.late_grace_world import GRACE_SECONDS, SLOTS, LateGraceWorld, SentCall
 
 SENT_SECONDS = [0.2, 0.6, 1.0, 1.4, 1.8, 2.2]
 SLOW_PACE = 6.0
+REPORT_SECONDS = 0.1
+LATENCY_SECONDS = 0.4
 # The router stops this long before its grace period ends.
 STOP_MARGIN_SECONDS = 0.5
 
@@ -71,3 +77,29 @@
         await world.stop_router(sent_seconds=SENT_SECONDS)
         assert world.began
         assert world.latest_deadline_seconds() < GRACE_SECONDS - STOP_MARGIN_SECONDS
+
+    async def test_call_is_sent_into_the_queue_of_a_full_engine(
+        self, world: LateGraceWorld
+    ) -> None:
+        for writer in world.writers:
+            await writer.occupy()
+        reports = asyncio.create_task(report_full_engines(world))
+        await world.stop_router(sent_seconds=SENT_SECONDS)
+        reports.cancel()
+        show(world)
+        assert not [writer for writer in world.writers if writer.requests]
+        assert {call.received.status for call in world.calls} == {503}
+        assert max(call.ended_seconds - call.sent_seconds for call in world.calls) < LATENCY_SECONDS
+
+
+async def report_full_engines(world: LateGraceWorld) -> None:
+    """Tell the router again and again that all engines run as many calls as they have slots."""
+    while True:
+        for writer in world.writers:
+            world.router.placement.record_report(
+                EndpointId(writer.endpoint_id),
+                LoadReport(running=SLOTS, queued=0, slots=SLOTS),
+                by_agent=True,
+                now_seconds=time.monotonic(),
+            )
+        await asyncio.sleep(REPORT_SECONDS)
