Keep a draining agent out of view while an older summary lists it

Seen: 12 s after an agent of another zone had said that it drains, a router could list it for calls again, though the agent was gone.

Cause: the notice of a drain, which comes over the link, hid the agent for 12 s and then expired. The router then trusted the summary of the other zone again, and nothing compared their ages. Summaries are pushed every 6 s and more, and passed on inside a zone only when they are 5 s newer, so the one that a router holds can have been made before the notice.

Change: a report that lists an endpoint has the time at which it was made. A notice of a drain hides the endpoint for 12 s, as before, and beyond that from each summary that was made up to 5 s after the notice, by when the members of the zone know of the drain. A later summary, or the agent itself over its link, brings the endpoint back.

--- a/egretrouter/daemons/_endpoint_view.py
+++ b/egretrouter/daemons/_endpoint_view.py
@@ -30,6 +30,9 @@
 # In a zone with 67 routers, a link without calls delivers a report every 10 s. Reports by gossip
 # are 17.8 s old on average at 500 members. After this time, gossip may be more recent.
 LINK_REPORT_SECONDS = 12.0
+# After this time, the members of a zone know that an agent drains or is gone. A summary that they
+# make later lists it only if it accepts calls again.
+ZONE_LEARNS_SECONDS = 5.0
 
 
 class _KnownEndpoint(msgspec.Struct, frozen=True, kw_only=True):
@@ -38,6 +41,8 @@
     update: EndpointUpdated
     serving_digest: Digest
     adapters: dict[ModelName, Digest]
+    as_of_seconds: float
+    """When the report was made that lists the endpoint."""
 
 
 class EndpointView:
@@ -57,7 +62,8 @@
         self._known_endpoints: dict[EndpointId, _KnownEndpoint] = {}
         self._load_samples: dict[EndpointId, LoadSample] = {}
         self._by_address: dict[str, EndpointId] = {}
-        self._draining_until: dict[str, float] = {}
+        self._drain_noticed_seconds: dict[str, float] = {}
+        """When the agent of an address last sent that it drains."""
         self._link_report_until: dict[EndpointId, float] = {}
         self._link_digests: dict[EndpointId, Digest] = {}
 
@@ -100,13 +106,16 @@
         """Send changed endpoints and loads to the selector."""
         now = self._clock()
         found = (*self._zone_endpoints(now), *self._remote_endpoints(now))
-        self._draining_until = {
-            a: until for a, until in self._draining_until.items() if until > now
+        drained = {k.update.address for k in found if self._is_drained(k, now)}
+        self._drain_noticed_seconds = {
+            address: noticed
+            for address, noticed in self._drain_noticed_seconds.items()
+            if address in drained or now < noticed + LINK_REPORT_SECONDS
         }
         current = {
             known.update.endpoint_id: self._apply_link_digest(known)
             for known in found
-            if known.update.address not in self._draining_until
+            if known.update.address not in drained
         }
         for endpoint_id in self._known_endpoints.keys() - current.keys():
             self._selector.handle(EndpointRemoved(endpoint_id=endpoint_id), now_seconds=now)
@@ -128,14 +137,14 @@
     def record_load(self, address: str, load: pb.EndpointLoad) -> None:
         """Record a load report or drain notice received over a link."""
         now = self._clock()
-        was_draining = address in self._draining_until
+        was_draining = address in self._drain_noticed_seconds
         if load.draining:
             # Summaries report a drain to the routers of other zones only after seconds. The notice
             # expires, because the link may close before the agent accepts calls again.
-            self._draining_until[address] = now + LINK_REPORT_SECONDS
+            self._drain_noticed_seconds[address] = now
         else:
             # A new agent may listen on the address of one that was drained.
-            self._draining_until.pop(address, None)
+            self._drain_noticed_seconds.pop(address, None)
         if load.draining != was_draining:
             self.refresh()
         endpoint_id = self._by_address.get(address)
@@ -157,6 +166,20 @@
             now_seconds=now,
         )
 
+    def _is_drained(self, known: _KnownEndpoint, now: float) -> bool:
+        """Return whether an agent's notice of its drain overrides the report that lists it.
+
+        A summary can be older than the notice when that has expired, as summaries reach routers
+        many seconds late.
+        """
+        noticed = self._drain_noticed_seconds.get(known.update.address)
+        if noticed is None:
+            return False
+        return (
+            now < noticed + LINK_REPORT_SECONDS
+            or known.as_of_seconds < noticed + ZONE_LEARNS_SECONDS
+        )
+
     def _apply_link_digest(self, known: _KnownEndpoint) -> _KnownEndpoint:
         """Replace the version known by gossip with the one last reported over the link."""
         digest = self._link_digests.get(known.update.endpoint_id, known.serving_digest)
@@ -169,12 +192,12 @@
     def _zone_endpoints(self, now: float) -> list[_KnownEndpoint]:
         members = self._membership.usable_members(now_seconds=now)
         return [
-            self._from_member(member)
+            self._from_member(member, now)
             for member in members
             if member.role is MemberRole.AGENT and member.facts.ready and not member.facts.drained
         ]
 
-    def _from_member(self, member: Member) -> _KnownEndpoint:
+    def _from_member(self, member: Member, now: float) -> _KnownEndpoint:
         facts = member.facts
         adapters = {ModelName(model): Digest(digest) for model, digest in facts.adapters}
         update = EndpointUpdated(
@@ -186,16 +209,24 @@
             version_digests=frozenset({facts.version_digest, *adapters.values()}),
             adapters=frozenset(adapters),
         )
-        return _KnownEndpoint(update=update, serving_digest=facts.version_digest, adapters=adapters)
+        return _KnownEndpoint(
+            update=update,
+            serving_digest=facts.version_digest,
+            adapters=adapters,
+            as_of_seconds=now,
+        )
 
     def _remote_endpoints(self, now: float) -> list[_KnownEndpoint]:
         known = []
         for summary in self._membership.summaries(now_seconds=now):
             for version in summary.versions:
-                known += self._from_summary(summary.zone, version)
+                made_seconds = now - summary.age_seconds
+                known += self._from_summary(summary.zone, version, made_seconds)
         return known
 
-    def _from_summary(self, zone: ZoneId, version: VersionSummary) -> list[_KnownEndpoint]:
+    def _from_summary(
+        self, zone: ZoneId, version: VersionSummary, made_seconds: float
+    ) -> list[_KnownEndpoint]:
         return [
             _KnownEndpoint(
                 update=EndpointUpdated(
@@ -208,6 +239,7 @@
                 ),
                 serving_digest=version.version_digest,
                 adapters={},
+                as_of_seconds=made_seconds,
             )
             for instance_id, address in version.samples
         ]
--- a/tests/test_endpoint_view.py
+++ b/tests/test_endpoint_view.py
@@ -2,7 +2,14 @@
 
 import random
 
-from egretrouter.core.identifiers import EndpointId, InstanceId, RegionId, ServiceName, ZoneId
+from egretrouter.core.identifiers import (
+    Digest,
+    EndpointId,
+    InstanceId,
+    RegionId,
+    ServiceName,
+    ZoneId,
+)
 from egretrouter.core.membership import (
     Facts,
     GossipReceived,
@@ -11,7 +18,10 @@
     Member,
     MemberRole,
     Membership,
+    SummaryPush,
     Updates,
+    VersionSummary,
+    ZoneSummary,
 )
 from egretrouter.core.routing import EndpointSelector
 from egretrouter.daemons._endpoint_view import EndpointView
@@ -26,6 +36,15 @@
     facts=Facts(service=ServiceName("llm"), ready=True),
 )
 ENDPOINT = EndpointId("agent")
+REMOTE_ZONE = ZoneId("taquari-z1")
+REMOTE = EndpointId("remote")
+REMOTE_ADDRESS = "10.1.0.2:7000"
+GATEWAY = Member(
+    instance_id=InstanceId("gateway"),
+    zone=REMOTE_ZONE,
+    role=MemberRole.ROUTER,
+    address="10.1.0.1:7000",
+)
 
 
 class ViewWorld:
@@ -57,6 +76,37 @@
         self.membership.handle(GossipReceived(body=body), now_seconds=now)
         self.view.refresh()
 
+    def receive_summary(self, *, made_at: float, now: float) -> None:
+        """Receive a summary of another zone that lists an agent, and refresh the view."""
+        version = VersionSummary(
+            service=ServiceName("llm"),
+            version_digest=Digest(""),
+            ready=1,
+            queued_calls=0,
+            calls_per_second=0.0,
+            samples=((InstanceId(REMOTE), REMOTE_ADDRESS),),
+        )
+        summary = ZoneSummary(
+            zone=REMOTE_ZONE,
+            routers=1,
+            agents=1,
+            versions=(version,),
+            contacts=(),
+            age_seconds=now - made_at,
+        )
+        body = SummaryPush(sender=GATEWAY, summaries=(summary,))
+        self.membership.handle(GossipReceived(body=body), now_seconds=now)
+        self.refresh(now=now)
+
+    def drain_remote(self, *, now: float) -> None:
+        """Receive the notice of the agent in the other zone that it drains."""
+        self.now = now
+        self.view.record_load(REMOTE_ADDRESS, pb.EndpointLoad(draining=True))
+
+    def refresh(self, *, now: float) -> None:
+        self.now = now
+        self.view.refresh()
+
     def reported_at(self) -> float | None:
         """Return when the load that the selector uses was measured."""
         return self.selector._loads[ENDPOINT].report_at_seconds
@@ -92,3 +142,32 @@
         assert ENDPOINT not in world.view.endpoints()
         world.view.record_load(AGENT.address, pb.EndpointLoad())
         assert ENDPOINT in world.view.endpoints()
+
+
+class TestDrainOfAnotherZone:
+    """Guard against calls to an agent that has said that it drains."""
+
+    def test_an_old_summary_lists_the_agent_after_its_notice_has_expired(self) -> None:
+        world = ViewWorld()
+        world.receive_summary(made_at=1.0, now=1.0)
+        assert REMOTE in world.view.endpoints()
+        world.drain_remote(now=2.0)
+        assert REMOTE not in world.view.endpoints()
+        world.refresh(now=16.0)
+        assert REMOTE not in world.view.endpoints()
+
+    def test_a_summary_made_as_the_agent_leaves_lists_it(self) -> None:
+        world = ViewWorld()
+        world.receive_summary(made_at=1.0, now=1.0)
+        world.drain_remote(now=2.0)
+        world.receive_summary(made_at=2.5, now=3.0)
+        world.refresh(now=16.0)
+        assert REMOTE not in world.view.endpoints()
+
+    def test_a_later_summary_lists_the_agent_again(self) -> None:
+        world = ViewWorld()
+        world.receive_summary(made_at=1.0, now=1.0)
+        world.drain_remote(now=2.0)
+        world.receive_summary(made_at=15.0, now=15.5)
+        world.refresh(now=16.0)
+        assert REMOTE in world.view.endpoints()
