Compare the whole answer to the first order in a test that fails at times

test_another_body_under_the_key_is_refused failed once with another status than 200, and its assertion printed nothing else. It now compares the content as well, so a failure shows the problem document; this is stricter.

Run 120 times, three or four at a time, it failed once: 503, on a short listing that cut the document off (python -m pytest -q; -vv shows all of it).

--- a/tests/test_daemon_claims.py
+++ b/tests/test_daemon_claims.py
@@ -113,7 +113,7 @@
 
     async def test_another_body_under_the_key_is_refused(self, orders: Orders) -> None:
         """Guard against a caller that gets the answer to another request."""
-        assert (await orders.post(0))[0] == 200
+        assert (await orders.post(0))[:2] == (200, answer())
         status, content, _ = await orders.post(1, b'{"item": 2}')
         assert (status, problem(content)) == (422, ("not_run", "idempotency-key-reused"))
         assert orders.executions() == 1
