--- a/egretrouter/direct/_callers.py
+++ b/egretrouter/direct/_callers.py
@@ -84,7 +84,12 @@
         self._start_limits = StartLimits(state)
         self._admission = CallAdmission(state=state, rng=rng)
         self._choices = EndpointChoices(
-            state=state, placement=placement, guard=guard, limits=news.limits, rng=rng
+            state=state,
+            placement=placement,
+            guard=guard,
+            limits=news.limits,
+            time_limits=self._time_limits,
+            rng=rng,
         )
 
     @property
@@ -199,7 +204,7 @@
 
     async def _send(self, call: ActiveCall, choice: Choice) -> web.StreamResponse:
         now = time.monotonic()
-        left = call.deadline_seconds - now
+        left = self._time_limits.send_deadline_seconds(call) - now
         if left < MIN_SEND_SECONDS:
             return self._responder.end_call(call, call.progress.abort(), 504, "the time is up")
         endpoint = choice.endpoint
