Ignore engine reports that a later one overtook

A rollout goes in waves, each send names the digest of the version that it is for (X-Manifest-Digest), the agent refuses calls of a version that it does not admit, and it loads or unloads only once no call is left. Where that could break: what the agent believes the engine to hold, a check made before a wait, and what other processes do to the same engine meanwhile.

What callers saw: calls sent to an engine for a version that it no longer holds; and a version that was loaded well counted as failed, which halts its rollout after a few agents.

Cause: the poll and the read after a load run beside each other, and the agent took each answer for the newest one. An answer to an earlier request that arrives last brought back a version that a restarted engine had lost, and one requested during a load was taken for the load's result.

Change: a report carries the time of its request. One that is older than the last applied, or than the end of the load that it is to check, is dropped.

--- a/egretrouter/core/rollout/_messages.py
+++ b/egretrouter/core/rollout/_messages.py
@@ -86,6 +86,8 @@
     """Report the versions that the engine has loaded, with their manifest digests."""
 
     loaded: tuple[VersionReference, ...]
+    requested_at_seconds: float
+    """When the report was requested; what it contains may have changed since."""
 
 
 class Tick(RolloutMessage, frozen=True, kw_only=True):
--- a/egretrouter/core/rollout/_rollout.py
+++ b/egretrouter/core/rollout/_rollout.py
@@ -61,6 +61,7 @@
         self._copied: set[Digest] = set()
         self._copying: set[Digest] = set()
         self._engine: dict[Digest, VersionReference] | None = None
+        self._valid_reports_from_seconds = float("-inf")
         self._calls: dict[Digest, int] = {}
         self._replicas: dict[InstanceId, ReplicaFacts] = {}
         self._failures: dict[Digest, dict[InstanceId, str]] = {}
@@ -197,6 +198,8 @@
         if self._loading is None or message.manifest_digest != self._loading.manifest_digest:
             return []
         self._phase = Phase.CHECKING
+        # A report requested during the load does not show its result.
+        self._valid_reports_from_seconds = now_seconds
         self._engine_unreachable = message.engine_unreachable
         if self._engine_unreachable:
             self._next_load_seconds = now_seconds + RESTORE_SECONDS
@@ -206,6 +209,9 @@
 
     @_handle_message.register
     def _on_engine(self, message: EngineReported, now_seconds: float) -> list[RolloutCommand]:
+        if message.requested_at_seconds < self._valid_reports_from_seconds:
+            return []
+        self._valid_reports_from_seconds = message.requested_at_seconds
         self._engine = {version.manifest_digest: version for version in message.loaded}
         if self._phase is Phase.CHECKING:
             return self._check_load(now_seconds)
--- a/egretrouter/daemons/_agent.py
+++ b/egretrouter/daemons/_agent.py
@@ -111,6 +111,7 @@
         self._draining = False
         self._expected_zone_agents = 1
         self._started_seconds = time.monotonic()
+        self._report_requested_at_seconds = float("-inf")
 
     async def on_start(self) -> None:
         """Join the zone and start to serve the endpoint's calls."""
@@ -392,10 +393,14 @@
     async def _read_report(self) -> None:
         if self.engine is None:
             return
+        requested_at_seconds = time.monotonic()
         loaded, load = await read_engine(self.engine)
+        if requested_at_seconds < self._report_requested_at_seconds:
+            return  # The answer to a later request has arrived first.
+        self._report_requested_at_seconds = requested_at_seconds
         self.versions.loaded = {version.manifest_digest: version for version in loaded}
         self._report_load(load)
-        self._dispatch(EngineReported(loaded=loaded))
+        self._dispatch(EngineReported(loaded=loaded, requested_at_seconds=requested_at_seconds))
 
     def _report_load(self, load: LoadReport) -> None:
         self.control.set_load(load)
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -108,7 +108,8 @@
                     self.engine = {d: kept for d, kept in self.engine.items() if kept.model == "m"}
                     self.admitted &= self.engine.keys()
             case ReadEngine():
-                self.enqueue(EngineReported(loaded=tuple(self.engine.values())))
+                loaded = tuple(self.engine.values())
+                self.enqueue(EngineReported(loaded=loaded, requested_at_seconds=self.zone.now))
             case AdmitVersion(manifest_digest=digest):
                 assert digest in self.engine, "admitted a version that is not loaded"
                 self.admitted.add(digest)
@@ -292,7 +293,7 @@
         zone = serving_zone(3)
         agent = zone.agents[0]
         agent.engine.clear()
-        agent.enqueue(EngineReported(loaded=()))
+        agent.enqueue(EngineReported(loaded=(), requested_at_seconds=zone.now))
         zone.run(5)
         assert zone.serving("v1") == 3
 
@@ -303,20 +304,22 @@
         digest = new.manifest_digest
         started = [
             AssignmentChanged(assignment=assignment("2")),
-            EngineReported(loaded=()),
+            EngineReported(loaded=(), requested_at_seconds=0.0),
             WeightsReady(manifest_digest=digest),
         ]
         commands = [c for m in started for c in rollout.handle(m, now_seconds=0.0)]
         assert LoadVersion(version=new) in commands
         unreached = LoadEnded(manifest_digest=digest, reason="refused", engine_unreachable=True)
         rollout.handle(unreached, now_seconds=1.0)
-        commands = rollout.handle(EngineReported(loaded=()), now_seconds=1.0)
+        silent = EngineReported(loaded=(), requested_at_seconds=1.0)
+        commands = rollout.handle(silent, now_seconds=1.0)
         assert LoadVersion(version=new) not in commands
         assert rollout.facts().failed_digest is None
         later = rollout.handle(Tick(), now_seconds=1.0 + RESTORE_SECONDS)
         assert LoadVersion(version=new) in later
         rollout.handle(LoadEnded(manifest_digest=digest), now_seconds=12.0)
-        commands = rollout.handle(EngineReported(loaded=(new,)), now_seconds=12.0)
+        report = EngineReported(loaded=(new,), requested_at_seconds=12.0)
+        commands = rollout.handle(report, now_seconds=12.0)
         assert AdmitVersion(manifest_digest=digest) in commands
 
     def test_a_version_that_changes_during_the_load_is_not_served(self) -> None:
@@ -338,6 +341,42 @@
         assert not zone.all_logged(LoadVersion)
 
 
+class TestReportOrder:
+    """Guard against versions that are admitted or failed because of a report that arrives late."""
+
+    def test_a_report_overtaken_by_a_newer_one_admits_no_version(self) -> None:
+        zone = serving_zone(1)
+        rollout, old = zone.agents[0].rollout, version("v1")
+        restarted = EngineReported(loaded=(), requested_at_seconds=31.0)
+        commands = rollout.handle(restarted, now_seconds=31.2)
+        assert DrainVersion(manifest_digest=old.manifest_digest) in commands
+        overtaken = EngineReported(loaded=(old,), requested_at_seconds=30.9)
+        commands = rollout.handle(overtaken, now_seconds=31.3)
+        assert AdmitVersion(manifest_digest=old.manifest_digest) not in commands
+
+    def test_a_report_requested_during_a_load_does_not_fail_the_version(self) -> None:
+        zone = serving_zone(1)
+        rollout, new = zone.agents[0].rollout, version("v2")
+        started = [
+            AssignmentChanged(assignment=assignment("v2", min_ready=0)),
+            WeightsReady(manifest_digest=new.manifest_digest),
+        ]
+        for message in started:
+            rollout.handle(message, now_seconds=30.0)
+        commands: list[RolloutCommand] = []
+        for now_seconds in (30.0, 40.0, 41.0):
+            counts = CallsInProgress(counts={})
+            commands += rollout.handle(counts, now_seconds=now_seconds)
+        assert LoadVersion(version=new) in commands
+        rollout.handle(LoadEnded(manifest_digest=new.manifest_digest), now_seconds=45.0)
+        early = EngineReported(loaded=(version("v1"),), requested_at_seconds=44.9)
+        rollout.handle(early, now_seconds=45.1)
+        assert rollout.facts().failed_digest is None
+        report = EngineReported(loaded=(version("v1"), new), requested_at_seconds=45.0)
+        commands = rollout.handle(report, now_seconds=45.2)
+        assert AdmitVersion(manifest_digest=new.manifest_digest) in commands
+
+
 class TestAdapters:
     """Guard against adapters without their base model, and base drains for an adapter change."""
 
