Drain adapters that the engine no longer reports

What callers saw: calls that name an adapter went to an engine that had lost it and were answered with the engine's own 404, until the adapter was loaded again.

Cause: only the base model was drained when a report no longer had it. Adapters stayed admitted after a restart of the engine, and where the engine dropped one beside its base model.

Change: an adapter that was admitted and isn't in the report is drained, and admitted again once a report has it.

Evidence: both new tests of TestAdapters failed on the code before (no DrainVersion of the adapter among the commands). python -m pytest tests/test_rollout.py: 26 passed.

--- a/egretrouter/core/rollout/_adapters.py
+++ b/egretrouter/core/rollout/_adapters.py
@@ -1,5 +1,7 @@
 """Decide when adapters are loaded alongside their base model, and unloaded."""
 
+from collections.abc import Collection
+
 from egretrouter.core.identifiers import Digest
 from egretrouter.core.rollout._messages import (
     AbandonCopy,
@@ -62,12 +64,19 @@
             self._failures[message.manifest_digest] = message.reason
         return True
 
-    def reset_engine_state(self) -> None:
-        """Reset the loaded, draining and copied adapters after an engine restart."""
-        self._admitted.clear()
+    def reset_engine_state(self) -> list[RolloutCommand]:
+        """Reset the loaded, draining and copied adapters after an engine restart, and drain all."""
+        drains = self.drain_all()
         self._draining.clear()
         self._copied.clear()
         self._loading = None
+        return drains
+
+    def drain_lost(self, engine: Collection[Digest]) -> list[RolloutCommand]:
+        """Drain the admitted adapters that the engine no longer reports."""
+        lost = sorted(self._admitted.difference(engine))
+        self._admitted.difference_update(lost)
+        return [DrainVersion(manifest_digest=digest) for digest in lost]
 
     def drain_all(self) -> list[RolloutCommand]:
         """Drain all admitted adapters, as their base model drains."""
--- a/egretrouter/core/rollout/_rollout.py
+++ b/egretrouter/core/rollout/_rollout.py
@@ -217,16 +217,16 @@
             return self._check_load(now_seconds)
         lost = self._serving
         if lost is None or lost.manifest_digest in self._engine or self._phase is Phase.LOADING:
-            return []
+            return self._adapters.drain_lost(self._engine)
         # The engine restarted; its weights are copied again from chunk memory or peers.
-        self._adapters.reset_engine_state()
+        adapter_drains = self._adapters.reset_engine_state()
         self._copied.discard(lost.manifest_digest)
         self._serving, self._drained = None, False
         if self._phase is Phase.FAILED:
             self._version_to_restore, self._next_restore_seconds = lost, now_seconds
         elif self._phase is not Phase.COPYING:
             self._phase = Phase.COPYING
-        return [DrainVersion(manifest_digest=lost.manifest_digest)]
+        return [DrainVersion(manifest_digest=lost.manifest_digest), *adapter_drains]
 
     @_handle_message.register
     def _on_tick(self, message: Tick, now_seconds: float) -> list[RolloutCommand]:
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -416,3 +416,29 @@
         zone.run(10)
         assert zone.serving("v1") == 3
         assert len(zone.all_logged(LoadVersion)) == 6
+
+    def test_an_adapter_that_the_engine_lost_is_not_admitted_until_it_is_loaded_again(self) -> None:
+        zone = FakeZone(1)
+        zone.assign(assignment("v1", adapters=("a1",)))
+        zone.run(20)
+        agent, adapter = zone.agents[0], version("a1", model="a").manifest_digest
+        assert adapter in agent.admitted
+        del agent.engine[adapter]
+        report = EngineReported(loaded=tuple(agent.engine.values()), requested_at_seconds=zone.now)
+        commands = agent.rollout.handle(report, now_seconds=zone.now)
+        assert DrainVersion(manifest_digest=adapter) in commands
+        for command in commands:
+            agent.execute(command)
+        zone.run(5)
+        assert adapter in agent.admitted
+
+    def test_adapters_of_an_engine_that_restarted_are_not_admitted(self) -> None:
+        zone = FakeZone(1)
+        zone.assign(assignment("v1", adapters=("a1",)))
+        zone.run(20)
+        agent, adapter = zone.agents[0], version("a1", model="a").manifest_digest
+        assert adapter in agent.admitted
+        agent.engine.clear()
+        report = EngineReported(loaded=(), requested_at_seconds=zone.now)
+        commands = agent.rollout.handle(report, now_seconds=zone.now)
+        assert DrainVersion(manifest_digest=adapter) in commands
