Read the engine before calls are admitted after a pause

What callers saw: calls that were in the sockets of an agent that stood still began on the version that another agent had loaded meanwhile, where the engine ignores the version that a call names.

Cause: a check made once and used later. After a pause the registry refuses calls until the epoch is confirmed, but the agent confirmed it in the next turn of its loop: with the versions and the lease that it knew before the pause.

Change: the epoch is confirmed only after a report of the engine that was requested after the pause. A report with a higher fencing number than the agent's own ends its lease, so an agent that was replaced stays refused without an answer of the store. An answer about an earlier pause no longer ends a later one.

--- a/egretrouter/core/calls/_registry.py
+++ b/egretrouter/core/calls/_registry.py
@@ -82,6 +82,7 @@
         self._lost_routers: dict[InstanceId, float] = {}
         self._draining = False
         self._epoch_confirmed = True
+        self._pauses = 0
         # Unrecorded ids that expire up to this time are refused: one of them did not fit.
         self._refuse_until_seconds = float("-inf")
         self._last_seconds = now_seconds
@@ -99,7 +100,8 @@
             # pause, so their routers get the full time to reconnect.
             self._epoch_confirmed = False
             self._lost_routers = dict.fromkeys(self._lost_routers, now_seconds)
-            commands.append(ConfirmEpoch())
+            self._pauses += 1
+            commands.append(ConfirmEpoch(pause=self._pauses))
         self._last_seconds = now_seconds
         return commands + self._apply(message, now_seconds)
 
@@ -344,7 +346,8 @@
 
     @_apply.register
     def _on_epoch_read(self, message: EpochRead, now: float) -> list[RegistryCommand]:
-        self._epoch_confirmed = message.epoch == self.epoch
+        if message.pause == self._pauses:
+            self._epoch_confirmed = message.epoch == self.epoch
         return []
 
     @_apply.register
--- a/egretrouter/core/calls/_registry_messages.py
+++ b/egretrouter/core/calls/_registry_messages.py
@@ -101,9 +101,11 @@
 
 
 class EpochRead(msgspec.Struct, frozen=True, kw_only=True):
-    """Report the endpoint's fencing number, read again from the store."""
+    """Report the epoch that may admit calls after a pause; 0 if another agent took over."""
 
     epoch: Epoch
+    pause: int
+    """Number of the pause in the command; a later pause needs an answer of its own."""
 
 
 class Drain(msgspec.Struct, frozen=True, kw_only=True):
@@ -164,7 +166,9 @@
 
 
 class ConfirmEpoch(msgspec.Struct, frozen=True, kw_only=True):
-    """Read the endpoint's fencing number from the store and report it as EpochRead."""
+    """Find out whether this epoch may go on after a pause, and report it as EpochRead."""
+
+    pause: int
 
 
 class Drained(msgspec.Struct, frozen=True, kw_only=True):
--- a/egretrouter/core/fencing.py
+++ b/egretrouter/core/fencing.py
@@ -172,6 +172,8 @@
     def _on_endpoint_reported(
         self, message: EndpointReported, *, now_seconds: float
     ) -> list[LeaseCommand]:
+        if self._state is LeaseState.HELD and message.fencing_number > self._number:
+            return self._lose_lease(message.fencing_number)
         if self._state is not LeaseState.ASKING:
             return []
         self._endpoint_number = message.fencing_number
--- a/egretrouter/daemons/_agent.py
+++ b/egretrouter/daemons/_agent.py
@@ -347,19 +347,21 @@
             LoadEnded(manifest_digest=digest, reason=reason, engine_unreachable=unreachable)
         )
 
-    def _schedule_epoch_confirmation(self) -> None:
+    def _schedule_epoch_confirmation(self, pause: int) -> None:
         # The registry requests this while it processes a message, so the reply is sent after that.
-        asyncio.get_running_loop().call_soon(self._confirm_epoch)
+        self._spawn(self._confirm_epoch(pause))
 
-    def _confirm_epoch(self) -> None:
+    async def _confirm_epoch(self, pause: int) -> None:
         """Admit calls again after a pause, unless another agent has acquired the endpoint's lease.
 
-        This needs no reply from the store: each call names this process's epoch, so one that was
-        sent to another process can't run here.
+        Another agent may have loaded another version meanwhile, so the engine is read first. This
+        needs no reply from the store: each call names this process's epoch, so one that was sent
+        to another process can't run here.
         """
+        await self._read_report()
         lost = self.lease is not None and self.lease.lease.is_lost
         epoch = Epoch(0) if lost else self.calls.registry.epoch
-        self.calls.dispatch(EpochRead(epoch=epoch))
+        self.calls.dispatch(EpochRead(epoch=epoch, pause=pause))
 
     @Service.task
     async def _tick(self) -> None:
@@ -394,13 +396,17 @@
         if self.engine is None:
             return
         requested_at_seconds = time.monotonic()
-        loaded, load = await read_engine(self.engine)
+        state = await read_engine(self.engine)
         if requested_at_seconds < self._report_requested_at_seconds:
             return  # The answer to a later request has arrived first.
         self._report_requested_at_seconds = requested_at_seconds
-        self.versions.loaded = {version.manifest_digest: version for version in loaded}
-        self._report_load(load)
-        self._dispatch(EngineReported(loaded=loaded, requested_at_seconds=requested_at_seconds))
+        self.versions.loaded = {version.manifest_digest: version for version in state.loaded}
+        self._report_load(state.load)
+        if self.lease is not None:
+            self.lease.record_endpoint_number(state.fencing_number)
+        self._dispatch(
+            EngineReported(loaded=state.loaded, requested_at_seconds=requested_at_seconds)
+        )
 
     def _report_load(self, load: LoadReport) -> None:
         self.control.set_load(load)
--- a/egretrouter/daemons/_agent_calls.py
+++ b/egretrouter/daemons/_agent_calls.py
@@ -60,7 +60,7 @@
         *,
         registry: CallRegistry,
         endpoint: EndpointClient,
-        confirm_epoch: Callable[[], None],
+        confirm_epoch: Callable[[int], None],
         clock: Callable[[], float] = time.monotonic,
         coalesce_events: bool = True,
     ) -> None:
@@ -289,7 +289,7 @@
 
     @_execute.register
     def _request_epoch_confirmation(self, command: ConfirmEpoch) -> None:
-        self._confirm_epoch()
+        self._confirm_epoch(command.pause)
 
     @_execute.register
     def _set_drained(self, command: Drained) -> None:
--- a/egretrouter/daemons/_lease.py
+++ b/egretrouter/daemons/_lease.py
@@ -99,6 +99,11 @@
         self.guard.admit(giver=self._instance_id, fencing_number=number)
         return number
 
+    def record_endpoint_number(self, fencing_number: int) -> None:
+        """Record the highest fencing number in the endpoint's report; 0 if it checks none."""
+        if self.lease.epoch is not None:
+            self._dispatch(EndpointReported(fencing_number=fencing_number))
+
     def report_stale_number(self) -> None:
         """Report that the endpoint refused an order for its old fencing number."""
         self._dispatch(StaleOrderRejected())
--- a/egretrouter/daemons/_orders.py
+++ b/egretrouter/daemons/_orders.py
@@ -116,8 +116,16 @@
             self._lease.report_stale_number()
 
 
-async def read_engine(engine: Engine) -> tuple[tuple[VersionReference, ...], LoadReport]:
-    """Return the versions that an engine has loaded, and its load."""
+class EngineState(msgspec.Struct, frozen=True, kw_only=True):
+    """Carry what an engine reports: its versions, its load and its highest fencing number."""
+
+    loaded: tuple[VersionReference, ...]
+    load: LoadReport
+    fencing_number: int
+
+
+async def read_engine(engine: Engine) -> EngineState:
+    """Return the state of an engine, an empty one if it does not answer."""
     try:
         report = await engine.report()
     except BackendError:
@@ -127,4 +135,5 @@
         msgspec.convert(version, VersionReference, from_attributes=True)
         for version in report.loaded
     )
-    return loaded, LoadReport(queued_calls=report.queued_calls, running_calls=report.running_calls)
+    load = LoadReport(queued_calls=report.queued_calls, running_calls=report.running_calls)
+    return EngineState(loaded=loaded, load=load, fencing_number=report.fencing_number)
--- a/tests/calls_world.py
+++ b/tests/calls_world.py
@@ -60,7 +60,9 @@
             elif isinstance(command, calls.ConfirmEpoch):
                 epoch = world.agents[self.address].epoch
                 world.schedule(
-                    world.delay(), self, lambda e=epoch: self.handle(calls.EpochRead(epoch=e))
+                    world.delay(),
+                    self,
+                    lambda e=epoch, p=command.pause: self.handle(calls.EpochRead(epoch=e, pause=p)),
                 )
 
     def run(self, call_id: CallId) -> None:
--- a/tests/test_calls_registry.py
+++ b/tests/test_calls_registry.py
@@ -126,13 +126,22 @@
     def test_long_pause_stops_admission_until_the_epoch_is_read_again(self) -> None:
         agent = registry()
         commands = agent.handle(admit("a", expires=99.0), now_seconds=60.0)
-        assert commands[0] == calls.ConfirmEpoch()
+        assert commands[0] == calls.ConfirmEpoch(pause=1)
         assert refusal(commands[1:]) == "epoch_unconfirmed"
-        agent.handle(calls.EpochRead(epoch=Epoch(2)), now_seconds=61.0)
+        agent.handle(calls.EpochRead(epoch=Epoch(2), pause=1), now_seconds=61.0)
         assert refusal(agent.handle(admit("b", expires=99.0), now_seconds=61.0))
-        agent.handle(calls.EpochRead(epoch=Epoch(1)), now_seconds=61.0)
+        agent.handle(calls.EpochRead(epoch=Epoch(1), pause=1), now_seconds=61.0)
         assert agent.handle(admit("c", expires=99.0), now_seconds=61.0)
 
+    def test_answer_about_an_earlier_pause_does_not_end_a_later_one(self) -> None:
+        agent = registry()
+        agent.handle(calls.Tick(), now_seconds=60.0)
+        late = calls.EpochRead(epoch=Epoch(1), pause=1)
+        commands = agent.handle(late, now_seconds=120.0)
+        assert commands == [calls.ConfirmEpoch(pause=2)]
+        refused = agent.handle(admit("a", expires=199.0), now_seconds=120.0)
+        assert refusal(refused) == "epoch_unconfirmed"
+
 
 class TestSettle:
     """Guard against a wrong state report for a call whose link broke."""
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -135,6 +135,13 @@
         assert isinstance(lost, LeaseLost)
         assert agent.epoch is None
 
+    def test_stops_when_the_endpoint_reports_a_higher_number(self) -> None:
+        agent = lease()
+        take(agent)
+        assert send(agent, EndpointReported(fencing_number=1)) == []
+        (lost,) = send(agent, EndpointReported(fencing_number=2))
+        assert isinstance(lost, LeaseLost)
+
     def test_pending_orders_are_bounded(self) -> None:
         agent = lease()
         commands = [c for n in range(100) for c in send(agent, OrderRequested(order_id=str(n)))]
