Renew the permission of a load that outlasts it

What callers saw: calls of a version refused by an engine that had just loaded it, or run on another, where the endpoint does not check fencing numbers: a load of the agent before came in after those of its successor and took its place.

Cause: a lease that was checked once and used later. The permission to give an order ends with the lease, 5 s after the read of the number, but a load streams the whole weights under it, for minutes.

Change: each chunk of a load needs a permission that is still valid; one that has lapsed is renewed by a new read of the number. If another agent has the number by then, the content breaks off, so the order does not take effect. What is promised about versions stands in docs/design.md.

Evidence: TestLongLoad failed on the code before (the old load completed: DID NOT RAISE StaleFencingNumberError). python -m pytest -n 2 tests/test_engine_orders.py tests/test_fencing.py tests/test_own_path_versions.py: 26 passed.

--- a/egretrouter/daemons/_lease.py
+++ b/egretrouter/daemons/_lease.py
@@ -78,6 +78,7 @@
         self._store = store
         self._permission_futures: dict[str, asyncio.Future[GiveOrder]] = {}
         self._order_count = 0
+        self._permitted_until_seconds = float("-inf")
 
     async def wait_for_permission(self) -> int:
         """Wait until an order may be given and return its fencing number.
@@ -95,10 +96,19 @@
             self._permission_futures.pop(order_id, None)
         if time.monotonic() >= permission.valid_until_seconds:
             raise OrderError("the permission to give an order lapsed before it was used")
+        self._permitted_until_seconds = permission.valid_until_seconds
         number = permission.fencing_number
         self.guard.admit(giver=self._instance_id, fencing_number=number)
         return number
 
+    async def renew_permission(self) -> None:
+        """Wait for a new permission to go on with an order if the last one has lapsed.
+
+        Raises OrderError if another agent has acquired the lease.
+        """
+        if time.monotonic() >= self._permitted_until_seconds:
+            await self.wait_for_permission()
+
     def record_endpoint_number(self, fencing_number: int) -> None:
         """Record the highest fencing number in the endpoint's report; 0 if it checks none."""
         if self.lease.epoch is not None:
--- a/egretrouter/daemons/_orders.py
+++ b/egretrouter/daemons/_orders.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import AsyncIterator
 
 import msgspec
 from eliot import log_message
@@ -88,11 +89,20 @@
             version=version.version,
             manifest_digest=version.manifest_digest,
             weights_digest=manifest.weights_digest,
-            content=self._copies.content(version.manifest_digest),
+            content=self._read_while_permitted(version.manifest_digest),
             fencing_number=await self._lease.wait_for_permission(),
             base_model=command.base_model,
         )
 
+    async def _read_while_permitted(self, digest: Digest) -> AsyncIterator[bytes]:
+        """Yield the content of a load that may last longer than the permission to order it.
+
+        An engine does not carry out an order whose content breaks off.
+        """
+        async for part in self._copies.content(digest):
+            await self._lease.renew_permission()
+            yield part
+
     async def _send_unload_order(self, version: VersionReference) -> None:
         await self._engine.unload(
             model=version.model,
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -1,22 +1,26 @@
 """Test that orders to an engine are retried after transient failures."""
 
+import asyncio
 import random
 from collections.abc import AsyncIterator
 from typing import Any
 
 import pytest
 
-from egretrouter.backends import EngineReport, LoadedVersion
+from egretrouter.backends import EngineReport, LoadedVersion, StoredObject
 from egretrouter.core.errors import (
     BackendUnavailableError,
     EgretrouterError,
     LostAnswerError,
+    ObjectMissingError,
     OrderError,
     StaleFencingNumberError,
+    VersionConflictError,
 )
-from egretrouter.core.identifiers import Digest, EndpointId, ModelName, VersionName
+from egretrouter.core.identifiers import Digest, EndpointId, InstanceId, ModelName, VersionName
 from egretrouter.core.rollout import LoadVersion, UnloadVersion, VersionReference
 from egretrouter.core.weights import build_manifest
+from egretrouter.daemons._lease import OrderLeaseService
 from egretrouter.daemons._orders import ATTEMPTS, EngineOrders
 
 MANIFEST = build_manifest(
@@ -65,6 +69,9 @@
     async def wait_for_permission(self) -> int:
         return 1 + self.stale
 
+    async def renew_permission(self) -> None:
+        """Do nothing, because this permission does not lapse."""
+
     def report_stale_number(self) -> None:
         self.stale += 1
 
@@ -124,3 +131,92 @@
 
     async def test_a_failed_unload_does_not_stop_the_agent(self) -> None:
         await orders(FakeEngine(), FakeLease()).unload(UnloadVersion(version=VERSION))
+
+
+LEASE_SECONDS = 0.3
+RNG = random.Random(1)
+
+
+class MemoryStore:
+    """Keep one object with its version."""
+
+    def __init__(self) -> None:
+        self.content, self.version = b"", 0
+
+    async def get(self, key: str) -> StoredObject:
+        if not self.version:
+            raise ObjectMissingError(key)
+        return StoredObject(key=key, content=self.content, version=self.version)
+
+    async def put(self, key: str, content: bytes, *, expected_version: int) -> int:
+        if expected_version != self.version:
+            raise VersionConflictError(
+                key, expected_version=expected_version, actual_version=self.version
+            )
+        self.content, self.version = content, self.version + 1
+        return self.version
+
+
+class LoadingEngine(FakeEngine):
+    """Read the whole content of each load, and ignore fencing numbers."""
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.begun = asyncio.Event()
+        self.completed: list[int] = []
+
+    async def load(self, *, content: AsyncIterator[bytes], fencing_number: int, **_: Any) -> None:
+        async for _part in content:
+            self.begun.set()
+        self.completed.append(fencing_number)
+
+
+class SlowCopies(FakeCopies):
+    """Yield the second part of the weights when told to."""
+
+    def __init__(self) -> None:
+        self.second_part = asyncio.Event()
+
+    async def content(self, _: Digest) -> AsyncIterator[bytes]:
+        yield b"wei"
+        await self.second_part.wait()
+        yield b"ghts"
+
+
+def order_lease(engine: FakeEngine, store: MemoryStore, name: str) -> OrderLeaseService:
+    any_store: Any = store
+    return OrderLeaseService(
+        engine=engine,
+        endpoint_id=EndpointId("e"),
+        instance_id=InstanceId(name),
+        checks_fencing=False,
+        checks_order_giver=False,
+        lease_seconds=LEASE_SECONDS,
+        store=any_store,
+        rng=random.Random(name),
+    )
+
+
+class TestLongLoad:
+    """Guard against a load that ends after another agent took over the engine."""
+
+    async def test_a_load_of_a_replaced_agent_does_not_take_effect_after_its_successors(
+        self,
+    ) -> None:
+        engine, store, slow = LoadingEngine(), MemoryStore(), SlowCopies()
+        old_lease, new_lease = (order_lease(engine, store, name) for name in ("old", "new"))
+        slow_copies: Any = slow
+        fast_copies: Any = FakeCopies()
+        old = EngineOrders(
+            engine=engine, lease=old_lease, copies=slow_copies, rng=RNG, retry_seconds=0.001
+        )
+        new = EngineOrders(engine=engine, lease=new_lease, copies=fast_copies, rng=RNG)
+        async with old_lease:
+            load = asyncio.create_task(old.load(LoadVersion(version=VERSION)))
+            await engine.begun.wait()
+            async with new_lease:
+                await new.load(LoadVersion(version=VERSION))
+                slow.second_part.set()
+                with pytest.raises(StaleFencingNumberError):
+                    await load
+        assert engine.completed == [2]
