Order the versions of the object API by its eras

What callers saw (by reading, then by test): after the store came back from a copy some seconds old, a conditional update that was meant for a lost version overwrote an object that had got the same version again, so claims and fencing records of others were lost; and watches told nothing until the versions had passed the lost ones.

Cause: versions were compared as bare numbers. A store that lost acknowledged writes gives them out again.

Change: the object API's interface, which is the product's own, tells its era in each answer (X-Store-Era); a version is ordered as (era, version), sent as both in conditional updates and watches, and an answer of an earlier era is dropped. The stand-in tells the era and has restore as an operation.

--- a/egretrouter/backends/_guarded_store.py
+++ b/egretrouter/backends/_guarded_store.py
@@ -137,6 +137,11 @@
         self._policy = policy or StorePolicy()
         self._sleep = sleep
 
+    @property
+    def era(self) -> int:
+        """Return the latest era that the store told, 0 if it told none."""
+        return self._store.era
+
     async def get(self, key: str) -> StoredObject:
         """Read one object, with retries within the budget.
 
--- a/egretrouter/backends/_object_store.py
+++ b/egretrouter/backends/_object_store.py
@@ -5,10 +5,14 @@
 
 import aiohttp
 import msgspec
+from eliot import log_message
 
-from egretrouter.backends._http import HttpCaller
+from egretrouter.backends._http import Answer, HttpCaller
 from egretrouter.backends._ports import StoredObject
+from egretrouter.core.eras import order_version, split_version
 from egretrouter.core.errors import (
+    BackendError,
+    BackendUnavailableError,
     LostAnswerError,
     MalformedAnswerError,
     ObjectMissingError,
@@ -18,6 +22,8 @@
 MAX_OBJECT_BYTES = 1024 * 1024
 MAX_LIST_BYTES = 64 * 1024 * 1024
 WATCH_MARGIN_SECONDS = 5.0
+STORE_ERA_HEADER = "X-Store-Era"
+IF_STORE_ERA_HEADER = "X-If-Store-Era"
 
 
 class _ListedObject(msgspec.Struct, frozen=True):
@@ -51,28 +57,37 @@
             reachable=reachable,
         )
         self._watch_seconds = watch_seconds
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        """Return the latest era that the store told, 0 if it told none."""
+        return self._era
 
     async def get(self, key: str) -> StoredObject:
         """Read one object."""
         url = self._caller.url("objects", key)
         answer = await self._caller.read(url, max_bytes=MAX_OBJECT_BYTES)
+        era = self._record_era(answer)
         if answer.status == 404:
             raise ObjectMissingError(f"object {key!r} does not exist")
         if answer.status != 200:
             raise self._caller.unexpected_answer("GET", url, answer)
-        return StoredObject(key=key, content=answer.content, version=_parse_version(answer.headers))
+        version = _parse_version(answer.headers, era=era)
+        return StoredObject(key=key, content=answer.content, version=version)
 
     async def put(self, key: str, content: bytes, *, expected_version: int | None = None) -> int:
         """Write one object and return its new version."""
         url = self._caller.url("objects", key)
         headers = _precondition_headers(expected_version)
         answer = await self._caller.write("PUT", url, headers=headers, data=content)
+        era = self._record_era_of_write(answer)
         if answer.status == 412:
-            raise _conflict_error(key, expected_version, answer.headers)
+            raise _conflict_error(key, expected_version, answer.headers, era=era)
         if answer.status not in (200, 201):
             raise self._caller.unexpected_answer("PUT", url, answer)
         try:
-            return _parse_version(answer.headers)
+            return _parse_version(answer.headers, era=era)
         except MalformedAnswerError as error:
             raise LostAnswerError(str(error)) from error
 
@@ -82,8 +97,9 @@
         answer = await self._caller.write(
             "DELETE", url, headers=_precondition_headers(expected_version)
         )
+        era = self._record_era_of_write(answer)
         if answer.status == 412:
-            raise _conflict_error(key, expected_version, answer.headers)
+            raise _conflict_error(key, expected_version, answer.headers, era=era)
         if answer.status == 404:
             raise ObjectMissingError(f"object {key!r} does not exist")
         if answer.status not in (200, 204):
@@ -93,6 +109,7 @@
         """Read all objects whose keys start with a prefix."""
         url = self._caller.url("objects").with_query(prefix=prefix)
         answer = await self._caller.read(url, max_bytes=MAX_LIST_BYTES)
+        era = self._record_era(answer)
         if answer.status != 200:
             raise self._caller.unexpected_answer("GET", url, answer)
         try:
@@ -101,7 +118,7 @@
                 StoredObject(
                     key=entry.key,
                     content=base64.b64decode(entry.content, validate=True),
-                    version=entry.version,
+                    version=order_version(entry.version, era=era),
                 )
                 for entry in entries
             ]
@@ -113,15 +130,22 @@
         timeout = aiohttp.ClientTimeout(total=self._watch_seconds + WATCH_MARGIN_SECONDS)
         seen_version = after_version
         while True:
-            url = self._caller.url("objects", key).with_query(
-                watch=seen_version, wait_seconds=str(self._watch_seconds)
-            )
+            query = {"wait_seconds": str(self._watch_seconds)}
+            # A version of an earlier era means nothing in a later one.
+            era, version = split_version(seen_version)
+            query["watch"] = str(version if era >= self._era else 0)
+            if self._era:
+                query["era"] = str(self._era)
+            url = self._caller.url("objects", key).with_query(query)
             answer = await self._caller.read(url, timeout=timeout, max_bytes=MAX_OBJECT_BYTES)
+            answer_era = self._record_era(answer)
+            if answer.status == 410:
+                raise BackendUnavailableError(f"object store: the history of {key!r} is gone")
             if answer.status == 304:
                 continue
             if answer.status != 200:
                 raise self._caller.unexpected_answer("GET", url, answer)
-            version = _parse_version(answer.headers)
+            version = _parse_version(answer.headers, era=answer_era)
             if version <= seen_version:
                 raise MalformedAnswerError(
                     f"object store: a watch of {key!r} after version {seen_version} "
@@ -130,26 +154,60 @@
             seen_version = version
             yield StoredObject(key=key, content=answer.content, version=version)
 
+    def _record_era(self, answer: Answer) -> int:
+        """Record the era of an answer, 0 if the store tells none.
+
+        Raises MalformedAnswerError, or BackendUnavailableError for the answer of an earlier era.
+        """
+        value = answer.headers.get(STORE_ERA_HEADER)
+        if value is None and not self._era:
+            return 0
+        if value is None or not value.isascii() or not value.isdigit() or not int(value):
+            raise MalformedAnswerError(
+                f"object store: {STORE_ERA_HEADER} {value!r} is not a positive integer"
+            )
+        era = int(value)
+        if era < self._era:
+            raise BackendUnavailableError(
+                f"object store: an answer of era {era} arrived in era {self._era}"
+            )
+        if self._era and era > self._era:
+            log_message("store:restored", era=era, previous_era=self._era)
+        self._era = era
+        return era
+
+    def _record_era_of_write(self, answer: Answer) -> int:
+        """Record the era of the answer to a write.
+
+        Raises LostAnswerError, because a write of an earlier era may not be kept.
+        """
+        try:
+            return self._record_era(answer)
+        except BackendError as error:
+            raise LostAnswerError(str(error)) from error
+
 
 def _precondition_headers(expected_version: int | None) -> dict[str, str]:
     if expected_version is None:
         return {}
     if expected_version == 0:
         return {"If-None-Match": "*"}
-    return {"If-Match": f'"{expected_version}"'}
+    era, version = split_version(expected_version)
+    return {"If-Match": f'"{version}"', IF_STORE_ERA_HEADER: str(era)}
 
 
-def _parse_version(headers: Mapping[str, str]) -> int:
+def _parse_version(headers: Mapping[str, str], *, era: int) -> int:
     tag = headers.get("ETag", "")
     try:
-        return int(tag.strip('"'))
+        return order_version(int(tag.strip('"')), era=era)
     except ValueError:
         raise MalformedAnswerError(f"object store: ETag {tag!r} is not a version") from None
 
 
 def _conflict_error(
-    key: str, expected_version: int | None, headers: Mapping[str, str]
+    key: str, expected_version: int | None, headers: Mapping[str, str], *, era: int
 ) -> VersionConflictError:
+    actual_version = _parse_version(headers, era=era)
     return VersionConflictError(
-        key, expected_version=expected_version or 0, actual_version=_parse_version(headers)
+        key, expected_version=expected_version or 0, actual_version=actual_version
     )
--- a/egretrouter/backends/_ports.py
+++ b/egretrouter/backends/_ports.py
@@ -18,7 +18,10 @@
 
 
 class StoredObject(msgspec.Struct, frozen=True, kw_only=True):
-    """Carry an object with its version; version 0 means that the object does not exist."""
+    """Carry an object with its version; version 0 means that the object does not exist.
+
+    Versions are ordered by the store's eras: those of a later era are higher.
+    """
 
     key: str
     content: bytes
@@ -28,6 +31,14 @@
 class ObjectStore(Protocol):
     """Define access to the versioned objects of the platform's object API."""
 
+    @property
+    def era(self) -> int:
+        """Return the latest era that the store told, 0 if it told none.
+
+        A store that comes back from an older copy of itself begins a new era, in which it may have
+        lost acknowledged writes and gives versions out again.
+        """
+
     async def get(self, key: str) -> StoredObject:
         """Read one object.
 
--- a/egretrouter/standins/_base.py
+++ b/egretrouter/standins/_base.py
@@ -84,6 +84,7 @@
         """Listen and return the URL; with port 0 the operating system chooses the port."""
         application = web.Application(middlewares=[self._inject_faults], client_max_size=1 << 30)
         self._add_routes(application.router)
+        application.on_response_prepare.append(self._prepare_response)
         self._runner = web.AppRunner(
             application, access_log=None, shutdown_timeout=0.05, handler_cancellation=True
         )
@@ -131,6 +132,9 @@
     def _add_routes(self, router: web.UrlDispatcher) -> None:
         raise NotImplementedError
 
+    async def _prepare_response(self, request: web.Request, response: web.StreamResponse) -> None:
+        """Add the headers that all answers of the stand-in have."""
+
     @web.middleware
     async def _inject_faults(self, request: web.Request, handler: Handler) -> web.StreamResponse:
         transport = request.transport
--- a/egretrouter/standins/_object_api.py
+++ b/egretrouter/standins/_object_api.py
@@ -11,13 +11,16 @@
 
 MAX_OBJECT_BYTES = 1024 * 1024
 MAX_WATCH_SECONDS = 60.0
+STORE_ERA_HEADER = "X-Store-Era"
+IF_STORE_ERA_HEADER = "X-If-Store-Era"
 
 
 class ObjectApiStandin(Standin):
     """Serve versioned objects with conditional updates and long-poll watches.
 
     Versions come from one counter for the whole store, so an object that is deleted and
-    created again has a higher version than before.
+    created again has a higher version than before. After a restore the counter goes on from the
+    copy, so versions are given out again; the era in each answer tells them apart.
     """
 
     def __init__(self) -> None:
@@ -34,6 +37,8 @@
         self.calls: Counter[str] = Counter()
         """Calls by kind: get, put, delete, list and watch; refused calls count too."""
         self.waiting_watches = 0
+        self.era: int | None = 1
+        """Number that each restore raises by one; None to tell no era."""
         self._revision = 0
         # Version and content by key; the history adds the time, and None for a deleted object.
         self._objects: dict[str, tuple[int, bytes]] = {}
@@ -55,6 +60,32 @@
         await self._store_entry(key, (self._revision, content))
         return self._revision
 
+    async def restore(self, *, seconds: float) -> None:
+        """Go back to the objects of some seconds ago, losing acknowledged writes."""
+        copied_at_seconds = time.monotonic() - seconds
+        self._history = {
+            key: [state for state in states if state[0] <= copied_at_seconds]
+            for key, states in self._history.items()
+        }
+        kept = [states[-1][1] for states in self._history.values() if states]
+        self._objects = {
+            key: entry
+            for key, states in self._history.items()
+            if states and (entry := states[-1][1]) is not None
+        }
+        self._revision = max((entry[0] for entry in kept if entry is not None), default=0)
+        if self.era is not None:
+            self.era += 1
+        async with self._changed:
+            self._changed.notify_all()
+
+    async def _prepare_response(self, request: web.Request, response: web.StreamResponse) -> None:
+        if self.era is not None:
+            response.headers[STORE_ERA_HEADER] = str(self.era)
+
+    def _is_other_era(self, era: str | None) -> bool:
+        return era is not None and self.era is not None and int(era) != self.era
+
     def _add_routes(self, router: web.UrlDispatcher) -> None:
         router.add_get("/objects", self._list)
         router.add_get("/objects/{key:.+}", self._get)
@@ -92,15 +123,20 @@
             return reset_connection(request)
         key = request.match_info["key"]
         after_version = int(request.query["watch"])
+        era = request.query.get("era")
         wait_seconds = min(float(request.query.get("wait_seconds", "30")), MAX_WATCH_SECONDS)
         self.waiting_watches += 1
         try:
             async with asyncio.timeout(wait_seconds), self._changed:
-                await self._changed.wait_for(lambda: self.version(key) > after_version)
+                await self._changed.wait_for(
+                    lambda: self.version(key) > after_version or self._is_other_era(era)
+                )
         except TimeoutError:
             return web.Response(status=304)
         finally:
             self.waiting_watches -= 1
+        if self._is_other_era(era):
+            return web.Response(status=410, text="the history of this era is gone")
         version, content = self._objects[key]
         return web.Response(body=content, headers={"ETag": f'"{version}"'})
 
@@ -131,7 +167,9 @@
         version = self.version(request.match_info["key"])
         expected = request.headers.get("If-Match")
         must_be_absent = request.headers.get("If-None-Match") == "*"
-        if (must_be_absent and version) or (expected is not None and expected != f'"{version}"'):
+        is_other = expected is not None and expected != f'"{version}"'
+        is_other = is_other or self._is_other_era(request.headers.get(IF_STORE_ERA_HEADER))
+        if (must_be_absent and version) or is_other:
             return web.Response(status=412, headers={"ETag": f'"{version}"'})
         return None
 
--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -45,6 +45,9 @@
         yield content
 
 
+WATCH_LIMIT_SECONDS = 5.0
+
+
 class TestHttpObjectStore:
     """Guard against lost updates, and against treating a lost answer as a refusal."""
 
@@ -148,6 +151,59 @@
         await store.put("key", b"two")
         assert (await store.get("key")).version == version
 
+    async def test_a_version_given_out_again_after_a_restore_updates_nothing(
+        self, api: ObjectApiStandin, store: HttpObjectStore
+    ) -> None:
+        first = await store.put("key", b"first")
+        await asyncio.sleep(0.05)
+        lost = await store.put("key", b"lost", expected_version=first)
+        await api.restore(seconds=0.04)
+        assert await api.write("key", b"of the new era") == lost
+        with pytest.raises(VersionConflictError):
+            await store.put("key", b"overwrites", expected_version=lost)
+        current = await store.get("key")
+        assert (current.content, current.version > lost) == (b"of the new era", True)
+
+    async def test_a_watch_follows_a_store_that_went_back(
+        self, api: ObjectApiStandin, store: HttpObjectStore
+    ) -> None:
+        await store.put("key", b"first")
+        await asyncio.sleep(0.05)
+        for _ in range(5):
+            lost = await store.put("key", b"lost")
+        pending = asyncio.ensure_future(anext(store.watch("key", after_version=lost)))
+        await wait_until(lambda: api.waiting_watches == 1)
+        await api.restore(seconds=0.04)
+        with pytest.raises(BackendUnavailableError):
+            async with asyncio.timeout(WATCH_LIMIT_SECONDS):
+                await pending
+        newer = await api.write("key", b"newer")
+        assert newer < lost
+        async with asyncio.timeout(WATCH_LIMIT_SECONDS):
+            value = await anext(store.watch("key", after_version=lost))
+        assert (value.content, value.version > lost) == (b"newer", True)
+
+    async def test_an_answer_of_an_earlier_era_that_arrives_late_is_dropped(
+        self, api: ObjectApiStandin, store: HttpObjectStore
+    ) -> None:
+        await store.put("key", b"first")
+        api.era = 3
+        await store.get("key")
+        api.era = 2
+        with pytest.raises(BackendUnavailableError):
+            await store.get("key")
+        with pytest.raises(LostAnswerError):
+            await store.put("key", b"second")
+        assert store.era == 3
+
+    async def test_a_store_may_tell_no_era(
+        self, api: ObjectApiStandin, store: HttpObjectStore
+    ) -> None:
+        api.era = None
+        version = await store.put("key", b"first")
+        assert await store.put("key", b"second", expected_version=version) > version
+        assert store.era == 0
+
     @pytest.mark.parametrize("key", ["", "a//b", "../a", "a/."])
     async def test_rejects_a_key_with_empty_or_relative_segments(
         self, store: HttpObjectStore, key: str
