Order fencing numbers by the eras of the store

What callers saw (by test): after the store came back from a copy, two agents held the same fencing number, and an endpoint that restarted or checks none took orders of both.

Cause: the next number was the stored one plus one, and the store had lost the last ones. An agent whose record was lost noticed nothing, or, where it read the record before each order, gave no order again.

Change: a number is ordered as (era, number) in one integer, so a fence of an older era loses against each of a newer one, also at endpoints, which compare integers as before; in the first era numbers are as they were. An agent reads its record again in a new era: kept, it goes on; lost, it takes a number of the new era; superseded, it stops. At an endpoint that checks no numbers an agent that starts after a restore waits for one lease.

--- a/egretrouter/core/_fencing_messages.py
+++ b/egretrouter/core/_fencing_messages.py
@@ -25,6 +25,8 @@
     content: bytes | None
     version: int
     sequence: int
+    era: int = 0
+    """The store's era, 0 if it tells none."""
 
 
 class NumberTaken(msgspec.Struct, frozen=True, kw_only=True):
@@ -59,6 +61,12 @@
     """Report that the endpoint refused an order because it has a higher number."""
 
 
+class EraBegun(msgspec.Struct, frozen=True, kw_only=True):
+    """Report that the store came back from a copy, which may lack this agent's number."""
+
+    era: int
+
+
 class Tick(msgspec.Struct, frozen=True, kw_only=True):
     """Advance the clock; sent about five times a second."""
 
@@ -73,6 +81,7 @@
     | EndpointUnresponsive
     | OrderRequested
     | StaleOrderRejected
+    | EraBegun
     | Tick
 )
 
--- a/egretrouter/core/eras.py
+++ b/egretrouter/core/eras.py
@@ -22,6 +22,11 @@
     return era + FIRST_ERA, version
 
 
+def version_era(ordered: int) -> int:
+    """Return the era of an ordered version."""
+    return split_version(ordered)[0]
+
+
 def lowest_fencing_number(era: int) -> int:
     """Return the number above all fencing numbers of earlier eras."""
     return _base(era, FENCING_NUMBER_BITS)
--- a/egretrouter/core/fencing.py
+++ b/egretrouter/core/fencing.py
@@ -12,6 +12,7 @@
     AnswerLost,
     EndpointReported,
     EndpointUnresponsive,
+    EraBegun,
     FencingRecord,
     GiveOrder,
     LeaseCommand,
@@ -29,6 +30,7 @@
     TakeNumber,
     Tick,
 )
+from egretrouter.core.eras import FIRST_ERA, lowest_fencing_number
 from egretrouter.core.errors import OrderError, StaleFencingNumberError
 from egretrouter.core.identifiers import EndpointId, Epoch, InstanceId
 
@@ -40,6 +42,7 @@
     "EndpointGuard",
     "EndpointReported",
     "EndpointUnresponsive",
+    "EraBegun",
     "FencingRecord",
     "GiveOrder",
     "LeaseCommand",
@@ -107,6 +110,9 @@
         self._state = LeaseState.NEW
         self._number = 0
         self._proposed_number = 0
+        self._proposed_era = 0
+        self._era = 0
+        self._confirmed_era = 0
         self._endpoint_number = 0
         self._waits_for_previous_lease = False
         self._wait_until_seconds = 0.0
@@ -134,6 +140,8 @@
             "key": self._key,
             "state": self._state.value,
             "number": self._number,
+            "era": self._era,
+            "confirmed_era": self._confirmed_era,
             "checks_fencing": self._checks_fencing,
             "must_reread": self._must_reread,
             "pending_orders": len(self._orders),
@@ -196,17 +204,22 @@
             # Taken for the answer to a newer read, a late one would make its content look current.
             self._read_started_seconds = read_started_seconds
             return []
+        if message.era < self._era:
+            self._schedule_retry(now_seconds)
+            return []
+        self._era = message.era
         record = (
             msgspec.json.decode(message.content, type=FencingRecord) if message.content else None
         )
         if self._state is LeaseState.TAKING:
             return self._propose_number(record, message.version, now_seconds)
-        return self._confirm_number(record, read_started_seconds, now_seconds)
+        return self._confirm_number(record, message.version, read_started_seconds, now_seconds)
 
     @_dispatch.register
     def _on_number_taken(self, message: NumberTaken, *, now_seconds: float) -> list[LeaseCommand]:
         if self._state is not LeaseState.TAKING:
             return []
+        self._confirmed_era = self._proposed_era
         return self._accept_number(self._proposed_number, now_seconds)
 
     @_dispatch.register
@@ -238,6 +251,15 @@
     ) -> list[LeaseCommand]:
         return self._lose_lease(self._number + 1)
 
+    @_dispatch.register
+    def _on_era_begun(self, message: EraBegun, *, now_seconds: float) -> list[LeaseCommand]:
+        if message.era <= self._era:
+            return []
+        self._era = message.era
+        if self._state is not LeaseState.HELD or self._is_era_confirmed():
+            return []
+        return self._read_number(now_seconds)
+
     @_dispatch.register
     def _on_tick(self, message: Tick, *, now_seconds: float) -> list[LeaseCommand]:
         if self._state is LeaseState.WAITING and now_seconds >= self._wait_until_seconds:
@@ -264,15 +286,21 @@
         self, record: FencingRecord | None, version: int, now_seconds: float
     ) -> list[LeaseCommand]:
         if record is not None and record.life == self._incarnation:
+            self._confirmed_era = self._era
             return self._accept_number(record.number, now_seconds)
-        if record is not None and 0 < self._proposed_number < record.number:
+        known_number = max(self._proposed_number, self._number)
+        if record is not None and 0 < known_number < record.number:
             # An update with a lost answer may have taken effect and been superseded since.
             return self._lose_lease(record.number)
+        # A store that came back from a copy may have lost the record of a previous agent.
+        has_previous = record is not None or self._era > FIRST_ERA
         self._waits_for_previous_lease = self._waits_for_previous_lease or (
-            record is not None and not self._checks_fencing
+            has_previous and not self._checks_fencing
         )
         stored_number = record.number if record else 0
-        self._proposed_number = max(stored_number, self._endpoint_number) + 1
+        lowest_number = lowest_fencing_number(self._era)
+        self._proposed_number = max(stored_number, self._endpoint_number, lowest_number) + 1
+        self._proposed_era = self._era
         new_record = FencingRecord(
             number=self._proposed_number, instance_id=self._instance_id, life=self._incarnation
         )
@@ -312,21 +340,34 @@
         )
 
     def _needs_read(self) -> bool:
-        return self._must_reread or not self._checks_fencing
+        return self._must_reread or not self._checks_fencing or not self._is_era_confirmed()
+
+    def _is_era_confirmed(self) -> bool:
+        """Return whether this agent's record was seen or written in the store's current era."""
+        return self._era <= max(self._confirmed_era, FIRST_ERA)
 
     def _confirm_number(
-        self, record: FencingRecord | None, read_started_seconds: float, now_seconds: float
+        self,
+        record: FencingRecord | None,
+        version: int,
+        read_started_seconds: float,
+        now_seconds: float,
     ) -> list[LeaseCommand]:
         if self._state is not LeaseState.HELD:
             return []
         if record is not None and record.number > self._number:
             return self._lose_lease(record.number)
         is_own_record = record is not None and record.life == self._incarnation
+        if not is_own_record and not self._is_era_confirmed():
+            # The store lost the record, so the agent takes a number of the new era.
+            self._state, self._proposed_number = LeaseState.TAKING, 0
+            return self._propose_number(record, version, now_seconds)
         valid_until_seconds = read_started_seconds + self._lease_seconds
         if not is_own_record or now_seconds >= valid_until_seconds:
             self._schedule_retry(now_seconds)
             return []
         self._must_reread = False
+        self._confirmed_era = self._era
         self._attempts = 0
         return self._give_orders(valid_until_seconds)
 
--- a/egretrouter/daemons/_lease.py
+++ b/egretrouter/daemons/_lease.py
@@ -13,6 +13,7 @@
 from mode import Service
 
 from egretrouter.backends import Engine, ObjectStore
+from egretrouter.core.eras import version_era
 from egretrouter.core.errors import (
     BackendError,
     ObjectMissingError,
@@ -25,6 +26,7 @@
     EndpointGuard,
     EndpointReported,
     EndpointUnresponsive,
+    EraBegun,
     GiveOrder,
     LeaseCommand,
     LeaseHeld,
@@ -131,6 +133,8 @@
     async def _tick(self) -> None:
         while not self.should_stop:
             await self.sleep(TICK_SECONDS)
+            # Any call of the process may have told the era.
+            self._dispatch(EraBegun(era=self._store.era))
             self._dispatch(Tick())
 
     def _dispatch(self, message: LeaseMessage) -> None:
@@ -166,10 +170,16 @@
         try:
             stored = await self._store.get(command.key)
         except ObjectMissingError:
-            return NumberRead(sequence=command.sequence, content=b"", version=0)
+            era = self._store.era
+            return NumberRead(sequence=command.sequence, content=b"", version=0, era=era)
         except BackendError:
             return AnswerLost()
-        return NumberRead(sequence=command.sequence, content=stored.content, version=stored.version)
+        return NumberRead(
+            sequence=command.sequence,
+            content=stored.content,
+            version=stored.version,
+            era=version_era(stored.version) if self._store.era else 0,
+        )
 
     @_execute.register
     def _start_take(self, command: TakeNumber) -> None:
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -141,7 +141,7 @@
     """Keep one object with its version."""
 
     def __init__(self) -> None:
-        self.content, self.version = b"", 0
+        self.content, self.version, self.era = b"", 0, 0
 
     async def get(self, key: str) -> StoredObject:
         if not self.version:
--- a/tests/test_fencing.py
+++ b/tests/test_fencing.py
@@ -9,6 +9,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, rule, run_state_machine_as_test
 
+from egretrouter.core.eras import order_version
 from egretrouter.core.errors import OrderError, StaleFencingNumberError
 from egretrouter.core.fencing import (
     LEASE_SECONDS,
@@ -17,6 +18,7 @@
     EndpointGuard,
     EndpointReported,
     EndpointUnresponsive,
+    EraBegun,
     FencingRecord,
     GiveOrder,
     LeaseCommand,
@@ -64,6 +66,14 @@
     return send(agent, NumberRead(content=content, version=version, sequence=sequence), now)
 
 
+def read_in_era(
+    agent: OrderLease, content: bytes | None, version: int, *, era: int, now: float = 0.0
+) -> list[Any]:
+    """Answer the agent's last read by a store of an era."""
+    answer = NumberRead(content=content, version=version, sequence=agent._sequence, era=era)
+    return send(agent, answer, now)
+
+
 def take(agent: OrderLease, *, number: int = 0, before: bytes | None = None) -> list[Any]:
     send(agent, AcquireLease())
     send(agent, EndpointReported(fencing_number=number))
@@ -148,6 +158,58 @@
         assert len([c for c in commands if isinstance(c, RefuseOrder)]) == 36
 
 
+class TestRestoredStore:
+    """Guard against a fencing number that is given out again by a store that lost a write."""
+
+    def test_a_number_of_a_later_era_is_above_all_of_earlier_eras(self) -> None:
+        old = lease("old")
+        take(old, number=7)
+        new = lease("new")
+        send(new, AcquireLease())
+        # The endpoint restarted, so it doesn't report the number that the store has lost.
+        send(new, EndpointReported(fencing_number=0))
+        (command,) = read_in_era(new, record(7, "zero"), 9, era=2)
+        number = msgspec.json.decode(command.content, type=FencingRecord).number
+        assert old.epoch is not None
+        assert number > old.epoch + 1000
+
+    def test_an_agent_whose_record_was_lost_takes_a_number_of_the_new_era(self) -> None:
+        agent = lease()
+        take(agent, before=record(4, "zero"))
+        (query,) = send(agent, EraBegun(era=2), 1.0)
+        assert isinstance(query, ReadNumber)
+        assert send(agent, OrderRequested(order_id="load"), 1.1) == []
+        (command,) = read_in_era(agent, record(4, "zero"), 9, era=2, now=1.2)
+        assert isinstance(command, TakeNumber)
+        held, order = send(agent, NumberTaken(), 1.3)
+        assert isinstance(held, LeaseHeld)
+        assert order.fencing_number == held.epoch > 2**32
+
+    def test_an_agent_that_was_replaced_before_the_restore_stays_replaced(self) -> None:
+        agent = lease()
+        take(agent)
+        send(agent, EraBegun(era=2), 1.0)
+        commands = read_in_era(agent, record(2**32 + 1, "two"), 9, era=2, now=1.1)
+        assert [type(command) for command in commands] == [LeaseLost]
+
+    def test_an_agent_whose_record_was_kept_goes_on(self) -> None:
+        agent = lease()
+        take(agent)
+        send(agent, EraBegun(era=2), 1.0)
+        assert read_in_era(agent, record(1, "one"), 1, era=2, now=1.1) == []
+        (order,) = send(agent, OrderRequested(order_id="load"), 1.2)
+        assert order.fencing_number == 1
+
+    def test_an_agent_waits_where_the_record_of_another_may_be_lost(self) -> None:
+        agent = lease(checks=False)
+        send(agent, AcquireLease())
+        send(agent, EndpointReported())
+        read_in_era(agent, None, 0, era=2)
+        assert send(agent, NumberTaken()) == []
+        (held,) = send(agent, Tick(), LEASE_SECONDS)
+        assert isinstance(held, LeaseHeld)
+
+
 class TestEndpointGuard:
     """Guard against stale orders at endpoints that do not check them."""
 
@@ -185,7 +247,18 @@
         return super()._dispatch(message, now_seconds=now_seconds)
 
 
-def machine(kind: type[OrderLease], *, checks: bool) -> type[RuleBasedStateMachine]:
+class LeaseIgnoringEras(OrderLease):
+    """Give out numbers as if the store had never lost one."""
+
+    def _dispatch(self, message: Any, *, now_seconds: float) -> list[LeaseCommand]:
+        if isinstance(message, NumberRead):
+            message = msgspec.structs.replace(message, era=0)
+        return super()._dispatch(message, now_seconds=now_seconds)
+
+
+def machine(
+    kind: type[OrderLease], *, checks: bool, restores: bool = False
+) -> type[RuleBasedStateMachine]:
     """Return a state machine of one endpoint and successive agents, any of which may pause."""
 
     class Agents(RuleBasedStateMachine):
@@ -193,6 +266,9 @@
             super().__init__()
             self.now = 0.0
             self.store: tuple[bytes | None, int] = (None, 0)
+            self.era = 1
+            self.states: list[bytes | None] = [None]
+            """Contents of the store's record, of which a restore brings one back."""
             self.endpoint_number = 0
             self.agents: list[OrderLease] = []
             self.answers: list[tuple[OrderLease, LeaseMessage]] = []
@@ -212,11 +288,14 @@
                 self.answers.append((agent, EndpointReported(fencing_number=number)))
             elif isinstance(command, ReadNumber):
                 sequence = command.sequence
-                answer = NumberRead(content=content, version=version, sequence=sequence)
+                answer = NumberRead(
+                    content=content, version=version, sequence=sequence, era=self.era
+                )
                 self.answers.append((agent, answer))
             elif isinstance(command, TakeNumber):
                 if command.expected_version == version:
                     self.store = (command.content, version + 1)
+                    self.states.append(command.content)
                     self.answers.append((agent, NumberTaken()))
                 else:
                     self.answers.append((agent, NumberConflicted()))
@@ -273,6 +352,21 @@
                 self.dispatch(self.agents[-1], Tick())
                 self.deliver_all_answers()
 
+        @rule(data=st.data(), learn=st.booleans())
+        def restore(self, data: st.DataObject, learn: bool) -> None:
+            """Bring the store back from one of its last copies, and the engine without a number."""
+            if not restores:
+                return
+            lost = data.draw(st.integers(0, min(2, len(self.states) - 1)))
+            self.states = self.states[: len(self.states) - lost]
+            self.era += 1
+            content = self.states[-1]
+            version = len(self.states) - 1
+            self.store = (content, order_version(version, era=self.era) if content else 0)
+            if learn:
+                for agent in self.agents:
+                    self.dispatch(agent, EraBegun(era=self.era))
+
         @rule(data=st.data())
         def send_order(self, data: st.DataObject) -> None:
             if self.orders:
@@ -331,6 +425,16 @@
     def test_no_stale_orders(self, checks: bool) -> None:
         run_state_machine_as_test(machine(OrderLease, checks=checks), settings=SETTINGS)
 
+    @pytest.mark.parametrize("checks", [False, True])
+    def test_no_stale_orders_after_restores_of_the_store(self, checks: bool) -> None:
+        tested = machine(OrderLease, checks=checks, restores=True)
+        run_state_machine_as_test(tested, settings=SETTINGS)
+
+    def test_detects_numbers_that_ignore_eras(self) -> None:
+        tested = machine(LeaseIgnoringEras, checks=False, restores=True)
+        with pytest.raises(AssertionError, match=r"epoch held twice|stale order"):
+            run_state_machine_as_test(tested, settings=MUTANT_SETTINGS)
+
     @pytest.mark.parametrize(
         ("kind", "failure"),
         [
