Grant no claim again that a restored store lost

What callers saw (by test): a keyed order ran twice, when the store came back from a copy without its claim and the order was repeated.

Cause: a claim is granted if the shard object has no entry for its key. A store that lost acknowledged writes has none; the router's own memory of the claim was replaced by what it read.

Change: in a new era a router merges what it knows into what it reads, by attempt and status, and writes it back, also without a request. An update acknowledged in an earlier era isn't believed. For 20 s after a router noticed the restore it grants no new claim and replaces none, since another router may still hold the claim; a call whose key isn't found is refused as not_run.

--- a/egretrouter/core/calls/_claim_batch.py
+++ b/egretrouter/core/calls/_claim_batch.py
@@ -30,6 +30,11 @@
     place_timeout_seconds: float = 2.0
     sweep_seconds: float = 60.0
     """Minimum interval between removals of a shard's expired claims, done as part of a write."""
+    era_check_seconds: float = 5.0
+    """Interval at which a router with claims that a restore could lose reads the store's era."""
+    restore_hold_seconds: float = 20.0
+    """No new claim is granted for so long after a restore, until all routers have noticed it and
+    written back the claims that the store lost."""
     waiting_ends: int = 10_000
     """Ends queued per shard while the store is unavailable; dropped ones settle at the agent."""
 
@@ -45,6 +50,7 @@
         released: dict[str, float],
         routers: frozenset[InstanceId],
         limits: ClaimLimits,
+        grants_new_claims: bool = True,
     ) -> None:
         self.entries = dict(entries)
         self.size_bytes = size_bytes
@@ -55,6 +61,7 @@
         self._released = released
         self._routers = routers
         self._limits = limits
+        self._grants_new_claims = grants_new_claims
 
     def decide(self, message: PlaceClaim | EndClaim, now: float) -> ClaimDecided | None:
         """Apply one operation and return its decision; EndClaim returns None."""
@@ -104,7 +111,7 @@
 
     def _verdict(self, message: PlaceClaim, entry: ClaimEntry | None, now: float) -> ClaimVerdict:
         if entry is None:
-            return ClaimVerdict.GRANTED
+            return self._grant()
         pending = entry.status is ClaimStatus.PENDING
         if entry.claim_id == message.claim_id:
             is_same_or_next_attempt = entry.attempt in {message.attempt, message.attempt - 1}
@@ -118,11 +125,14 @@
         if entry.status is ClaimStatus.FINISHED:
             return ClaimVerdict.REPLAY
         if self._replaces(message, entry):
-            return ClaimVerdict.GRANTED
+            return self._grant()
         if pending and entry.router_id in self._routers and now <= entry.deadline_at_seconds:
             return ClaimVerdict.IN_PROGRESS
         return ClaimVerdict.SETTLE
 
+    def _grant(self) -> ClaimVerdict:
+        return ClaimVerdict.GRANTED if self._grants_new_claims else ClaimVerdict.STORE_OUT
+
     @staticmethod
     def _replaces(message: PlaceClaim, entry: ClaimEntry) -> bool:
         replaced = message.replaces
@@ -191,3 +201,26 @@
 
 def _entry_bytes(digest: str, entry: ClaimEntry) -> int:
     return len(digest) + 2 + len(msgspec.msgpack.encode(entry))
+
+
+def restore_entries(
+    stored: Mapping[str, ClaimEntry], known: Mapping[str, ClaimEntry]
+) -> dict[str, ClaimEntry]:
+    """Return the entries of a shard that lost acknowledged writes, with those known from before."""
+    restored = dict(stored)
+    for digest, entry in known.items():
+        found = stored.get(digest)
+        if found is None or _is_further(entry, found):
+            restored[digest] = entry
+    return restored
+
+
+def _is_further(known: ClaimEntry, stored: ClaimEntry) -> bool:
+    """Return whether the known entry is later; another claim of the key ended the stored one."""
+    if known.claim_id != stored.claim_id:
+        return True
+    order = list(ClaimStatus)
+    return (known.attempt, order.index(known.status)) > (
+        stored.attempt,
+        order.index(stored.status),
+    )
--- a/egretrouter/core/calls/_claim_messages.py
+++ b/egretrouter/core/calls/_claim_messages.py
@@ -144,6 +144,12 @@
     routers: frozenset[InstanceId]
 
 
+class EraBegun(msgspec.Struct, frozen=True, kw_only=True):
+    """Report the store's era; a new one begins with a copy that may lack acknowledged claims."""
+
+    era: int
+
+
 class ShardRead(msgspec.Struct, frozen=True, kw_only=True):
     """Report the content of a shard object; version 0 and no content if it does not exist."""
 
@@ -151,6 +157,8 @@
     request: int
     version: int
     content: bytes
+    era: int = 0
+    """The store's era, 0 if it tells none."""
 
 
 class ShardWritten(msgspec.Struct, frozen=True, kw_only=True):
@@ -183,6 +191,7 @@
     PlaceClaim
     | EndClaim
     | RoutersChanged
+    | EraBegun
     | ShardRead
     | ShardWritten
     | ShardWriteUndecided
--- a/egretrouter/core/calls/_claims.py
+++ b/egretrouter/core/calls/_claims.py
@@ -5,7 +5,7 @@
 
 import msgspec
 
-from egretrouter.core.calls._claim_batch import ClaimBatch, ClaimLimits
+from egretrouter.core.calls._claim_batch import ClaimBatch, ClaimLimits, restore_entries
 from egretrouter.core.calls._claim_messages import (
     ClaimCommand,
     ClaimDecided,
@@ -16,6 +16,7 @@
     ClaimVerdict,
     DeleteAnswer,
     EndClaim,
+    EraBegun,
     PlaceClaim,
     ReadShard,
     RoutersChanged,
@@ -26,6 +27,7 @@
     WriteShard,
     shard_of,
 )
+from egretrouter.core.eras import FIRST_ERA, version_era
 from egretrouter.core.identifiers import InstanceId
 
 
@@ -53,6 +55,8 @@
     sweep_at_seconds: float = 0.0
     request: int = 0
     issued_at_arrival: int = 0
+    known: dict[str, ClaimEntry] = {}
+    """Entries from before a restore of the store, until it is known to have them."""
 
 
 class ClaimTable:
@@ -71,6 +75,8 @@
         self._released: dict[str, float] = {}
         self._arrivals = 0
         self._requests = 0
+        self._era = 0
+        self._grants_from_seconds = float("-inf")
 
     def handle(self, message: ClaimMessage, *, now_seconds: float) -> list[ClaimCommand]:
         """Apply one message."""
@@ -85,6 +91,26 @@
         self._routers = message.routers
         return []
 
+    @_apply.register
+    def _on_era_begun(self, message: EraBegun, now: float) -> list[ClaimCommand]:
+        if message.era <= self._era:
+            return []
+        self._era = message.era
+        if message.era <= FIRST_ERA:
+            return []
+        self._grants_from_seconds = now + self._limits.restore_hold_seconds
+        commands: list[ClaimCommand] = []
+        for number, shard in self._shards.items():
+            shard.known = restore_entries(shard.known, shard.entries)
+            shard.is_loaded = False
+            commands += self._advance(number, shard, now)
+        return commands
+
+    @property
+    def knows_claims(self) -> bool:
+        """Return whether this router knows claims that a restore of the store could lose."""
+        return any(shard.entries or shard.known for shard in self._shards.values())
+
     @_apply.register
     def _on_place_claim(self, message: PlaceClaim, now: float) -> list[ClaimCommand]:
         return self._enqueue(message, now)
@@ -114,7 +140,7 @@
 
     def _advance(self, number: int, shard: _Shard, now: float) -> list[ClaimCommand]:
         """Decide the waiting operations, unless a request for the shard is in flight."""
-        if shard.request or not shard.waiting:
+        if shard.request or not (shard.waiting or shard.known):
             return []
         if not shard.is_loaded:
             return self._read_shard(number, shard)
@@ -127,7 +153,7 @@
                 return self._read_shard(number, shard)
             batch, decided = self._decide_operations(shard, fresh, now)
         shard.waiting = shard.waiting[len(decided) :]
-        if batch.changed:
+        if batch.changed or shard.known:
             if now >= shard.sweep_at_seconds:
                 shard.sweep_at_seconds = now + self._limits.sweep_seconds
                 batch.remove_expired(now)
@@ -144,6 +170,7 @@
             released=self._released,
             routers=self._routers,
             limits=self._limits,
+            grants_new_claims=now >= self._grants_from_seconds,
         )
         return batch, [
             (operation, batch.decide(operation.message, now)) for operation in operations
@@ -190,11 +217,17 @@
         if shard is None:
             return []
         # Malformed content raises before is_loaded is set, so it is never overwritten.
-        shard.entries = ClaimShard.from_bytes(message.content).entries
+        stored = ClaimShard.from_bytes(message.content).entries
+        commands = self._on_era_begun(EraBegun(era=message.era), now)
+        if message.era < self._era:
+            return [*commands, *self._advance(message.shard, shard, now)]
+        shard.entries = restore_entries(stored, shard.known)
+        if shard.entries == stored:
+            shard.known = {}
         shard.is_loaded, shard.version = True, message.version
         shard.size_bytes = len(message.content)
         shard.fresh_through = shard.issued_at_arrival
-        return self._advance(message.shard, shard, now)
+        return [*commands, *self._advance(message.shard, shard, now)]
 
     @_apply.register
     def _on_shard_written(self, message: ShardWritten, now: float) -> list[ClaimCommand]:
@@ -203,6 +236,12 @@
             return []
         shard.version = message.version
         shard.entries, shard.size_bytes = shard.written, shard.written_bytes
+        if self._era and version_era(message.version) < self._era:
+            # The store may have lost this update when it came back from a copy.
+            shard.known = restore_entries(shard.known, shard.entries)
+            shard.is_loaded = False
+        else:
+            shard.known = {}
         shard.fresh_through = shard.issued_at_arrival
         decisions: list[ClaimCommand] = [d for _, d in shard.in_flight if d is not None]
         shard.in_flight = []
@@ -273,6 +312,8 @@
         """Return the state for the state dump."""
         return {
             "released": len(self._released),
+            "era": self._era,
+            "grants_from_seconds": max(self._grants_from_seconds, 0.0),
             "shards": {
                 str(number): {
                     "version": shard.version,
--- a/egretrouter/daemons/_claims.py
+++ b/egretrouter/daemons/_claims.py
@@ -24,6 +24,7 @@
     ClaimVerdict,
     DeleteAnswer,
     EndClaim,
+    EraBegun,
     PlaceClaim,
     ReadShard,
     RoutersChanged,
@@ -36,6 +37,7 @@
     shard_of,
 )
 from egretrouter.core.digests import content_digest
+from egretrouter.core.eras import version_era
 from egretrouter.core.errors import (
     BackendError,
     BackendUnavailableError,
@@ -56,6 +58,7 @@
 
 CLAIM_KEY_PREFIX = "claims/"
 ANSWER_KEY_PREFIX = "claims/answers/"
+ERA_CHECK_SHARD = 0
 TICK_SECONDS = 0.5
 FLUSH_POLL_SECONDS = 0.02
 # The store accepts several hundred writes per second from all processes together.
@@ -278,13 +281,16 @@
         try:
             stored = await self._store.get(f"{CLAIM_KEY_PREFIX}{shard}")
             version, content = stored.version, stored.content
+            era = version_era(version) if self._store.era else 0
         except ObjectMissingError:
-            pass
+            era = self._store.era
         except BackendError as error:
             log_message("claims:read_failed", shard=shard, error=type(error).__name__)
             self._dispatch(ShardUnavailable(shard=shard, request=request))
             return
-        self._dispatch(ShardRead(shard=shard, request=request, version=version, content=content))
+        self._dispatch(
+            ShardRead(shard=shard, request=request, version=version, content=content, era=era)
+        )
 
     @_execute.register
     def _start_write(self, command: WriteShard) -> None:
@@ -344,9 +350,20 @@
         while not self.should_stop:
             self._update_write_bucket(self.routers.count())
             self._dispatch(RoutersChanged(routers=self.routers.live_ids()))
+            self._dispatch(EraBegun(era=self._store.era))
             self._dispatch(ClaimTick())
             await self.sleep(TICK_SECONDS)
 
+    @Service.task
+    async def _check_era(self) -> None:
+        """Read the store's era from time to time while a restore could lose claims."""
+        while not self.should_stop:
+            await self.sleep(self.limits.era_check_seconds)
+            if self._table.knows_claims and self._store.era:
+                # Each answer tells the era, also that the object does not exist.
+                with contextlib.suppress(BackendError):
+                    await self._store.get(f"{CLAIM_KEY_PREFIX}{ERA_CHECK_SHARD}")
+
     def _update_write_bucket(self, routers: int) -> None:
         if routers == self._bucket_router_count:
             return
--- a/tests/test_calls_claims.py
+++ b/tests/test_calls_claims.py
@@ -10,6 +10,7 @@
 from egretrouter.core import calls
 from egretrouter.core.calls import CallState, ClaimStatus, ClaimTable, ClaimVerdict, SettledClaim
 from egretrouter.core.configuration import PlainServiceFile
+from egretrouter.core.eras import order_version
 from egretrouter.core.errors import Outcome, ValidationError
 from egretrouter.core.identifiers import CallId, Digest, Epoch, InstanceId, WorkspaceId
 
@@ -41,7 +42,7 @@
 
     def __init__(self, **limits: Any) -> None:
         self.table = ClaimTable(limits=calls.ClaimLimits(shards=1, **limits))
-        self.version, self.content = 0, b""
+        self.version, self.content, self.era = 0, b"", 1
         self.decided: list[calls.ClaimDecided] = []
         self.held_commands: list[Any] = []
         self.holds_commands = False
@@ -62,7 +63,11 @@
         reply: Any = calls.ShardWriteUndecided(shard=shard, request=request)
         if isinstance(command, calls.ReadShard):
             reply = calls.ShardRead(
-                shard=shard, request=request, version=self.version, content=self.content
+                shard=shard,
+                request=request,
+                version=self.version,
+                content=self.content,
+                era=self.era,
             )
         elif command.expected_version == self.version:
             self.version, self.content = self.version + 1, command.content
@@ -70,6 +75,17 @@
                 reply = calls.ShardWritten(shard=shard, request=request, version=self.version)
         self.send(reply, now)
 
+    def copy_of(self, other: "Store") -> "Store":
+        """Use the same content as the table of another router."""
+        self.version, self.content, self.era = other.version, other.content, other.era
+        return self
+
+    def restore(self, content: bytes) -> None:
+        """Bring the store back from a copy, in a new era that gives versions out again."""
+        self.era += 1
+        self.content = content
+        self.version = order_version(1, era=self.era) if content else 0
+
     def verdict(self, message: Any, now: float = 0.0) -> ClaimVerdict:
         self.send(message, now)
         return self.decided[-1].verdict
@@ -80,6 +96,72 @@
     return calls.EndClaim(key_digest="k", claim_id=claim, status=status, answer=answer)
 
 
+class TestRestoredStore:
+    """Guard against a call that runs again because the store lost its claim."""
+
+    @pytest.mark.parametrize("lost", ["claim", "end"])
+    def test_a_claim_that_the_store_lost_is_not_granted_again(self, lost: str) -> None:
+        store = Store()
+        assert store.verdict(place("a")) is ClaimVerdict.GRANTED
+        copy = store.content if lost == "end" else b""
+        store.send(end("a", ClaimStatus.FINISHED, b"contract"))
+        store.restore(copy)
+        assert store.verdict(place("b"), 1.0) is ClaimVerdict.REPLAY
+        assert calls.ClaimShard.from_bytes(store.content).entries["k"].answer is not None
+
+    def test_lost_claims_are_written_back_without_a_request(self) -> None:
+        store = Store()
+        store.verdict(place("a"))
+        kept = store.content
+        store.restore(b"")
+        store.send(calls.EraBegun(era=2), 1.0)
+        assert store.content == kept
+        written = store.version
+        store.send(calls.ClaimTick(), 2.0)
+        assert store.version == written
+
+    def test_another_router_grants_nothing_until_lost_claims_are_back(self) -> None:
+        store = Store()
+        store.verdict(place("a"))
+        store.restore(b"")
+        other = Store().copy_of(store)
+        assert other.verdict(place("b"), 1.0) is ClaimVerdict.STORE_OUT
+        store.send(calls.EraBegun(era=2), 2.0)
+        other.copy_of(store)
+        assert other.verdict(place("c"), 3.0) is ClaimVerdict.IN_PROGRESS
+        later = 1.0 + calls.ClaimLimits().restore_hold_seconds
+        assert other.verdict(place("d", "another"), later - 0.1) is ClaimVerdict.STORE_OUT
+        assert other.verdict(place("e", "another"), later) is ClaimVerdict.GRANTED
+
+    def test_a_later_attempt_that_the_store_lost_is_not_replaced(self) -> None:
+        store = Store()
+        store.verdict(place("a"))
+        copy = store.content
+        first = calls.ClaimShard.from_bytes(copy).entries["k"]
+        assert store.verdict(place("a", attempt=2)) is ClaimVerdict.GRANTED
+        store.restore(copy)
+        other = Store().copy_of(store)
+        replacing = place("b", router_id=InstanceId("router-2"), replaces=first)
+        assert other.verdict(replacing, 31.0) is ClaimVerdict.STORE_OUT
+        store.send(calls.EraBegun(era=2), 31.0)
+        entry = calls.ClaimShard.from_bytes(store.content).entries["k"]
+        assert entry.attempt == 2
+
+    def test_an_update_acknowledged_in_an_earlier_era_is_not_believed(self) -> None:
+        store = Store()
+        store.holds_commands = True
+        store.send(place("a"))
+        store.execute(store.held_commands.pop())
+        (write,) = store.held_commands
+        store.holds_commands = False
+        store.restore(b"")
+        store.send(calls.EraBegun(era=2), 1.0)
+        written = calls.ShardWritten(shard=write.shard, request=write.request, version=1)
+        store.send(written, 1.0)
+        assert store.decided[-1].verdict is ClaimVerdict.GRANTED
+        assert "k" in calls.ClaimShard.from_bytes(store.content).entries
+
+
 class TestClaimTable:
     """Guard against two holders of a key and against wrong answers to a repeated request."""
 
--- a/tests/test_daemon_claims.py
+++ b/tests/test_daemon_claims.py
@@ -254,3 +254,18 @@
             assert (await orders.post(number))[:2] == (200, answer())
         assert orders.executions() == 1
         assert all(claims[number].forwarded_total for number in others)
+
+
+class TestRestoredStore:
+    """Guard against an order that runs twice because the store lost its claim."""
+
+    async def test_an_order_whose_claim_the_store_lost_runs_once(self, orders: Orders) -> None:
+        await asyncio.sleep(1.0)
+        started_seconds = time.monotonic()
+        assert (await orders.post(0))[:2] == (200, answer())
+        await orders.fleet.object_api.restore(seconds=time.monotonic() - started_seconds)
+        assert not any(key.startswith("claims/") for key in orders.stored_keys())
+        results = [(await orders.post(router))[:2] for router in (1, 2, 0)]
+        assert orders.executions() == 1
+        assert (200, answer()) in results
+        assert {status for status, _ in results} <= {200, 409, 503}
