Publish above all generations of earlier eras

What callers saw (by test): a configuration that was published and acknowledged after a restore was in force nowhere; and one with the files that the restored store showed was answered as already published while all processes applied the lost one.

Cause: the next generation is the stored one plus one. The store had lost the last ones, so the new publication got a generation that processes had applied with other files, and they ignored it.

Change: the first generation of an era is above all of earlier ones, as fencing numbers are, and files count as published only if their generation is of the current era.

Evidence: with generations of bare numbers both tests of TestRestoredStore failed ('assert 2 > (2 + 1000)', 'created' False). Now python -m pytest -n 2 tests/test_configuration_publication.py tests/test_fencing.py tests/test_cli.py tests/test_configuration_state.py passes.

--- a/egretrouter/core/configuration/_publication.py
+++ b/egretrouter/core/configuration/_publication.py
@@ -9,6 +9,7 @@
 from egretrouter.core.configuration._collection import FileCollection
 from egretrouter.core.configuration._configuration import ConfigurationError, ConfigurationIndex
 from egretrouter.core.configuration._messages import Tick
+from egretrouter.core.eras import lowest_number
 from egretrouter.core.errors import EgretrouterError, PublishConflictError
 from egretrouter.core.identifiers import Digest, Generation, PublicationId
 
@@ -39,6 +40,8 @@
 
     content: bytes | None
     version: int
+    era: int = 0
+    """The store's era, 0 if it tells none."""
 
 
 class PartStored(msgspec.Struct, frozen=True, kw_only=True):
@@ -122,6 +125,7 @@
         self._retry_at_seconds: float | None = None
         self._base: ConfigurationIndex | None = None
         self._base_version = 0
+        self._era = 0
         self._unstored: list[Digest] = []
 
     def snapshot(self) -> dict[str, Any]:
@@ -153,6 +157,7 @@
             index = ConfigurationIndex.from_json(message.content) if message.content else None
         except ConfigurationError as error:
             return self._fail(error)
+        self._era = message.era
         settled = self._settle_outcome(index)
         if settled:
             return settled
@@ -221,7 +226,7 @@
         if self._publication_id in history:
             generation = index.generation - history.index(self._publication_id)
             return self._succeed(Generation(generation), created=True)
-        if index.parts == self._collection.parts:
+        if index.parts == self._collection.parts and index.generation > lowest_number(self._era):
             return self._succeed(index.generation, created=False)
         return []
 
@@ -236,9 +241,15 @@
 
     def _next_index(self) -> ConfigurationIndex:
         base = self._base
+        latest = base.generation if base else 0
+        # The store may have lost later generations of an earlier era, which processes apply.
+        lowest = lowest_number(self._era)
         earlier = (base.publication_id, *base.earlier_publications) if base else ()
+        if latest < lowest:
+            # The places in this list count back from the generation, so it can't span a gap.
+            earlier = ()
         return ConfigurationIndex(
-            generation=Generation(base.generation + 1 if base else 1),
+            generation=Generation(max(latest, lowest) + 1),
             publication_id=self._publication_id,
             parts=self._collection.parts,
             earlier_publications=earlier[:REMEMBERED_PUBLICATIONS],
--- a/egretrouter/core/eras.py
+++ b/egretrouter/core/eras.py
@@ -7,7 +7,7 @@
 
 FIRST_ERA = 1
 VERSION_BITS = 48
-FENCING_NUMBER_BITS = 32
+NUMBER_BITS = 32
 """With these, a number stays exact as a JSON number up to era 2,097,152."""
 
 
@@ -27,9 +27,9 @@
     return split_version(ordered)[0]
 
 
-def lowest_fencing_number(era: int) -> int:
-    """Return the number above all fencing numbers of earlier eras."""
-    return _base(era, FENCING_NUMBER_BITS)
+def lowest_number(era: int) -> int:
+    """Return a number above all fencing numbers and generations of earlier eras."""
+    return _base(era, NUMBER_BITS)
 
 
 def _base(era: int, bits: int) -> int:
--- a/egretrouter/core/fencing.py
+++ b/egretrouter/core/fencing.py
@@ -30,7 +30,7 @@
     TakeNumber,
     Tick,
 )
-from egretrouter.core.eras import FIRST_ERA, lowest_fencing_number
+from egretrouter.core.eras import FIRST_ERA, lowest_number
 from egretrouter.core.errors import OrderError, StaleFencingNumberError
 from egretrouter.core.identifiers import EndpointId, Epoch, InstanceId
 
@@ -298,8 +298,8 @@
             has_previous and not self._checks_fencing
         )
         stored_number = record.number if record else 0
-        lowest_number = lowest_fencing_number(self._era)
-        self._proposed_number = max(stored_number, self._endpoint_number, lowest_number) + 1
+        lowest = lowest_number(self._era)
+        self._proposed_number = max(stored_number, self._endpoint_number, lowest) + 1
         self._proposed_era = self._era
         new_record = FencingRecord(
             number=self._proposed_number, instance_id=self._instance_id, life=self._incarnation
--- a/egretrouter/publishing.py
+++ b/egretrouter/publishing.py
@@ -36,6 +36,7 @@
     encode_part,
 )
 from egretrouter.core.digests import content_digest
+from egretrouter.core.eras import version_era
 from egretrouter.core.errors import (
     BackendError,
     ManifestMismatchError,
@@ -190,8 +191,9 @@
     try:
         index = await store.get(INDEX_KEY)
     except ObjectMissingError:
-        return IndexRead(content=None, version=0)
-    return IndexRead(content=index.content, version=index.version)
+        return IndexRead(content=None, version=0, era=store.era)
+    era = version_era(index.version) if store.era else 0
+    return IndexRead(content=index.content, version=index.version, era=era)
 
 
 async def published_index(store: ObjectStore) -> ConfigurationIndex | None:
--- a/tests/test_configuration_publication.py
+++ b/tests/test_configuration_publication.py
@@ -27,6 +27,7 @@
     Tick,
     UpdateIndex,
 )
+from egretrouter.core.eras import VERSION_BITS, order_version
 from egretrouter.core.errors import PublishConflictError
 from egretrouter.core.identifiers import PublicationId
 
@@ -39,6 +40,7 @@
         self.rng = random.Random(seed)
         self.loss_rate = loss_rate
         self.writes: list[bytes] = []
+        self.era = 1
 
     def execute(self, command: PublicationCommand) -> PublicationMessage:
         request_lost, answer_lost = (
@@ -53,7 +55,7 @@
     def _execute_reliably(self, command: PublicationCommand) -> PublicationMessage:
         content, version = self.objects.get(INDEX_KEY, (None, 0))
         if isinstance(command, ReadIndex):
-            return IndexRead(content=content, version=version)
+            return IndexRead(content=content, version=version, era=self.era)
         if isinstance(command, CreatePart):
             self.objects.setdefault(command.key, (command.content, 1))
             return PartStored(digest=command.digest)
@@ -64,6 +66,18 @@
         self.writes.append(command.content)
         return IndexUpdated()
 
+    def copy(self) -> dict[str, tuple[bytes, int]]:
+        """Return what a restore brings back."""
+        return dict(self.objects)
+
+    def restore(self, copy: dict[str, tuple[bytes, int]]) -> None:
+        """Lose what was written since the copy, and begin a new era."""
+        self.era += 1
+        self.objects = {
+            key: (content, order_version(version % 2**VERSION_BITS, era=self.era))
+            for key, (content, version) in copy.items()
+        }
+
     def index(self) -> ConfigurationIndex:
         return ConfigurationIndex.from_json(self.objects[INDEX_KEY][0])
 
@@ -167,3 +181,34 @@
                 assert operator.result.generation == generation
             elif not isinstance(operator.result.error, PublicationUnsettledError):
                 assert generation is None
+
+
+class TestRestoredStore:
+    """Guard against a publication that processes take for one that they have applied."""
+
+    def test_a_generation_that_the_store_lost_is_not_given_out_again(self) -> None:
+        store = FakeStore()
+        Operator("one", sample(1), store).run()
+        copy = store.copy()
+        Operator("lost", sample(2), store).run()
+        lost = store.index().generation
+        store.restore(copy)
+        result = Operator("three", sample(3), store).run().result
+        assert isinstance(result, PublicationSucceeded)
+        assert result.generation == store.index().generation
+        assert result.generation > lost + 1000
+        assert store.index().earlier_publications == ()
+
+    def test_files_published_before_a_restore_are_published_again(self) -> None:
+        store = FakeStore()
+        Operator("one", sample(1), store).run()
+        copy = store.copy()
+        Operator("lost", sample(2), store).run()
+        lost = store.index().generation
+        store.restore(copy)
+        # Processes apply the lost generation, so the stored files aren't in force.
+        result = Operator("again", sample(1), store).run().result
+        assert isinstance(result, PublicationSucceeded)
+        assert (result.created, result.generation > lost) == (True, True)
+        repeated = Operator("repeated", sample(1), store).run().result
+        assert repeated == PublicationSucceeded(generation=result.generation, created=False)
