Start a publication over when the store lost its parts

What callers saw (by test): a publication during which the store came back from a copy ended with 'published by someone else', though nobody had published.

Cause: the index had another version after the restore, which was taken for another operator's update; and the parts that had been created were not created again.

Change: if the store is in a new era and nobody has published in it, the publication starts over from the index that it reads, with all parts that this index doesn't name. If somebody has, it is a conflict as before.

Evidence: test_parts_that_the_store_lost_during_a_publication_are_created_again failed before (PublicationFailed, PublishConflictError). Now python -m pytest -n 2 tests/test_configuration_publication.py tests/test_recovery.py passes.

--- a/egretrouter/core/configuration/_publication.py
+++ b/egretrouter/core/configuration/_publication.py
@@ -157,6 +157,10 @@
             index = ConfigurationIndex.from_json(message.content) if message.content else None
         except ConfigurationError as error:
             return self._fail(error)
+        is_of_new_era = index is not None and index.generation > lowest_number(message.era)
+        if message.era > self._era and not is_of_new_era:
+            # The store may have lost the parts of this publication, and its update.
+            self._update_sent = self._conflicted = False
         self._era = message.era
         settled = self._settle_outcome(index)
         if settled:
--- a/tests/test_configuration_publication.py
+++ b/tests/test_configuration_publication.py
@@ -8,6 +8,7 @@
 
 from egretrouter.core.configuration import (
     INDEX_KEY,
+    PART_KEY_PREFIX,
     AnswerLost,
     Begin,
     ConfigurationIndex,
@@ -212,3 +213,27 @@
         assert (result.created, result.generation > lost) == (True, True)
         repeated = Operator("repeated", sample(1), store).run().result
         assert repeated == PublicationSucceeded(generation=result.generation, created=False)
+
+    def test_parts_that_the_store_lost_during_a_publication_are_created_again(self) -> None:
+        store = FakeStore()
+        Operator("one", sample(1), store).run()
+        copy = store.copy()
+        two = Operator("two", sample(2), store).run(is_about_to_update)
+        store.restore(copy)
+        assert isinstance(two.run().result, PublicationSucceeded)
+        index = store.index()
+        assert index.publication_id == "two"
+        missing = [d for d in index.parts.values() if PART_KEY_PREFIX + d not in store.objects]
+        assert missing == []
+
+    def test_a_publication_of_the_new_era_is_not_overwritten(self) -> None:
+        store = FakeStore()
+        Operator("one", sample(1), store).run()
+        copy = store.copy()
+        late = Operator("late", sample(2), store).run(is_about_to_update)
+        store.restore(copy)
+        Operator("early", sample(3), store).run()
+        result = late.run().result
+        assert isinstance(result, PublicationFailed)
+        assert isinstance(result.error, PublishConflictError)
+        assert store.index().publication_id == "early"
