Write back an applied configuration that the store lost

What callers saw (by test): a configuration that was published, acknowledged and applied stood in no store after it came back from a copy, so it lived only as long as the processes that applied it.

Cause: processes rightly kept the newer generation, but nobody told the store.

Change: a process that watches the index and is shown a lower generation than it applies, by a store that was restored, writes its own back: the missing parts, then the index by conditional update, so an operator's publication that came first stays.

Evidence: test_a_configuration_that_the_store_lost_is_written_back failed before ('the condition did not become true', 10 s). Now python -m pytest -n 2 tests/test_restored_store.py: 2 passed.

--- a/egretrouter/daemons/_control.py
+++ b/egretrouter/daemons/_control.py
@@ -40,6 +40,7 @@
     ZoneMembersChanged,
 )
 from egretrouter.core.configuration import Tick as ConfigurationTick
+from egretrouter.core.eras import FIRST_ERA
 from egretrouter.core.errors import BackendError
 from egretrouter.core.identifiers import Digest, Generation, InstanceId
 from egretrouter.core.membership import (
@@ -67,6 +68,7 @@
     encode_gossip,
 )
 from egretrouter.core.membership import Tick as MembershipTick
+from egretrouter.daemons._write_back import write_back
 from egretrouter.protocol import egretrouter_pb2 as pb
 from egretrouter.protocol import egretrouter_pb2_grpc as pb_grpc
 from egretrouter.transport import ChannelPool, DeflatedContents, inflate
@@ -319,6 +321,11 @@
             log_message("control:index_malformed", error=str(error))
             return
         self._dispatch_to_configuration(IndexReceived(index=index, source=STORE_SOURCE))
+        applied = self.configuration.configuration
+        was_restored = self._store.era > FIRST_ERA
+        if was_restored and applied is not None and index.generation < applied.generation:
+            get_part = self.configuration.get_part
+            self._spawn(write_back(self._store, applied.index, get_part=get_part, rng=self._rng))
 
     async def _fetch_index(self, source: InstanceId) -> None:
         try:
