Hold claims back only while a restore is recent

What callers saw (by test): once a store had been restored, each router that started later refused the keyed calls of its shards for 20 s, however long ago the restore was.

Cause: the hold begins when a process first sees an era above 1, and a new process can't tell when the era began.

Change: the first router that notices an era records the time in claims/eras/<era>; a router that reads a time from before the hold and the allowed skew of clocks grants claims at once.

Evidence: without it the table's test failed (STORE_OUT instead of GRANTED), and the daemon's test was answered with 503 for 20.4 s; with it both pass: python -m pytest -n 2 tests/test_daemon_claims.py tests/test_calls_claims.py -k Restored, 9 passed.

--- a/egretrouter/core/calls/_claim_messages.py
+++ b/egretrouter/core/calls/_claim_messages.py
@@ -148,6 +148,8 @@
     """Report the store's era; a new one begins with a copy that may lack acknowledged claims."""
 
     era: int
+    noticed_at_seconds: float | None = None
+    """Wall clock of the first router that noticed the era, if known."""
 
 
 class ShardRead(msgspec.Struct, frozen=True, kw_only=True):
--- a/egretrouter/core/calls/_claims.py
+++ b/egretrouter/core/calls/_claims.py
@@ -93,6 +93,11 @@
 
     @_apply.register
     def _on_era_begun(self, message: EraBegun, now: float) -> list[ClaimCommand]:
+        if message.era == self._era and message.noticed_at_seconds is not None:
+            limits = self._limits
+            held_seconds = limits.restore_hold_seconds + limits.clock_skew_seconds
+            noticed_and_held = message.noticed_at_seconds + held_seconds
+            self._grants_from_seconds = min(self._grants_from_seconds, noticed_and_held)
         if message.era <= self._era:
             return []
         self._era = message.era
--- a/egretrouter/daemons/_claims.py
+++ b/egretrouter/daemons/_claims.py
@@ -37,7 +37,7 @@
     shard_of,
 )
 from egretrouter.core.digests import content_digest
-from egretrouter.core.eras import version_era
+from egretrouter.core.eras import FIRST_ERA, version_era
 from egretrouter.core.errors import (
     BackendError,
     BackendUnavailableError,
@@ -58,6 +58,7 @@
 
 CLAIM_KEY_PREFIX = "claims/"
 ANSWER_KEY_PREFIX = "claims/answers/"
+ERA_KEY_PREFIX = "claims/eras/"
 ERA_CHECK_SHARD = 0
 TICK_SECONDS = 0.5
 FLUSH_POLL_SECONDS = 0.02
@@ -357,13 +358,38 @@
     @Service.task
     async def _check_era(self) -> None:
         """Read the store's era from time to time while a restore could lose claims."""
+        noticed_era = FIRST_ERA
         while not self.should_stop:
             await self.sleep(self.limits.era_check_seconds)
-            if self._table.knows_claims and self._store.era:
-                # Each answer tells the era, also that the object does not exist.
-                with contextlib.suppress(BackendError):
+            era = self._store.era
+            with contextlib.suppress(BackendError):
+                if era > noticed_era:
+                    await self._read_notice(era)
+                    noticed_era = era
+                elif era and self._table.knows_claims:
+                    # Each answer tells the era, also that the object does not exist.
                     await self._store.get(f"{CLAIM_KEY_PREFIX}{ERA_CHECK_SHARD}")
 
+    async def _read_notice(self, era: int) -> None:
+        """Read when the first router noticed an era, or record that this one did.
+
+        Raises BackendError.
+        """
+        key = f"{ERA_KEY_PREFIX}{era}"
+        try:
+            content = (await self._store.get(key)).content
+        except ObjectMissingError:
+            content = msgspec.json.encode(self._clock())
+            with contextlib.suppress(VersionConflictError):
+                await self._store.put(key, content, expected_version=0)
+            return
+        try:
+            noticed_at_seconds = msgspec.json.decode(content, type=float)
+        except msgspec.MsgspecError as error:
+            log_message("claims:notice_malformed", key=key, error=str(error))
+            return
+        self._dispatch(EraBegun(era=era, noticed_at_seconds=noticed_at_seconds))
+
     def _update_write_bucket(self, routers: int) -> None:
         if routers == self._bucket_router_count:
             return
--- a/tests/test_calls_claims.py
+++ b/tests/test_calls_claims.py
@@ -147,6 +147,18 @@
         entry = calls.ClaimShard.from_bytes(store.content).entries["k"]
         assert entry.attempt == 2
 
+    def test_a_router_that_starts_long_after_a_restore_grants_claims(self) -> None:
+        store = Store()
+        store.restore(b"")
+        assert store.verdict(place("a"), 1000.0) is ClaimVerdict.STORE_OUT
+        limits = calls.ClaimLimits()
+        held_seconds = limits.restore_hold_seconds + limits.clock_skew_seconds
+        recent = calls.EraBegun(era=2, noticed_at_seconds=1001.0 - held_seconds)
+        store.send(recent, 1000.0)
+        assert store.verdict(place("b"), 1000.0) is ClaimVerdict.STORE_OUT
+        store.send(calls.EraBegun(era=2, noticed_at_seconds=10.0), 1000.0)
+        assert store.verdict(place("c"), 1000.0) is ClaimVerdict.GRANTED
+
     def test_an_update_acknowledged_in_an_earlier_era_is_not_believed(self) -> None:
         store = Store()
         store.holds_commands = True
--- a/tests/test_daemon_claims.py
+++ b/tests/test_daemon_claims.py
@@ -269,3 +269,17 @@
         assert orders.executions() == 1
         assert (200, answer()) in results
         assert {status for status, _ in results} <= {200, 409, 503}
+
+    async def test_a_router_learns_when_a_restore_was_noticed(self, orders: Orders) -> None:
+        """Guard against keyed calls refused by each router that starts, long after a restore."""
+        api = orders.fleet.object_api
+        await api.restore(seconds=0.0)
+        noticed_at_seconds = time.time() - 1000.0
+        await api.write("claims/eras/2", json.dumps(noticed_at_seconds).encode())
+        assert (await orders.post(0))[0] == 503
+        async with asyncio.timeout(WAIT_SECONDS):
+            while (await orders.post(0))[0] == 503:  # noqa: ASYNC110
+                await asyncio.sleep(0.5)
+        held_seconds = orders.routers[0].claims.limits.restore_hold_seconds
+        assert time.time() - noticed_at_seconds < 1000.0 + held_seconds
+        assert orders.executions() == 1
