Show that a claim nobody knows any more can be granted again

The limit of the claims after a restore of the store, as docs/design.md says it: the order ran twice ('assert 2 == 1', python -m pytest tests/test_daemon_claims.py -k nobody). Not fixed: the routers that knew the claim are gone, and agents record calls by call id.

--- a/tests/test_daemon_claims.py
+++ b/tests/test_daemon_claims.py
@@ -283,3 +283,25 @@
         held_seconds = orders.routers[0].claims.limits.restore_hold_seconds
         assert time.time() - noticed_at_seconds < 1000.0 + held_seconds
         assert orders.executions() == 1
+
+    @pytest.mark.known_red
+    async def test_an_order_whose_claim_nobody_knows_any_more_does_not_run_again(
+        self, orders: Orders
+    ) -> None:
+        """Guard against a claim that was lost with the store and with all routers that knew it."""
+        api = orders.fleet.object_api
+        await asyncio.sleep(1.0)
+        started_seconds = time.monotonic()
+        assert (await orders.post(0))[:2] == (200, answer())
+        for name in list(orders.fleet.routers):
+            await orders.fleet.kill_router(name)
+        await api.restore(seconds=time.monotonic() - started_seconds)
+        # As if the repeat came after the time in which no claim is granted.
+        await api.write("claims/eras/2", json.dumps(time.time() - 1000.0).encode())
+        zone = orders.fleet.deployment.zones[0].name
+        orders.routers = [await orders.fleet.start_router("entry-new", zone=zone)]
+        await orders.fleet.wait_for_routes(["orders"], timeout_seconds=WAIT_SECONDS)
+        async with asyncio.timeout(WAIT_SECONDS):
+            while (await orders.post(0))[0] == 503:  # noqa: ASYNC110
+                await asyncio.sleep(0.5)
+        assert orders.executions() == 1
