Copy the store of the tests at a moment, not seconds ago

The test of a watch failed once at load 20 ('assert 7 < 6'): the writes took longer than the 40 ms between the copy and the restore, so the copy had some of them. The copy is now of a moment that the test notes.

--- a/tests/test_backends.py
+++ b/tests/test_backends.py
@@ -1,6 +1,7 @@
 """Test the HTTP clients of the platform's systems against stand-ins."""
 
 import asyncio
+import time
 from collections.abc import AsyncIterator
 
 import aiohttp
@@ -155,9 +156,9 @@
         self, api: ObjectApiStandin, store: HttpObjectStore
     ) -> None:
         first = await store.put("key", b"first")
-        await asyncio.sleep(0.05)
+        copied_seconds = time.monotonic()
         lost = await store.put("key", b"lost", expected_version=first)
-        await api.restore(seconds=0.04)
+        await api.restore(seconds=time.monotonic() - copied_seconds)
         assert await api.write("key", b"of the new era") == lost
         with pytest.raises(VersionConflictError):
             await store.put("key", b"overwrites", expected_version=lost)
@@ -168,12 +169,12 @@
         self, api: ObjectApiStandin, store: HttpObjectStore
     ) -> None:
         await store.put("key", b"first")
-        await asyncio.sleep(0.05)
+        copied_seconds = time.monotonic()
         for _ in range(5):
             lost = await store.put("key", b"lost")
         pending = asyncio.ensure_future(anext(store.watch("key", after_version=lost)))
         await wait_until(lambda: api.waiting_watches == 1)
-        await api.restore(seconds=0.04)
+        await api.restore(seconds=time.monotonic() - copied_seconds)
         with pytest.raises(BackendUnavailableError):
             async with asyncio.timeout(WATCH_LIMIT_SECONDS):
                 await pending
