Keep the engine of a test from loading its version again

The test of calls after a pause failed once beside another one at load 20: the agent had loaded its version again before the test looked for the drain, so it never saw it. A wait of 4 s before that look fails it each time; loads fail in this test now, the checks are the same.

--- a/tests/test_own_path_versions.py
+++ b/tests/test_own_path_versions.py
@@ -69,6 +69,7 @@
 
         engine._select_digest = select_other  # type: ignore[method-assign]
         engine.loaded = {("cotacoes", "other"): OTHER_DIGEST}
+        engine.fail_loads = 1000  # The agent would load its own version again.
         engine.latency_seconds = 0.2
         pause(agent)
         for number in range(20):
