Retry a call whose version the engine no longer has

What callers saw: 404 'model not found' from an engine that had crashed and come back empty, until the agent's next report a second later, while other engines had the version.

Cause: what an agent admits is what its engine held at the last report. The send names the version and the engine refuses it, but the agent passed that refusal on as the answer to the call.

Change: a 404 without a version makes the agent read the engine. If the version is not there, the call is refused as not_run (other_version), so the router chooses another endpoint without using its retry budget. If it is there, the 404 is the answer, as for a model that the caller misnamed.

Now python -m pytest -n 2 tests/test_own_path_versions.py: 3 passed.

--- a/egretrouter/core/calls/_registry.py
+++ b/egretrouter/core/calls/_registry.py
@@ -210,8 +210,12 @@
         call = self._running_call(message.call_id)
         if call is None:
             return []
-        if call.state is CallState.ADMITTED:
-            call.reason = RefusalReason.ENDPOINT_UNAVAILABLE
+        if call.state is CallState.ADMITTED or message.version_refused:
+            call.reason = (
+                RefusalReason.OTHER_VERSION
+                if message.version_refused
+                else RefusalReason.ENDPOINT_UNAVAILABLE
+            )
             body = AnswerFailure(
                 outcome=Outcome.NOT_RUN, reason=call.reason.value, detail=message.detail
             )
--- a/egretrouter/core/calls/_registry_messages.py
+++ b/egretrouter/core/calls/_registry_messages.py
@@ -57,6 +57,8 @@
 
     call_id: CallId
     detail: str = ""
+    version_refused: bool = False
+    """The endpoint refused the call, because it no longer has the version that the call names."""
 
 
 class SettleCall(msgspec.Struct, frozen=True, kw_only=True):
--- a/egretrouter/daemons/_agent.py
+++ b/egretrouter/daemons/_agent.py
@@ -125,7 +125,11 @@
                 version_digests=frozenset(),
                 now_seconds=time.monotonic(),
             ),
-            endpoint=EndpointClient(base_url=endpoint.url, session=self._endpoint_session),
+            endpoint=EndpointClient(
+                base_url=endpoint.url,
+                session=self._endpoint_session,
+                holds_version=self._holds_version,
+            ),
             confirm_epoch=self._schedule_epoch_confirmation,
             coalesce_events=self.agent_settings.coalesce_events,
         )
@@ -408,6 +412,13 @@
             EngineReported(loaded=state.loaded, requested_at_seconds=requested_at_seconds)
         )
 
+    async def _holds_version(self, digest: Digest) -> bool:
+        """Read from the engine whether it has a version now."""
+        if self.engine is None:
+            return True
+        await self._read_report()
+        return digest in self.versions.loaded
+
     def _report_load(self, load: LoadReport) -> None:
         self.control.set_load(load)
         self.calls.report_load(load)
--- a/egretrouter/daemons/_agent_calls.py
+++ b/egretrouter/daemons/_agent_calls.py
@@ -36,7 +36,7 @@
 from egretrouter.core.errors import CallError, ProtocolError
 from egretrouter.core.identifiers import CallId, Digest, Epoch, InstanceId
 from egretrouter.core.membership import LoadReport
-from egretrouter.daemons._endpoint import EndpointClient
+from egretrouter.daemons._endpoint import EndpointClient, VersionNotHeldError
 from egretrouter.daemons._router_link import RouterLink
 from egretrouter.daemons._running_call import RunningCall
 from egretrouter.protocol import egretrouter_pb2 as pb
@@ -317,7 +317,8 @@
             self.dispatch(CallFinished(call_id=call_id))
         except CallError as error:
             log_message("agent:call_failed", call_id=call_id, error=type(error).__name__)
-            self.dispatch(CallFailed(call_id=call_id, detail=str(error)))
+            refused = isinstance(error, VersionNotHeldError)
+            self.dispatch(CallFailed(call_id=call_id, detail=str(error), version_refused=refused))
             self.endpoint_failed.set()
 
     def snapshot(self) -> dict[str, Any]:
--- a/egretrouter/daemons/_endpoint.py
+++ b/egretrouter/daemons/_endpoint.py
@@ -1,6 +1,6 @@
 """Send calls to the endpoint and yield their answers in parts."""
 
-from collections.abc import AsyncGenerator, AsyncIterator, Callable, Iterable
+from collections.abc import AsyncGenerator, AsyncIterator, Awaitable, Callable, Iterable
 from types import SimpleNamespace
 
 import aiohttp
@@ -9,7 +9,7 @@
 from egretrouter.backends import send_once
 from egretrouter.core.calls import AnswerData, AnswerHead
 from egretrouter.core.errors import CallNotRunError, CallUnknownError
-from egretrouter.core.identifiers import CallId
+from egretrouter.core.identifiers import CallId, Digest
 from egretrouter.protocol import egretrouter_pb2 as pb
 from egretrouter.transport import HOP_BY_HOP_HEADERS, check_answers
 
@@ -39,6 +39,10 @@
     """The endpoint answered from another version than the call requests."""
 
 
+class VersionNotHeldError(CallNotRunError):
+    """The endpoint refused the call because it no longer has the requested version."""
+
+
 def forwarded_headers(headers: Iterable[tuple[str, str]]) -> tuple[tuple[str, str], ...]:
     """Return the headers without those that apply to a single connection."""
     return tuple((name, value) for name, value in headers if name.lower() not in _HOP_HEADERS)
@@ -68,9 +72,17 @@
 class EndpointClient:
     """Send calls to the endpoint of this agent."""
 
-    def __init__(self, *, base_url: str, session: aiohttp.ClientSession) -> None:
+    def __init__(
+        self,
+        *,
+        base_url: str,
+        session: aiohttp.ClientSession,
+        holds_version: Callable[[Digest], Awaitable[bool]] | None = None,
+    ) -> None:
+        """Create a client; holds_version reads whether the endpoint has a version now."""
         self._base_url = base_url.rstrip("/")
         self._session = session
+        self._holds_version = holds_version
 
     async def run(
         self,
@@ -83,7 +95,7 @@
         """Yield the head and then the content of the answer.
 
         Calls on_connected before the first byte is sent. Raises EndpointUnreachableError,
-        EndpointFailedError, OtherVersionError or TruncatedAnswerError.
+        EndpointFailedError, OtherVersionError, VersionNotHeldError or TruncatedAnswerError.
         """
         timeout = aiohttp.ClientTimeout(total=timeout_seconds, sock_connect=CONNECT_TIMEOUT_SECONDS)
         try:
@@ -97,6 +109,7 @@
                 trace_request_ctx=on_connected,
                 middlewares=(send_once(),),
             ) as response:
+                await self._raise_if_not_held(response, Digest(call.version_digest))
                 async for part in _read_answer(response, call.version_digest):
                     yield part
         except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
@@ -108,6 +121,18 @@
                 f"endpoint {self._base_url} failed: {type(error).__name__}"
             ) from error
 
+    async def _raise_if_not_held(
+        self, response: aiohttp.ClientResponse, version_digest: Digest
+    ) -> None:
+        """Raise VersionNotHeldError if the endpoint refuses a version that it no longer has.
+
+        A 404 may also be the answer to the call itself, for a model that the caller misnamed.
+        """
+        if response.status != 404 or not version_digest or self._holds_version is None:
+            return
+        if DIGEST_HEADER not in response.headers and not await self._holds_version(version_digest):
+            raise VersionNotHeldError(f"{self._base_url} does not have {version_digest}")
+
     @staticmethod
     def _build_headers(call: pb.CallOpen, call_id: CallId) -> list[tuple[str, str]]:
         headers = [(h.name, h.value) for h in call.headers]
--- a/tests/test_own_path_versions.py
+++ b/tests/test_own_path_versions.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import AsyncIterator
 
+import aiohttp
 import pytest
 from aiohttp import web
 
@@ -95,3 +96,23 @@
             while agent.lease is None or not agent.lease.lease.is_lost:  # noqa: ASYNC110
                 await asyncio.sleep(0.02)
         assert engine.executions.total() == executions
+
+
+class TestEngineThatLostItsVersion:
+    """Guard against a call that gets an engine's refusal of its version as its answer."""
+
+    async def test_a_call_refused_for_its_version_goes_to_another_engine(
+        self, fleet: ServingFleet
+    ) -> None:
+        engines = list(fleet.engines().values())
+        for engine in engines[1:]:
+            engine.loaded.clear()
+        router = next(iter(fleet.routers.values()))
+        url = f"http://127.0.0.1:{router.callers_port}/v1/completions"
+        body = {"model": "cotacoes", "prompt": "ovos", "max_tokens": 8}
+        async with aiohttp.ClientSession() as session:
+            answers = [await session.post(url, json=body) for _ in range(8)]
+            contents = {answer.status: await answer.read() for answer in answers}
+        assert contents.keys() <= {200, 503}
+        if 503 in contents:
+            assert b'"not_run"' in contents[503]
