--- a/egretrouter/core/calls/_registry.py
+++ b/egretrouter/core/calls/_registry.py
@@ -82,6 +82,7 @@
         self._lost_routers: dict[InstanceId, float] = {}
         self._draining = False
         self._epoch_confirmed = True
+        self._pauses = 0
         # Unrecorded ids that expire up to this time are refused: one of them did not fit.
         self._refuse_until_seconds = float("-inf")
         self._last_seconds = now_seconds
@@ -99,7 +100,8 @@
             # pause, so their routers get the full time to reconnect.
             self._epoch_confirmed = False
             self._lost_routers = dict.fromkeys(self._lost_routers, now_seconds)
-            commands.append(ConfirmEpoch())
+            self._pauses += 1
+            commands.append(ConfirmEpoch(pause=self._pauses))
         self._last_seconds = now_seconds
         return commands + self._apply(message, now_seconds)
 
@@ -208,8 +210,12 @@
         call = self._running_call(message.call_id)
         if call is None:
             return []
-        if call.state is CallState.ADMITTED:
-            call.reason = RefusalReason.ENDPOINT_UNAVAILABLE
+        if call.state is CallState.ADMITTED or message.version_refused:
+            call.reason = (
+                RefusalReason.OTHER_VERSION
+                if message.version_refused
+                else RefusalReason.ENDPOINT_UNAVAILABLE
+            )
             body = AnswerFailure(
                 outcome=Outcome.NOT_RUN, reason=call.reason.value, detail=message.detail
             )
@@ -344,7 +350,8 @@
 
     @_apply.register
     def _on_epoch_read(self, message: EpochRead, now: float) -> list[RegistryCommand]:
-        self._epoch_confirmed = message.epoch == self.epoch
+        if message.pause == self._pauses:
+            self._epoch_confirmed = message.epoch == self.epoch
         return []
 
     @_apply.register
--- a/egretrouter/core/rollout/_rollout.py
+++ b/egretrouter/core/rollout/_rollout.py
@@ -61,6 +61,7 @@
         self._copied: set[Digest] = set()
         self._copying: set[Digest] = set()
         self._engine: dict[Digest, VersionReference] | None = None
+        self._valid_reports_from_seconds = float("-inf")
         self._calls: dict[Digest, int] = {}
         self._replicas: dict[InstanceId, ReplicaFacts] = {}
         self._failures: dict[Digest, dict[InstanceId, str]] = {}
@@ -197,6 +198,8 @@
         if self._loading is None or message.manifest_digest != self._loading.manifest_digest:
             return []
         self._phase = Phase.CHECKING
+        # A report requested during the load does not show its result.
+        self._valid_reports_from_seconds = now_seconds
         self._engine_unreachable = message.engine_unreachable
         if self._engine_unreachable:
             self._next_load_seconds = now_seconds + RESTORE_SECONDS
@@ -206,21 +209,24 @@
 
     @_handle_message.register
     def _on_engine(self, message: EngineReported, now_seconds: float) -> list[RolloutCommand]:
+        if message.requested_at_seconds < self._valid_reports_from_seconds:
+            return []
+        self._valid_reports_from_seconds = message.requested_at_seconds
         self._engine = {version.manifest_digest: version for version in message.loaded}
         if self._phase is Phase.CHECKING:
             return self._check_load(now_seconds)
         lost = self._serving
         if lost is None or lost.manifest_digest in self._engine or self._phase is Phase.LOADING:
-            return []
+            return self._adapters.drain_lost(self._engine)
         # The engine restarted; its weights are copied again from chunk memory or peers.
-        self._adapters.reset_engine_state()
+        adapter_drains = self._adapters.reset_engine_state()
         self._copied.discard(lost.manifest_digest)
         self._serving, self._drained = None, False
         if self._phase is Phase.FAILED:
             self._version_to_restore, self._next_restore_seconds = lost, now_seconds
         elif self._phase is not Phase.COPYING:
             self._phase = Phase.COPYING
-        return [DrainVersion(manifest_digest=lost.manifest_digest)]
+        return [DrainVersion(manifest_digest=lost.manifest_digest), *adapter_drains]
 
     @_handle_message.register
     def _on_tick(self, message: Tick, now_seconds: float) -> list[RolloutCommand]:
--- a/egretrouter/daemons/_claims.py
+++ b/egretrouter/daemons/_claims.py
@@ -24,6 +24,7 @@
     ClaimVerdict,
     DeleteAnswer,
     EndClaim,
+    EraBegun,
     PlaceClaim,
     ReadShard,
     RoutersChanged,
@@ -37,6 +38,7 @@
 )
 from egretrouter.core.decoding import DECODE_ERRORS
 from egretrouter.core.digests import content_digest
+from egretrouter.core.eras import FIRST_ERA, version_era
 from egretrouter.core.errors import (
     BackendError,
     BackendUnavailableError,
@@ -57,6 +59,8 @@
 
 CLAIM_KEY_PREFIX = "claims/"
 ANSWER_KEY_PREFIX = "claims/answers/"
+ERA_KEY_PREFIX = "claims/eras/"
+ERA_CHECK_SHARD = 0
 TICK_SECONDS = 0.5
 FLUSH_POLL_SECONDS = 0.02
 # The store accepts several hundred writes per second from all processes together.
@@ -279,13 +283,16 @@
         try:
             stored = await self._store.get(f"{CLAIM_KEY_PREFIX}{shard}")
             version, content = stored.version, stored.content
+            era = version_era(version) if self._store.era else 0
         except ObjectMissingError:
-            pass
+            era = self._store.era
         except BackendError as error:
             log_message("claims:read_failed", shard=shard, error=type(error).__name__)
             self._dispatch(ShardUnavailable(shard=shard, request=request))
             return
-        self._dispatch(ShardRead(shard=shard, request=request, version=version, content=content))
+        self._dispatch(
+            ShardRead(shard=shard, request=request, version=version, content=content, era=era)
+        )
 
     @_execute.register
     def _start_write(self, command: WriteShard) -> None:
@@ -345,9 +352,45 @@
         while not self.should_stop:
             self._update_write_bucket(self.routers.count())
             self._dispatch(RoutersChanged(routers=self.routers.live_ids()))
+            self._dispatch(EraBegun(era=self._store.era))
             self._dispatch(ClaimTick())
             await self.sleep(TICK_SECONDS)
 
+    @Service.task
+    async def _check_era(self) -> None:
+        """Read the store's era from time to time while a restore could lose claims."""
+        noticed_era = FIRST_ERA
+        while not self.should_stop:
+            await self.sleep(self.limits.era_check_seconds)
+            era = self._store.era
+            with contextlib.suppress(BackendError):
+                if era > noticed_era:
+                    await self._read_notice(era)
+                    noticed_era = era
+                elif era and self._table.knows_claims:
+                    # Each answer tells the era, also that the object does not exist.
+                    await self._store.get(f"{CLAIM_KEY_PREFIX}{ERA_CHECK_SHARD}")
+
+    async def _read_notice(self, era: int) -> None:
+        """Read when the first router noticed an era, or record that this one did.
+
+        Raises BackendError.
+        """
+        key = f"{ERA_KEY_PREFIX}{era}"
+        try:
+            content = (await self._store.get(key)).content
+        except ObjectMissingError:
+            content = msgspec.json.encode(self._clock())
+            with contextlib.suppress(VersionConflictError):
+                await self._store.put(key, content, expected_version=0)
+            return
+        try:
+            noticed_at_seconds = msgspec.json.decode(content, type=float)
+        except msgspec.MsgspecError as error:
+            log_message("claims:notice_malformed", key=key, error=str(error))
+            return
+        self._dispatch(EraBegun(era=era, noticed_at_seconds=noticed_at_seconds))
+
     def _update_write_bucket(self, routers: int) -> None:
         if routers == self._bucket_router_count:
             return
--- a/egretrouter/daemons/_lease.py
+++ b/egretrouter/daemons/_lease.py
@@ -14,6 +14,7 @@
 
 from egretrouter.backends import Engine, ObjectStore
 from egretrouter.core.decoding import DECODE_ERRORS
+from egretrouter.core.eras import version_era
 from egretrouter.core.errors import (
     BackendError,
     ObjectMissingError,
@@ -26,6 +27,7 @@
     EndpointGuard,
     EndpointReported,
     EndpointUnresponsive,
+    EraBegun,
     FencingRecord,
     GiveOrder,
     LeaseCommand,
@@ -80,6 +82,7 @@
         self._store = store
         self._permission_futures: dict[str, asyncio.Future[GiveOrder]] = {}
         self._order_count = 0
+        self._permitted_until_seconds = float("-inf")
 
     async def wait_for_permission(self) -> int:
         """Wait until an order may be given and return its fencing number.
@@ -97,10 +100,24 @@
             self._permission_futures.pop(order_id, None)
         if time.monotonic() >= permission.valid_until_seconds:
             raise OrderError("the permission to give an order lapsed before it was used")
+        self._permitted_until_seconds = permission.valid_until_seconds
         number = permission.fencing_number
         self.guard.admit(giver=self._instance_id, fencing_number=number)
         return number
 
+    async def renew_permission(self) -> None:
+        """Wait for a new permission to go on with an order if the last one has lapsed.
+
+        Raises OrderError if another agent has acquired the lease.
+        """
+        if time.monotonic() >= self._permitted_until_seconds:
+            await self.wait_for_permission()
+
+    def record_endpoint_number(self, fencing_number: int) -> None:
+        """Record the highest fencing number in the endpoint's report; 0 if it checks none."""
+        if self.lease.epoch is not None:
+            self._dispatch(EndpointReported(fencing_number=fencing_number))
+
     def report_stale_number(self) -> None:
         """Report that the endpoint refused an order for its old fencing number."""
         self._dispatch(StaleOrderRejected())
@@ -118,6 +135,8 @@
     async def _tick(self) -> None:
         while not self.should_stop:
             await self.sleep(TICK_SECONDS)
+            # Any call of the process may have told the era.
+            self._dispatch(EraBegun(era=self._store.era))
             self._dispatch(Tick())
 
     def _dispatch(self, message: LeaseMessage) -> None:
@@ -153,7 +172,8 @@
         try:
             stored = await self._store.get(command.key)
         except ObjectMissingError:
-            return NumberRead(sequence=command.sequence, content=b"", version=0)
+            era = self._store.era
+            return NumberRead(sequence=command.sequence, content=b"", version=0, era=era)
         except BackendError:
             return AnswerLost()
         try:
@@ -162,7 +182,12 @@
         except DECODE_ERRORS as error:
             log_message("lease:record_malformed", key=command.key, error=str(error))
             return AnswerLost()
-        return NumberRead(sequence=command.sequence, content=stored.content, version=stored.version)
+        return NumberRead(
+            sequence=command.sequence,
+            content=stored.content,
+            version=stored.version,
+            era=version_era(stored.version) if self._store.era else 0,
+        )
 
     @_execute.register
     def _start_take(self, command: TakeNumber) -> None:
--- a/egretrouter/daemons/_orders.py
+++ b/egretrouter/daemons/_orders.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import random
+from collections.abc import AsyncIterator
 
 import msgspec
 from eliot import log_message
@@ -88,11 +89,20 @@
             version=version.version,
             manifest_digest=version.manifest_digest,
             weights_digest=manifest.weights_digest,
-            content=self._copies.content(version.manifest_digest),
+            content=self._read_while_permitted(version.manifest_digest),
             fencing_number=await self._lease.wait_for_permission(),
             base_model=command.base_model,
         )
 
+    async def _read_while_permitted(self, digest: Digest) -> AsyncIterator[bytes]:
+        """Yield the content of a load that may last longer than the permission to order it.
+
+        An engine does not carry out an order whose content breaks off.
+        """
+        async for part in self._copies.content(digest):
+            await self._lease.renew_permission()
+            yield part
+
     async def _send_unload_order(self, version: VersionReference) -> None:
         await self._engine.unload(
             model=version.model,
@@ -116,8 +126,16 @@
             self._lease.report_stale_number()
 
 
-async def read_engine(engine: Engine) -> tuple[tuple[VersionReference, ...], LoadReport]:
-    """Return the versions that an engine has loaded, and its load."""
+class EngineState(msgspec.Struct, frozen=True, kw_only=True):
+    """Carry what an engine reports: its versions, its load and its highest fencing number."""
+
+    loaded: tuple[VersionReference, ...]
+    load: LoadReport
+    fencing_number: int
+
+
+async def read_engine(engine: Engine) -> EngineState:
+    """Return the state of an engine, an empty one if it does not answer."""
     try:
         report = await engine.report()
     except BackendError:
@@ -127,4 +145,5 @@
         msgspec.convert(version, VersionReference, from_attributes=True)
         for version in report.loaded
     )
-    return loaded, LoadReport(queued_calls=report.queued_calls, running_calls=report.running_calls)
+    load = LoadReport(queued_calls=report.queued_calls, running_calls=report.running_calls)
+    return EngineState(loaded=loaded, load=load, fencing_number=report.fencing_number)
