Send no new calls to engines that say they leave

Callers' calls went on reaching engines that had said Server-Leaving in an answer, until the store's list showed them as draining, and again when a list showed them as ready.

Cause: no answer's header was read for it, and the list of endpoints was the only place that knew who leaves.

Change: the dialect reads the header in every answer whose head arrived, also in refusals, failures and answers for other calls. LeavingEndpoints keeps the lifetimes that leave beside the list; choices leave them out, and routers tell each other as they do for limits. Registrations as draining are remembered, so an older state of the store brings none back. An agent reads the header in its engine's reports, tells routers, orders no more loads and takes the engine out of those that a switch waits for. If all engines of a service leave, calls get 503 with the time in which a new engine registers.

What an answer says of its endpoint is handled in a module of its own.

--- a/egretrouter/backends/_direct_ports.py
+++ b/egretrouter/backends/_direct_ports.py
@@ -140,6 +140,10 @@
     version: int | None = None
     limit_per_second: float | None = None
     """The rate of calls that the endpoint accepts from all routers together, if it names one."""
+    leaving: bool = False
+    """Whether the endpoint leaves and is to get no new calls."""
+    misdirected: bool = False
+    """Whether the answer may come from another endpoint than the one that the call named."""
 
 
 class CallDialect(Protocol):
@@ -181,6 +185,11 @@
     orders: int
     """Number of load orders that the engine has accepted since its start."""
 
+    @property
+    def leaving(self) -> bool:
+        """Return whether the engine leaves and is to get no new load orders."""
+        return self.load.leaving
+
 
 class StagedEngine(Protocol):
     """Define access to the engine on the same instance, which loads weights staged before."""
--- a/egretrouter/core/direct/__init__.py
+++ b/egretrouter/core/direct/__init__.py
@@ -12,6 +12,12 @@
 from egretrouter.core.direct._events import EventSplitter
 from egretrouter.core.direct._fleet import Fleet, SendGreeting
 from egretrouter.core.direct._grace_period import GracePeriod
+from egretrouter.core.direct._leaving import (
+    LeavingChange,
+    LeavingEndpoints,
+    LeavingNews,
+    LeavingSource,
+)
 from egretrouter.core.direct._members import (
     FleetMember,
     FleetRole,
@@ -69,6 +75,10 @@
     "FleetRole",
     "GracePeriod",
     "Greeting",
+    "LeavingChange",
+    "LeavingEndpoints",
+    "LeavingNews",
+    "LeavingSource",
     "LimitNews",
     "LoadReport",
     "MemberHealth",
--- a/egretrouter/core/direct/_placement.py
+++ b/egretrouter/core/direct/_placement.py
@@ -59,6 +59,8 @@
     """Whether the endpoint accepts no new calls until its weights are loaded."""
     versions: dict[ModelName, int] | None = None
     started_ms: int = 0
+    leaving: bool = False
+    """Whether the endpoint gets no new calls because it leaves."""
 
 
 class _EndpointStats:
--- a/egretrouter/direct/_agent.py
+++ b/egretrouter/direct/_agent.py
@@ -230,7 +230,8 @@
         if state is None:
             return
         serving = (state.load.versions or {}).get(switch.model, 0)
-        self._announce_version(switch.model, serving)
+        # Others must not wait until an engine that leaves has switched.
+        self._announce_serving("" if state.leaving else f"{switch.model}/{serving}")
         now = time.monotonic()
         shares = {
             version: self.copies.held_share(manifest)
@@ -247,6 +248,10 @@
             self.copies.set_idle_agents(self._manifests[switch.model, known].digest, idle)
         for version_to_copy in to_copy:
             self._ensure_copy(switch.model, version_to_copy)
+        if state.leaving:
+            # Its copies still serve other agents.
+            self._draining = False
+            return
         self._draining = switch.should_drain(
             serving=serving,
             shares=shares,
@@ -293,8 +298,7 @@
                 )
         return replicas
 
-    def _announce_version(self, model: ModelName, version: int) -> None:
-        serving = f"{model}/{version}"
+    def _announce_serving(self, serving: str) -> None:
         if self.fleet.fleet.own.serving != serving:
             self.fleet.announce(serving=serving)
 
--- /dev/null
+++ b/egretrouter/direct/_answer_facts.py
@@ -0,0 +1,86 @@
+"""Apply what the headers of an answer say about the endpoint that sent it."""
+
+import time
+
+from egretrouter.backends import AnswerHeaders
+from egretrouter.core.direct import (
+    Endpoint,
+    EndpointRun,
+    LeavingSource,
+    Placement,
+    SendOutcome,
+)
+from egretrouter.direct._news_service import NewsService
+from egretrouter.direct._sends import SendError
+from egretrouter.direct._shared_state import SharedStateService
+
+
+class AnswerFacts:
+    """Record the load, the limit and the state that endpoints name in their answers."""
+
+    def __init__(
+        self, *, state: SharedStateService, placement: Placement, news: NewsService
+    ) -> None:
+        self._state = state
+        self._placement = placement
+        self._news = news
+
+    def record_answer(
+        self, endpoint: Endpoint, answer: AnswerHeaders, *, sent_seconds: float
+    ) -> None:
+        """Record what an endpoint says in the answer to a call that was sent at some time."""
+        self._record_state(endpoint, answer)
+        self._record_limit(endpoint, answer, sent_seconds=sent_seconds)
+        self._record_load(endpoint, answer)
+
+    def record_failed_send(self, endpoint: Endpoint, error: SendError) -> None:
+        """Record what an endpoint says, or what its silence says, where a send has failed."""
+        now, answer = time.monotonic(), error.answer
+        if error.head is not None:
+            self._record_state(endpoint, error.head)
+        if answer is not None and answer.limit_per_second is not None:
+            self._record_limit(endpoint, answer, sent_seconds=now)
+        if answer is not None and answer.load is not None:
+            self._record_load(endpoint, answer)
+        elif error.outcome not in (SendOutcome.REJECTED, SendOutcome.EXPIRED):
+            self._placement.record_failure(endpoint.endpoint_id, now_seconds=now)
+
+    def _record_load(self, endpoint: Endpoint, answer: AnswerHeaders) -> None:
+        if answer.load is not None:
+            self._placement.record_report(
+                endpoint.endpoint_id, answer.load, by_agent=False, now_seconds=time.monotonic()
+            )
+
+    def _record_limit(
+        self, endpoint: Endpoint, answer: AnswerHeaders, *, sent_seconds: float
+    ) -> None:
+        self._news.limits.record_answer(
+            EndpointRun.of(endpoint),
+            answer.limit_per_second,
+            sent_seconds=sent_seconds,
+            now_seconds=time.monotonic(),
+        )
+        self._news.spread_findings()
+
+    def _record_state(self, endpoint: Endpoint, answer: AnswerHeaders) -> None:
+        """Record what holds for an endpoint whichever call the answer is for."""
+        if answer.leaving:
+            self._record_leaving(endpoint, answer)
+
+    def _record_leaving(self, endpoint: Endpoint, answer: AnswerHeaders) -> None:
+        now, leaving = time.monotonic(), self._news.leaving
+        for run in self._find_answerers(endpoint, answer):
+            leaving.record(run, LeavingSource.ANSWER, now_seconds=now)
+        if answer.misdirected:
+            leaving.record_address(endpoint.address, now_seconds=now)
+        self._news.spread_findings()
+
+    def _find_answerers(self, endpoint: Endpoint, answer: AnswerHeaders) -> set[EndpointRun]:
+        """Return the runs of the endpoints that may have sent an answer."""
+        runs = {EndpointRun.of(endpoint)}
+        if answer.misdirected:
+            # The address may be used again by an endpoint that was listed meanwhile.
+            newest = self._state.directory.newest_at(endpoint.address)
+            if newest is not None:
+                runs.add(EndpointRun.of(newest))
+        return runs
--- a/egretrouter/direct/_callers.py
+++ b/egretrouter/direct/_callers.py
@@ -8,7 +8,6 @@
 from multidict import CIMultiDict
 
 from egretrouter.backends import (
-    AnswerHeaders,
     CallDialect,
     CallHeaders,
     CallHeadersError,
@@ -17,8 +16,6 @@
 from egretrouter.core.direct import (
     CallKind,
     Choice,
-    Endpoint,
-    EndpointRun,
     EventSplitter,
     GracePeriod,
     NextStep,
@@ -32,6 +29,7 @@
 from egretrouter.core.errors import EventTooLargeError, StreamMismatchError
 from egretrouter.direct._active_call import ActiveCall
 from egretrouter.direct._admission import CallAdmission
+from egretrouter.direct._answer_facts import AnswerFacts
 from egretrouter.direct._choices import EndpointChoices
 from egretrouter.direct._logs import log_event
 from egretrouter.direct._metrics import CallMetrics
@@ -81,8 +79,14 @@
         self._guard = guard
         self._time_limits = CallTimeLimits(state=state, placement=placement)
         self._admission = CallAdmission(state=state, rng=rng)
+        self._facts = AnswerFacts(state=state, placement=placement, news=news)
         self._choices = EndpointChoices(
-            state=state, placement=placement, guard=guard, limits=news.limits, rng=rng
+            state=state,
+            placement=placement,
+            guard=guard,
+            limits=news.limits,
+            leaving=news.leaving,
+            rng=rng,
         )
 
     @property
@@ -159,17 +163,9 @@
                     return self._responder.end_call(call, step, 502, error.reason)
 
     def _handle_send_error(self, call: ActiveCall, choice: Choice, error: SendError) -> NextStep:
-        endpoint_id, now = choice.endpoint.endpoint_id, time.monotonic()
-        if error.answer is not None and error.answer.limit_per_second is not None:
-            self._record_limit(choice.endpoint, error.answer, sent_seconds=now)
-        if error.answer is not None and error.answer.load is not None:
-            self._placement.record_report(
-                endpoint_id, error.answer.load, by_agent=False, now_seconds=now
-            )
-        elif error.outcome not in (SendOutcome.REJECTED, SendOutcome.EXPIRED):
-            self._placement.record_failure(endpoint_id, now_seconds=now)
+        self._facts.record_failed_send(choice.endpoint, error)
         allowed = self._may_repeat(call, error.outcome) and self._budget.try_repeat(
-            call.service.name, now_seconds=now
+            call.service.name, now_seconds=time.monotonic()
         )
         step = call.progress.handle_send_ended(
             SendEnded(outcome=error.outcome, repeat_allowed=allowed)
@@ -177,7 +173,7 @@
         log_event(
             "call:send_ended",
             call=call.headers.call_id,
-            endpoint=endpoint_id,
+            endpoint=choice.endpoint.endpoint_id,
             outcome=error.outcome.value,
             reason=error.reason,
             next=step.value,
@@ -210,32 +206,14 @@
         self._news.limits.record_send(endpoint, now_seconds=now)
         try:
             answer = await self._open(call, choice, left)
-            self._record_limit(endpoint, answer.answer, sent_seconds=now)
+            self._facts.record_answer(endpoint, answer.answer, sent_seconds=now)
             try:
-                if answer.answer.load is not None:
-                    self._placement.record_report(
-                        endpoint.endpoint_id,
-                        answer.answer.load,
-                        by_agent=False,
-                        now_seconds=time.monotonic(),
-                    )
                 return await self._forward_answer(call, choice, answer)
             finally:
                 answer.close()
         finally:
             self._placement.record_release(endpoint.endpoint_id)
 
-    def _record_limit(
-        self, endpoint: Endpoint, answer: AnswerHeaders, *, sent_seconds: float
-    ) -> None:
-        self._news.limits.record_answer(
-            EndpointRun.of(endpoint),
-            answer.limit_per_second,
-            sent_seconds=sent_seconds,
-            now_seconds=time.monotonic(),
-        )
-        self._news.spread_findings()
-
     async def _open(self, call: ActiveCall, choice: Choice, left_seconds: float) -> OpenAnswer:
         headers = self._dialect.request_headers(
             CIMultiDict(call.request.headers),
--- a/egretrouter/direct/_choices.py
+++ b/egretrouter/direct/_choices.py
@@ -9,6 +9,7 @@
     Choice,
     Endpoint,
     EndpointLimits,
+    LeavingEndpoints,
     NoEndpointAvailable,
     Placement,
 )
@@ -23,6 +24,8 @@
 # A call that is already late may wait this share of its total time, as it is not likely to be
 # retried again.
 LATE_WAIT_SHARE = 0.25
+# A service whose endpoints all leave can serve again once another one registers.
+NEW_ENDPOINT_SECONDS = 1.0
 
 
 class EndpointChoices:
@@ -35,12 +38,14 @@
         placement: Placement,
         guard: PartGuard,
         limits: EndpointLimits,
+        leaving: LeavingEndpoints,
         rng: random.Random,
     ) -> None:
         self._state = state
         self._placement = placement
         self._guard = guard
         self._limits = limits
+        self._leaving = leaving
         self._rng = rng
 
     async def choose(self, call: ActiveCall) -> Choice | NoEndpointAvailable | PartHeld:
@@ -68,17 +73,27 @@
         if held is not None:
             return held
         now = time.monotonic()
+        staying = self._staying_endpoints(call, now)
+        if not staying and self._has_endpoints(call):
+            seconds = NEW_ENDPOINT_SECONDS * (0.5 + self._rng.random())
+            return NoEndpointAvailable(endpoints=0, retry_after_seconds=seconds)
         return self._placement.choose(
-            self._endpoints(call, now),
+            # An endpoint at its limit adds no capacity, so it is not among the candidates at all.
+            [e for e in staying if self._limits.may_send(e, now_seconds=now)],
             self._requirements(call, now),
             profile=call.service.engine,
             now_seconds=now,
         )
 
-    def _endpoints(self, call: ActiveCall, now: float) -> list[Endpoint]:
-        # An endpoint at its limit adds no capacity, so it is not among the candidates at all.
+    def _has_endpoints(self, call: ActiveCall) -> bool:
+        """Return whether any endpoint of the call's service is listed, leaving or not."""
+        listed = self._state.directory.all_endpoints()
+        return any(endpoint.service == call.service.name for endpoint in listed)
+
+    def _staying_endpoints(self, call: ActiveCall, now: float) -> list[Endpoint]:
+        """Return the endpoints that are not about to end, whatever the store says of them."""
         ready = self._state.directory.ready_endpoints(call.service.name)
-        return [e for e in ready if self._limits.may_send(e, now_seconds=now)]
+        return [e for e in ready if not self._leaving.is_leaving(e, now_seconds=now)]
 
     def _requirements(self, call: ActiveCall, now: float) -> CallRequirements:
         model = call.headers.model if call.service.engine is not None else None
--- a/egretrouter/direct/_metrics.py
+++ b/egretrouter/direct/_metrics.py
@@ -5,6 +5,8 @@
 from aioprometheus import Counter, Histogram, Registry
 from aioprometheus.renderer import render
 
+from egretrouter.core.direct import LeavingSource
+
 SECONDS_BUCKETS = [0.01, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0]
 
 
@@ -45,6 +47,15 @@
             buckets=SECONDS_BUCKETS,
             registry=self.registry,
         )
+        self._leaving = Counter(
+            "egretrouter_leaving_endpoints_total",
+            "Endpoints of which this process learned that they leave, by source",
+            registry=self.registry,
+        )
+
+    def record_leaving(self, source: LeavingSource) -> None:
+        """Record that the process learned of an endpoint that leaves."""
+        self._leaving.inc({"source": source.value})
 
     def record_call(self, result: str, seconds: float) -> None:
         """Record the result and the duration of a call."""
--- a/egretrouter/direct/_news_service.py
+++ b/egretrouter/direct/_news_service.py
@@ -4,7 +4,7 @@
 import contextlib
 import random
 import time
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from typing import Any, TypeVar
 
 from mode import Service
@@ -12,6 +12,9 @@
 from egretrouter.core.direct import (
     EndpointLimits,
     FleetMember,
+    LeavingChange,
+    LeavingEndpoints,
+    LeavingNews,
     LimitNews,
     PartNews,
     PartQuarantine,
@@ -20,7 +23,7 @@
 from egretrouter.direct._logs import log_event
 from egretrouter.direct._notes import NewsNote
 
-_NewsT = TypeVar("_NewsT", PartNews, LimitNews)
+_NewsT = TypeVar("_NewsT", PartNews, LimitNews, LeavingNews)
 
 SPREAD_SECONDS = 0.05
 REPAIR_SECONDS = 1.0
@@ -39,6 +42,8 @@
         super().__init__(**kwargs)
         self.quarantine = PartQuarantine()
         self.limits = EndpointLimits(own=fleet.fleet.own.instance_id)
+        self.leaving = LeavingEndpoints()
+        self.on_leaving: list[Callable[[LeavingChange], None]] = []
         self.settled = False
         """Whether this process knows what the others knew when it started."""
         self._has_news = asyncio.Event()
@@ -51,8 +56,10 @@
         now = time.monotonic()
         parts = self.quarantine.take_findings(now_seconds=now)
         limits = self.limits.take_findings(now_seconds=now)
-        if parts or limits:
-            self._send(self._fleet.fleet.announcement().targets, parts=parts, limits=limits)
+        leaving = self.leaving.take_findings(now_seconds=now)
+        if parts or limits or leaving:
+            targets = self._fleet.fleet.announcement().targets
+            self._send(targets, parts=parts, limits=limits, leaving=leaving)
             self._has_news.set()
         self._log_changes()
 
@@ -62,15 +69,21 @@
         *,
         parts: Iterable[PartNews],
         limits: Iterable[LimitNews],
+        leaving: Iterable[LeavingNews],
     ) -> None:
-        own = self._fleet.fleet.own
-        note = NewsNote(sender_address=own.address, parts=tuple(parts), limits=tuple(limits))
+        note = NewsNote(
+            sender_address=self._fleet.fleet.own.address,
+            parts=tuple(parts),
+            limits=tuple(limits),
+            leaving=tuple(leaving),
+        )
         self._fleet.send_note(note, [member.address for member in targets])
 
     def _handle_note(self, note: NewsNote) -> None:
         now = time.monotonic()
         self.quarantine.merge(note.parts, now_seconds=now)
         self.limits.merge(note.limits, now_seconds=now)
+        self.leaving.merge(note.leaving, now_seconds=now)
         self._log_changes()
         self._has_news.set()
         if note.wants_all:
@@ -82,13 +95,15 @@
         now = time.monotonic()
         parts = self.quarantine.all_news(now_seconds=now)
         limits = self.limits.all_news(now_seconds=now)
-        starts = range(0, max(1, len(parts), len(limits)), ITEMS_PER_NOTE)
+        leaving = self.leaving.all_news(now_seconds=now)
+        starts = range(0, max(1, len(parts), len(limits), len(leaving)), ITEMS_PER_NOTE)
         for start in starts:
             note = NewsNote(
                 sender_address=self._fleet.fleet.own.address,
                 parts=tuple(parts[start : start + ITEMS_PER_NOTE]),
                 limits=tuple(limits[start : start + ITEMS_PER_NOTE]),
                 completes_all=self.settled and start == starts[-1],
+                leaving=tuple(leaving[start : start + ITEMS_PER_NOTE]),
             )
             self._fleet.send_note(note, [address])
 
@@ -101,6 +116,16 @@
                 endpoint=limited.run.endpoint_id,
                 limit_per_second=limited.limit_per_second,
             )
+        for departure in self.leaving.take_changes():
+            log_event(
+                "endpoints:leaving",
+                endpoint=departure.run.endpoint_id,
+                started_ms=departure.run.started_ms,
+                source=departure.source.value,
+                remembered_seconds=round(departure.remembered_seconds),
+            )
+            for listener in self.on_leaving:
+                listener(departure)
 
     @Service.task
     async def _join(self) -> None:
@@ -128,17 +153,21 @@
             now = time.monotonic()
             parts = self.quarantine.take_relays(limit=ITEMS_PER_NOTE, now_seconds=now)
             limits = self.limits.take_relays(limit=ITEMS_PER_NOTE, now_seconds=now)
-            if parts or limits:
+            leaving = self.leaving.take_relays(limit=ITEMS_PER_NOTE, now_seconds=now)
+            if parts or limits or leaving:
                 # The same news is passed on more than once.
                 self._has_news.set()
             if now - repaired >= REPAIR_SECONDS:
                 repaired = now
                 self.quarantine.expire(now_seconds=now)
                 self.limits.expire(now_seconds=now)
+                self.leaving.expire(now_seconds=now)
                 parts += self._choose_repairs(self.quarantine.all_news(now_seconds=now))
                 limits += self._choose_repairs(self.limits.all_news(now_seconds=now))
-            if parts or limits:
-                self._send(self._fleet.fleet.relay_targets(), parts=parts, limits=limits)
+                leaving += self._choose_repairs(self.leaving.all_news(now_seconds=now))
+            if parts or limits or leaving:
+                targets = self._fleet.fleet.relay_targets()
+                self._send(targets, parts=parts, limits=limits, leaving=leaving)
 
     def _choose_repairs(self, known: list[_NewsT]) -> list[_NewsT]:
         """Choose the most important half of a note's items, and the other half at random."""
@@ -159,4 +188,5 @@
             "settled": self.settled,
             "parts": self.quarantine.snapshot(),
             "limits": self.limits.snapshot(),
+            "leaving": self.leaving.snapshot(),
         }
--- a/egretrouter/direct/_notes.py
+++ b/egretrouter/direct/_notes.py
@@ -2,7 +2,7 @@
 
 import msgspec
 
-from egretrouter.core.direct import Greeting, LimitNews, LoadReport, PartNews
+from egretrouter.core.direct import Greeting, LeavingNews, LimitNews, LoadReport, PartNews
 
 
 class LoadNote(msgspec.Struct, frozen=True, kw_only=True, tag="load", array_like=True):
@@ -30,6 +30,7 @@
     """Whether the sender has just started and asks for all that the receiver knows."""
     completes_all: bool = False
     """Whether this is the last note of such an answer, from a process that has learned it all."""
+    leaving: tuple[LeavingNews, ...] = ()
 
 
 Note = LoadNote | GreetingNote | NewsNote
--- a/egretrouter/direct/_router.py
+++ b/egretrouter/direct/_router.py
@@ -10,9 +10,11 @@
 
 from egretrouter.backends import CallDialect, StateKind, StateStore
 from egretrouter.core.direct import (
+    EndpointRun,
     FleetMember,
     FleetRole,
     GracePeriod,
+    LeavingSource,
     LoadReport,
     Placement,
     RepeatBudget,
@@ -88,6 +90,8 @@
         self._read_settings = read_settings
         self.fleet.on_load.append(self._record_load)
         self.shared_state.on_endpoints.append(self._remove_stale_stats)
+        self.shared_state.on_endpoints.append(self._record_draining)
+        self.news.on_leaving.append(lambda change: self.metrics.record_leaving(change.source))
 
     async def on_start(self) -> None:
         """Start the servers for callers and for the load balancer's readiness checks."""
@@ -120,10 +124,21 @@
 
     def _record_load(self, address: str, report: LoadReport) -> None:
         endpoint = self.shared_state.directory.newest_at(address)
-        if endpoint is not None:
-            self.placement.record_report(
-                endpoint.endpoint_id, report, by_agent=True, now_seconds=time.monotonic()
-            )
+        if endpoint is None:
+            return
+        now = time.monotonic()
+        self.placement.record_report(endpoint.endpoint_id, report, by_agent=True, now_seconds=now)
+        if report.leaving and report.started_ms >= endpoint.started_ms:
+            # The endpoint may have started again under its id since it was listed.
+            run = EndpointRun(endpoint_id=endpoint.endpoint_id, started_ms=report.started_ms)
+            self.news.leaving.record(run, LeavingSource.AGENT, now_seconds=now)
+            self.news.spread_findings()
+
+    def _record_draining(self) -> None:
+        self.news.leaving.record_registrations(
+            self.shared_state.directory.all_endpoints(), now_seconds=time.monotonic()
+        )
+        self.news.spread_findings()
 
     def _remove_stale_stats(self) -> None:
         self.placement.retain_only(
--- a/egretrouter/direct/_sends.py
+++ b/egretrouter/direct/_sends.py
@@ -31,6 +31,8 @@
         self.reason = reason
         self.answer = answer
         self.complete = complete
+        self.head: AnswerHeaders | None = None
+        """What was received instead of an answer to the call, which may be for another one."""
 
 
 class CompleteAnswer(msgspec.Struct, kw_only=True):
@@ -121,33 +123,39 @@
             raise SendError(SendOutcome.NOT_SENT, describe_error(error)) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise SendError(SendOutcome.BROKEN, describe_error(error)) from error
+        answer = self._dialect.read_answer(response.status, response.headers)
         try:
-            return OpenAnswer(response, self._check_answer(call, response))
-        except SendError:
+            _check_answer(call, response, answer)
+        except SendError as error:
+            error.head = answer
             response.close()
             raise
-
-    def _check_answer(self, call: OutgoingCall, response: aiohttp.ClientResponse) -> AnswerHeaders:
-        answer = self._dialect.read_answer(response.status, response.headers)
-        # An answer for another call says nothing about this one or about the endpoint now.
-        if answer.call_id is not None and answer.call_id != call.call_id:
-            raise SendError(SendOutcome.BROKEN, f"the answer is for call {answer.call_id}")
-        if answer.not_run and response.status < 400:
-            raise SendError(
-                SendOutcome.BROKEN, f"status {response.status} of a call that did not run"
-            )
-        if answer.not_run:
-            raise SendError(
-                SendOutcome.REJECTED, f"the endpoint rejected with {response.status}", answer=answer
-            )
-        if response.status < 200:
-            # A caller would take the next answer on its connection as the rest of this one.
-            raise SendError(SendOutcome.BROKEN, f"the endpoint answered {response.status}")
-        if not answer.has_receipt:
-            raise SendError(SendOutcome.BROKEN, f"status {response.status} without a receipt")
-        if "Content-Encoding" in response.headers:
-            raise SendError(SendOutcome.BROKEN, "the answer has an encoding nobody asked for")
-        return answer
+        return OpenAnswer(response, answer)
+
+
+def _check_answer(
+    call: OutgoingCall, response: aiohttp.ClientResponse, answer: AnswerHeaders
+) -> None:
+    """Check that an answer's head is that of an answer to the call.
+
+    Raises SendError.
+    """
+    # An answer for another call says nothing about this one or about the endpoint now.
+    if answer.call_id is not None and answer.call_id != call.call_id:
+        raise SendError(SendOutcome.BROKEN, f"the answer is for call {answer.call_id}")
+    if answer.not_run and response.status < 400:
+        raise SendError(SendOutcome.BROKEN, f"status {response.status} of a call that did not run")
+    if answer.not_run:
+        raise SendError(
+            SendOutcome.REJECTED, f"the endpoint rejected with {response.status}", answer=answer
+        )
+    if response.status < 200:
+        # A caller would take the next answer on its connection as the rest of this one.
+        raise SendError(SendOutcome.BROKEN, f"the endpoint answered {response.status}")
+    if not answer.has_receipt:
+        raise SendError(SendOutcome.BROKEN, f"status {response.status} without a receipt")
+    if "Content-Encoding" in response.headers:
+        raise SendError(SendOutcome.BROKEN, "the answer has an encoding nobody asked for")
 
 
 def describe_error(error: BaseException) -> str:
--- a/tests/test_platform_dialect.py
+++ b/tests/test_platform_dialect.py
@@ -2,6 +2,7 @@
 
 import pytest
 from egretrouter_platform._dialect import PlatformDialect
+from multidict import CIMultiDict
 
 from egretrouter.backends import CallHeadersError
 
@@ -38,3 +39,23 @@
     def test_limit_that_cannot_be_read_is_none(self, value: str, expected: float | None) -> None:
         answer = PlatformDialect().read_answer(200, {"Server-Limit": value})
         assert answer.limit_per_second == expected
+
+
+class TestLeaving:
+    """Guard against an engine that is wrongly believed to leave, or to stay."""
+
+    @pytest.mark.parametrize(
+        ("value", "expected"),
+        [("1", True), (" 1 ", True), ("0", False), ("", False), ("true", False), ("11", False)],
+    )
+    def test_only_one_means_that_the_engine_leaves(self, value: str, expected: bool) -> None:
+        answer = PlatformDialect().read_answer(200, {"server-leaving": value})
+        assert answer.leaving is expected
+
+    def test_second_header_hides_that_the_engine_leaves(self) -> None:
+        headers = CIMultiDict([("Server-Leaving", "0"), ("Server-Leaving", "1")])
+        assert PlatformDialect().read_answer(200, headers).leaving
+
+    @pytest.mark.parametrize(("status", "expected"), [(200, False), (421, True), (503, False)])
+    def test_other_engine_may_have_answered(self, status: int, expected: bool) -> None:
+        assert PlatformDialect().read_answer(status, {}).misdirected is expected
--- a/tests/test_platform_weights.py
+++ b/tests/test_platform_weights.py
@@ -16,7 +16,7 @@
 from egretrouter.core.direct import FleetMember, FleetRole, Greeting, Revisions
 from egretrouter.core.identifiers import InstanceId, RegionId, ServiceName, ZoneId
 from egretrouter.direct._agent import DirectAgent
-from tests.helpers import free_ports
+from tests.helpers import free_ports, wait_until
 from tests.platform_standins import OriginStandin, StandinServer, StoreStandin, configuration
 from tests.platform_world import settings
 
@@ -40,6 +40,8 @@
         self.loaded_chunks: dict[int, bytes] = {}
         self.answers_to_drop = 0
         self.chunk_to_corrupt: int | None = None
+        self.headers: dict[str, str] = {}
+        """Headers of each report."""
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         operation = request.path.split("/")[2]
@@ -47,7 +49,8 @@
             models = [{"name": "m", "version": self.version}] if self.version else []
             return web.json_response(
                 {"running": 0, "queued": 0, "busy": False, "seq": len(self.orders),
-                 "models": models, "born": 1}
+                 "models": models, "born": 1},
+                headers=self.headers,
             )  # fmt: skip
         if operation == "order":
             return await self._order(request)
@@ -196,6 +199,28 @@
         assert len(world.engine.orders) == 1
 
 
+class TestLeavingEngine:
+    """Guard against agents that load weights into an engine that leaves, or wait for it."""
+
+    async def test_engine_that_leaves_is_ordered_to_load(self, world: WeightsWorld) -> None:
+        await world.start()
+        await world.wait_until_loaded(1)
+        world.engine.headers = {"Server-Leaving": "1"}
+        await wait_until(lambda: world.agent.fleet.fleet.own.serving == "")
+        world.store.put("versions", "m", {"model": "m", "version": 2})
+        await wait_until(lambda: len(world.agent._complete) == 2)
+        await asyncio.sleep(0.5)
+        assert [order["version"] for order in world.engine.orders] == [1]
+
+    async def test_report_does_not_tell_routers(self, world: WeightsWorld) -> None:
+        world.engine.headers = {"Server-Leaving": "1"}
+        await world.start()
+        await wait_until(lambda: world.agent._engine_state is not None)
+        state = world.agent._engine_state
+        assert state is not None
+        assert state.load.leaving
+
+
 class TestPlannedStop:
     """Guard against the loss of chunks that only a stopping agent has."""
 
