Leave engines alone for the pause that they ask for

Callers' calls went on reaching an engine that had answered 503 with Retry-After, all through the time that it named.

Cause: the header was not read; a refusal only kept the same call away.

Change: the dialect reads plain seconds in an answer with 503, and keeps anything else for the log. If only pausing engines could run a call, it gets 503 with the end of the first pause, at once if it cannot wait for it. A 503 after a refused send names a time only if no other engine takes calls.

--- a/egretrouter/backends/_direct_ports.py
+++ b/egretrouter/backends/_direct_ports.py
@@ -144,6 +144,10 @@
     """Whether the endpoint leaves and is to get no new calls."""
     misdirected: bool = False
     """Whether the answer may come from another endpoint than the one that the call named."""
+    pause_seconds: float | None = None
+    """For how long the endpoint, which turned the call away, wants no calls of this router."""
+    malformed_pause: str | None = None
+    """What the endpoint sent instead of such a time."""
 
 
 class CallDialect(Protocol):
--- a/egretrouter/core/direct/__init__.py
+++ b/egretrouter/core/direct/__init__.py
@@ -25,6 +25,7 @@
     MemberHealth,
     Revisions,
 )
+from egretrouter.core.direct._pauses import EndpointPauses, PauseStarted
 from egretrouter.core.direct._placement import (
     CallRequirements,
     Choice,
@@ -66,6 +67,7 @@
     "Endpoint",
     "EndpointDirectory",
     "EndpointLimits",
+    "EndpointPauses",
     "EndpointRun",
     "EndpointState",
     "EngineProfile",
@@ -89,6 +91,7 @@
     "PartNews",
     "PartQuarantine",
     "PartStanding",
+    "PauseStarted",
     "Placement",
     "Prompt",
     "RepeatBudget",
--- a/egretrouter/core/direct/_placement.py
+++ b/egretrouter/core/direct/_placement.py
@@ -137,6 +137,8 @@
     endpoints: int
     """How many endpoints could accept the call if they had capacity."""
     retry_after_seconds: float
+    wait_seconds: float = 0.0
+    """Time in which no endpoint that is known now can accept the call."""
 
 
 class Placement:
--- a/egretrouter/direct/_answer_facts.py
+++ b/egretrouter/direct/_answer_facts.py
@@ -5,25 +5,38 @@
 from egretrouter.backends import AnswerHeaders
 from egretrouter.core.direct import (
     Endpoint,
+    EndpointPauses,
     EndpointRun,
     LeavingSource,
     Placement,
     SendOutcome,
 )
+from egretrouter.direct._logs import log_event
+from egretrouter.direct._metrics import CallMetrics, PauseResult
 from egretrouter.direct._news_service import NewsService
 from egretrouter.direct._sends import SendError
 from egretrouter.direct._shared_state import SharedStateService
 
+MAX_LOGGED_CHARACTERS = 40
+
 
 class AnswerFacts:
     """Record the load, the limit and the state that endpoints name in their answers."""
 
     def __init__(
-        self, *, state: SharedStateService, placement: Placement, news: NewsService
+        self,
+        *,
+        state: SharedStateService,
+        placement: Placement,
+        news: NewsService,
+        pauses: EndpointPauses,
+        metrics: CallMetrics,
     ) -> None:
         self._state = state
         self._placement = placement
         self._news = news
+        self._pauses = pauses
+        self._metrics = metrics
 
     def record_answer(
         self, endpoint: Endpoint, answer: AnswerHeaders, *, sent_seconds: float
@@ -66,6 +79,36 @@
         """Record what holds for an endpoint whichever call the answer is for."""
         if answer.leaving:
             self._record_leaving(endpoint, answer)
+        if answer.pause_seconds is not None:
+            self._record_pause(endpoint, answer.pause_seconds)
+        elif answer.malformed_pause is not None:
+            self._record_malformed_pause(endpoint, answer.malformed_pause)
+
+    def _record_pause(self, endpoint: Endpoint, asked_seconds: float) -> None:
+        started = self._pauses.record(
+            EndpointRun.of(endpoint), asked_seconds, now_seconds=time.monotonic()
+        )
+        if started is None:
+            return
+        result = PauseResult.CUT if started.is_cut else PauseResult.TAKEN
+        self._metrics.record_pause(result)
+        log_event(
+            "endpoints:paused",
+            endpoint=endpoint.endpoint_id,
+            started_ms=endpoint.started_ms,
+            asked_seconds=started.asked_seconds,
+            left_seconds=round(started.left_seconds, 3),
+        )
+
+    def _record_malformed_pause(self, endpoint: Endpoint, value: str) -> None:
+        self._metrics.record_pause(PauseResult.MALFORMED)
+        log_event(
+            "endpoints:pause_malformed",
+            endpoint=endpoint.endpoint_id,
+            started_ms=endpoint.started_ms,
+            value=value[:MAX_LOGGED_CHARACTERS],
+            expected="seconds such as 2 or 0.5",
+        )
 
     def _record_leaving(self, endpoint: Endpoint, answer: AnswerHeaders) -> None:
         now, leaving = time.monotonic(), self._news.leaving
--- a/egretrouter/direct/_callers.py
+++ b/egretrouter/direct/_callers.py
@@ -16,6 +16,8 @@
 from egretrouter.core.direct import (
     CallKind,
     Choice,
+    EndpointPauses,
+    EndpointRun,
     EventSplitter,
     GracePeriod,
     NextStep,
@@ -79,13 +81,17 @@
         self._guard = guard
         self._time_limits = CallTimeLimits(state=state, placement=placement)
         self._admission = CallAdmission(state=state, rng=rng)
-        self._facts = AnswerFacts(state=state, placement=placement, news=news)
+        self.pauses = EndpointPauses(rng=rng)
+        self._facts = AnswerFacts(
+            state=state, placement=placement, news=news, pauses=self.pauses, metrics=metrics
+        )
         self._choices = EndpointChoices(
             state=state,
             placement=placement,
             guard=guard,
             limits=news.limits,
             leaving=news.leaving,
+            pauses=self.pauses,
             rng=rng,
         )
 
@@ -160,7 +166,13 @@
                 if step is NextStep.PASS_ON and error.complete is not None:
                     return self._responder.pass_on(call, error.complete)
                 if step is not NextStep.SEND:
-                    return self._responder.end_call(call, step, 502, error.reason)
+                    return self._responder.end_call(
+                        call,
+                        step,
+                        502,
+                        error.reason,
+                        retry_after_seconds=self._choices.unavailable_seconds(call),
+                    )
 
     def _handle_send_error(self, call: ActiveCall, choice: Choice, error: SendError) -> NextStep:
         self._facts.record_failed_send(choice.endpoint, error)
@@ -204,6 +216,7 @@
             self._budget.record_call(call.service.name, now_seconds=now)
         self._placement.record_send(endpoint.endpoint_id, now_seconds=now)
         self._news.limits.record_send(endpoint, now_seconds=now)
+        self.pauses.record_send(EndpointRun.of(endpoint))
         try:
             answer = await self._open(call, choice, left)
             self._facts.record_answer(endpoint, answer.answer, sent_seconds=now)
--- a/egretrouter/direct/_choices.py
+++ b/egretrouter/direct/_choices.py
@@ -3,16 +3,20 @@
 import asyncio
 import random
 import time
+from collections.abc import Collection
 
 from egretrouter.core.direct import (
     CallRequirements,
     Choice,
     Endpoint,
     EndpointLimits,
+    EndpointPauses,
+    EndpointRun,
     LeavingEndpoints,
     NoEndpointAvailable,
     Placement,
 )
+from egretrouter.core.identifiers import EndpointId
 from egretrouter.direct._active_call import ActiveCall
 from egretrouter.direct._part_guard import PartGuard, PartHeld
 from egretrouter.direct._shared_state import SharedStateService
@@ -26,6 +30,8 @@
 LATE_WAIT_SHARE = 0.25
 # A service whose endpoints all leave can serve again once another one registers.
 NEW_ENDPOINT_SECONDS = 1.0
+# Callers that are refused because all endpoints pause return within this time after the first end.
+PAUSE_SPREAD_SECONDS = 0.5
 
 
 class EndpointChoices:
@@ -39,6 +45,7 @@
         guard: PartGuard,
         limits: EndpointLimits,
         leaving: LeavingEndpoints,
+        pauses: EndpointPauses,
         rng: random.Random,
     ) -> None:
         self._state = state
@@ -46,6 +53,7 @@
         self._guard = guard
         self._limits = limits
         self._leaving = leaving
+        self._pauses = pauses
         self._rng = rng
 
     async def choose(self, call: ActiveCall) -> Choice | NoEndpointAvailable | PartHeld:
@@ -59,7 +67,9 @@
             # A part may become held while the call waits.
             choice = self.choose_now(call)
             poll = CAPACITY_POLL_SECONDS * (0.8 + 0.4 * self._rng.random())
-            if not isinstance(choice, NoEndpointAvailable) or time.monotonic() + poll > wait_until:
+            if not isinstance(choice, NoEndpointAvailable):
+                return choice
+            if time.monotonic() + max(poll, choice.wait_seconds) > wait_until:
                 return choice
             self._placement.adjust_waiting(1)
             try:
@@ -72,19 +82,67 @@
         held = self._guard.find_hold(call)
         if held is not None:
             return held
+        return self._choose(call, call.tried)
+
+    def unavailable_seconds(self, call: ActiveCall) -> float | None:
+        """Return the time until the call's service takes calls; None if it takes them now."""
+        choice = self._choose(call, tried=())
+        if isinstance(choice, Choice) or choice.endpoints:
+            return None
+        return choice.retry_after_seconds
+
+    def _choose(
+        self, call: ActiveCall, tried: Collection[EndpointId]
+    ) -> Choice | NoEndpointAvailable:
         now = time.monotonic()
         staying = self._staying_endpoints(call, now)
-        if not staying and self._has_endpoints(call):
-            seconds = NEW_ENDPOINT_SECONDS * (0.5 + self._rng.random())
-            return NoEndpointAvailable(endpoints=0, retry_after_seconds=seconds)
+        choice = self._place(call, [e for e in staying if self._may_send(e, now)], tried, now)
+        if isinstance(choice, NoEndpointAvailable) and not choice.endpoints:
+            return self._explain(choice, call, staying, now)
+        return choice
+
+    def _place(
+        self,
+        call: ActiveCall,
+        endpoints: list[Endpoint],
+        tried: Collection[EndpointId],
+        now: float,
+    ) -> Choice | NoEndpointAvailable:
         return self._placement.choose(
-            # An endpoint at its limit adds no capacity, so it is not among the candidates at all.
-            [e for e in staying if self._limits.may_send(e, now_seconds=now)],
-            self._requirements(call, now),
+            endpoints,
+            self._requirements(call, tried, now),
             profile=call.service.engine,
             now_seconds=now,
         )
 
+    def _may_send(self, endpoint: Endpoint, now: float) -> bool:
+        # An endpoint at its limit or in a pause adds no capacity, so it is no candidate at all.
+        return self._limits.may_send(endpoint, now_seconds=now) and self._pauses.may_send(
+            EndpointRun.of(endpoint), now_seconds=now
+        )
+
+    def _explain(
+        self, choice: NoEndpointAvailable, call: ActiveCall, staying: list[Endpoint], now: float
+    ) -> NoEndpointAvailable:
+        """Return when the call's service can serve again, if that is known."""
+        if not staying and self._has_endpoints(call):
+            seconds = NEW_ENDPOINT_SECONDS * (0.5 + self._rng.random())
+            return NoEndpointAvailable(endpoints=0, retry_after_seconds=seconds)
+        pausing = [
+            e for e in staying if not self._pauses.may_send(EndpointRun.of(e), now_seconds=now)
+        ]
+        able = self._place(call, pausing, (), now)
+        if isinstance(able, NoEndpointAvailable) and not able.endpoints:
+            return choice
+        end = self._pauses.first_end_seconds(map(EndpointRun.of, pausing), now_seconds=now)
+        # Each caller returns at another time, and not before an endpoint takes calls.
+        return NoEndpointAvailable(
+            endpoints=0,
+            retry_after_seconds=end + PAUSE_SPREAD_SECONDS * self._rng.random(),
+            # Other endpoints may soon hold what the call needs.
+            wait_seconds=end if len(pausing) == len(staying) else 0.0,
+        )
+
     def _has_endpoints(self, call: ActiveCall) -> bool:
         """Return whether any endpoint of the call's service is listed, leaving or not."""
         listed = self._state.directory.all_endpoints()
@@ -95,7 +153,9 @@
         ready = self._state.directory.ready_endpoints(call.service.name)
         return [e for e in ready if not self._leaving.is_leaving(e, now_seconds=now)]
 
-    def _requirements(self, call: ActiveCall, now: float) -> CallRequirements:
+    def _requirements(
+        self, call: ActiveCall, tried: Collection[EndpointId], now: float
+    ) -> CallRequirements:
         model = call.headers.model if call.service.engine is not None else None
         weights = self._state.weights
         return CallRequirements(
@@ -107,7 +167,7 @@
             exact_version=call.version if call.progress.answer_started else None,
             latency_left_seconds=call.arrived_seconds + call.route.latency_target_seconds - now,
             late=call.late,
-            tried=call.tried,
+            tried=tried,
         )
 
     def exact_version(self, call: ActiveCall, choice: Choice) -> int | None:
--- a/egretrouter/direct/_metrics.py
+++ b/egretrouter/direct/_metrics.py
@@ -1,5 +1,6 @@
 """Define the metrics of processes that reach endpoints directly."""
 
+from enum import Enum
 from typing import Protocol
 
 from aioprometheus import Counter, Histogram, Registry
@@ -10,6 +11,15 @@
 SECONDS_BUCKETS = [0.01, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0]
 
 
+class PauseResult(Enum):
+    """List what can become of an endpoint's request for a pause."""
+
+    TAKEN = "taken"
+    CUT = "cut"
+    """The endpoint asked for more than it gets."""
+    MALFORMED = "malformed"
+
+
 class RenderedMetrics(Protocol):
     """Define the interface through which a process exposes its metrics."""
 
@@ -52,6 +62,15 @@
             "Endpoints of which this process learned that they leave, by source",
             registry=self.registry,
         )
+        self._pauses = Counter(
+            "egretrouter_endpoint_pauses_total",
+            "Pauses that endpoints asked this router for, by result",
+            registry=self.registry,
+        )
+
+    def record_pause(self, result: PauseResult) -> None:
+        """Record that an endpoint asked for a pause."""
+        self._pauses.inc({"result": result.value})
 
     def record_leaving(self, source: LeavingSource) -> None:
         """Record that the process learned of an endpoint that leaves."""
--- a/egretrouter/direct/_router.py
+++ b/egretrouter/direct/_router.py
@@ -200,6 +200,7 @@
             "ready": self.ready,
             "calls_in_progress": self.call_handler.in_progress,
             "placement": self.placement.snapshot(),
+            "pauses": self.call_handler.pauses.snapshot(now_seconds=time.monotonic()),
             "repeats": self.budget.snapshot(),
         }
 
--- a/tests/notice_fleet.py
+++ b/tests/notice_fleet.py
@@ -12,7 +12,7 @@
 from egretrouter.core.direct import LoadReport
 from tests.helpers import wait_until
 from tests.platform_fleet import Answer, PlatformFleet
-from tests.platform_standins import registration
+from tests.platform_standins import configuration, registration
 from tests.raw_endpoint import RawAnswer, RawEndpoint, RawRequest
 
 SLOTS = 400
@@ -31,6 +31,14 @@
     BROKEN = "broken"
 
 
+class Arrival(msgspec.Struct, frozen=True, kw_only=True):
+    """Represent a call that reached an engine, and the pause that the engine asked for then."""
+
+    at_seconds: float
+    router: str
+    pause_seconds: float
+
+
 class NoticeEngine:
     """Answer calls, with headers that a test sets, and record when each call arrived."""
 
@@ -38,7 +46,9 @@
         self.endpoint_id = endpoint_id
         self.kind = AnswerKind.SERVED
         self.headers: Mapping[str, str] = {}
-        self.arrived_seconds: list[float] = []
+        self.pause_seconds = 0.0
+        """Pause that the engine asks for with each refusal."""
+        self.arrivals: list[Arrival] = []
         self.address = ""
         self._endpoint = RawEndpoint(self._respond)
 
@@ -49,6 +59,32 @@
     def port(self) -> int:
         return int(self.address.rpartition(":")[2])
 
+    @property
+    def arrived_seconds(self) -> list[float]:
+        return [arrival.at_seconds for arrival in self.arrivals]
+
+    def refuse(self, pause_seconds: float) -> None:
+        """Refuse all calls from now on, and ask for a pause with each."""
+        self.kind = AnswerKind.REFUSED
+        self.pause_seconds = pause_seconds
+        self.headers = {"Retry-After": f"{pause_seconds:g}"}
+
+    def serve(self) -> None:
+        """Serve all calls from now on."""
+        self.kind, self.pause_seconds, self.headers = AnswerKind.SERVED, 0.0, {}
+
+    def most_in_a_pause(self) -> int:
+        """Return the most calls from one router in a pause, without its first half second."""
+        return max(
+            sum(
+                1
+                for other in self.arrivals
+                if other.router == asked.router
+                and 0.5 < other.at_seconds - asked.at_seconds < asked.pause_seconds
+            )
+            for asked in self.arrivals
+        )
+
     def leave(self) -> None:
         """Say from now on in each answer that the engine leaves."""
         self.headers = {"Server-Leaving": "1"}
@@ -57,7 +93,12 @@
         return sum(1 for at in self.arrived_seconds if start_seconds < at < end_seconds)
 
     def _respond(self, request: RawRequest) -> RawAnswer:
-        self.arrived_seconds.append(time.monotonic())
+        arrival = Arrival(
+            at_seconds=time.monotonic(),
+            router=request.call_id.partition("-")[0],
+            pause_seconds=self.pause_seconds,
+        )
+        self.arrivals.append(arrival)
         own = b"\r\nX-Expect-Instance: %s\r\n" % self.endpoint_id.encode()
         kind = self.kind if own in request.head else AnswerKind.MISDIRECTED
         stamped = {"X-Attempt-Id": request.call_id, "X-Engine-Stamp": self.endpoint_id}
@@ -115,6 +156,17 @@
         entry = {**registration(engine.address), "slots": SLOTS, "born": 1, **changes}
         self.store.put("servers", engine.endpoint_id, entry)
 
+    async def set_latency_target(self, *, milliseconds: int) -> None:
+        """Set the latency target of all routes, and wait until it is in force."""
+        routes = [
+            {**route, "target_latency_ms": milliseconds} for route in configuration()["routes"]
+        ]
+        self.store.put("config", "main", configuration(version=2, routes=routes))
+        states = [router.shared_state for router in self.routers]
+        await wait_until(
+            lambda: all(s.routes is not None and s.routes.table.version == 2 for s in states)
+        )
+
     def report(self, engine: NoticeEngine, **changes: Any) -> None:
         """Send the first router a report of an engine's agent."""
         load = LoadReport(running=0, queued=0, started_ms=1)
@@ -125,7 +177,7 @@
         own = self.routers[router]
         headers = {
             "Host": "a.example",
-            "X-Attempt-Id": call_id or f"c-{next(self._call_numbers)}",
+            "X-Attempt-Id": call_id or f"{router}-{next(self._call_numbers)}",
             "X-Deadline-Ms": "3000",
             "X-Api-Key": "key-1",
         }
--- a/tests/test_platform_dialect.py
+++ b/tests/test_platform_dialect.py
@@ -59,3 +59,26 @@
     @pytest.mark.parametrize(("status", "expected"), [(200, False), (421, True), (503, False)])
     def test_other_engine_may_have_answered(self, status: int, expected: bool) -> None:
         assert PlatformDialect().read_answer(status, {}).misdirected is expected
+
+
+class TestPauses:
+    """Guard against pauses of engines that are misread."""
+
+    @pytest.mark.parametrize(
+        ("value", "expected"), [("0", 0.0), ("0.2", 0.2), ("30", 30.0), (" 2. ", 2.0)]
+    )
+    def test_pause_is_in_seconds(self, value: str, expected: float) -> None:
+        answer = PlatformDialect().read_answer(503, {"Retry-After": value})
+        assert (answer.pause_seconds, answer.malformed_pause) == (expected, None)
+
+    @pytest.mark.parametrize(
+        "value", ["", "-1", "nan", "inf", "1e3", "1_0", "٣", "Sat, 05 Dec 2026 09:00:00 GMT"]
+    )
+    def test_malformed_pause_is_kept_for_the_log(self, value: str) -> None:
+        answer = PlatformDialect().read_answer(503, {"Retry-After": value})
+        assert (answer.pause_seconds, answer.malformed_pause) == (None, value)
+
+    @pytest.mark.parametrize("status", [200, 421, 429, 500])
+    def test_only_a_refusal_for_load_asks_for_a_pause(self, status: int) -> None:
+        answer = PlatformDialect().read_answer(status, {"Retry-After": "5"})
+        assert (answer.pause_seconds, answer.malformed_pause) == (None, None)
