--- a/egretrouter/backends/_object_store.py
+++ b/egretrouter/backends/_object_store.py
@@ -178,8 +178,8 @@
     digits = value is not None and value.isascii() and value.isdigit()
     if value is None or not digits or len(value) > MAX_ERA_DIGITS or not int(value):
         raise MalformedAnswerError(
-            f"object store: {STORE_ERA_HEADER} {(value or '')[:MAX_ERA_DIGITS]!r} is not a positive "
-            f"integer of at most {MAX_ERA_DIGITS} digits"
+            f"object store: {STORE_ERA_HEADER} {(value or '')[:MAX_ERA_DIGITS]!r} is not a "
+            f"positive integer of at most {MAX_ERA_DIGITS} digits"
         )
     return int(value)
 
--- a/egretrouter/core/direct/__init__.py
+++ b/egretrouter/core/direct/__init__.py
@@ -4,6 +4,7 @@
 from egretrouter.core.direct._checks import (
     RecordMalformedError,
     check_endpoint,
+    check_leaving_news,
     check_limit_news,
     check_load,
     check_member,
@@ -17,6 +18,12 @@
 from egretrouter.core.direct._events import EventSplitter
 from egretrouter.core.direct._fleet import Fleet, SendGreeting
 from egretrouter.core.direct._grace_period import GracePeriod
+from egretrouter.core.direct._leaving import (
+    LeavingChange,
+    LeavingEndpoints,
+    LeavingNews,
+    LeavingSource,
+)
 from egretrouter.core.direct._members import (
     FleetMember,
     FleetRole,
@@ -25,6 +32,7 @@
     Revisions,
 )
 from egretrouter.core.direct._name_times import NameTimes
+from egretrouter.core.direct._pauses import EndpointPauses, PauseStarted
 from egretrouter.core.direct._placement import (
     CallRequirements,
     Choice,
@@ -74,6 +82,7 @@
     "Endpoint",
     "EndpointDirectory",
     "EndpointLimits",
+    "EndpointPauses",
     "EndpointRun",
     "EndpointState",
     "EngineProfile",
@@ -83,6 +92,10 @@
     "FleetRole",
     "GracePeriod",
     "Greeting",
+    "LeavingChange",
+    "LeavingEndpoints",
+    "LeavingNews",
+    "LeavingSource",
     "LimitNews",
     "LoadReport",
     "MemberHealth",
@@ -95,6 +108,7 @@
     "PartNews",
     "PartQuarantine",
     "PartStanding",
+    "PauseStarted",
     "Placement",
     "Prompt",
     "RepeatBudget",
@@ -122,6 +136,7 @@
     "service_seconds",
     "RecordMalformedError",
     "check_endpoint",
+    "check_leaving_news",
     "check_limit_news",
     "check_load",
     "check_member",
--- a/egretrouter/core/direct/_checks.py
+++ b/egretrouter/core/direct/_checks.py
@@ -8,6 +8,7 @@
 
 from egretrouter.core.addresses import check_address, check_host
 from egretrouter.core.direct._endpoint_limits import LimitNews
+from egretrouter.core.direct._leaving import LeavingNews
 from egretrouter.core.direct._members import FleetMember
 from egretrouter.core.direct._placement import LoadReport
 from egretrouter.core.direct._quarantine import PartNews
@@ -116,6 +117,16 @@
     return news
 
 
+def check_leaving_news(news: LeavingNews) -> LeavingNews:
+    """Return news of an endpoint that leaves whose age can be computed with.
+
+    Raises RecordMalformedError.
+    """
+    _check_range("age_seconds", news.age_seconds, MIN_AGE_SECONDS, MAX_AGE_SECONDS)
+    _check_range("started_ms", news.run.started_ms, 0, MAX_INTEGER)
+    return news
+
+
 def check_limit_news(news: LimitNews) -> LimitNews:
     """Return news of a limit that can be computed with.
 
--- a/egretrouter/core/direct/_name_times.py
+++ b/egretrouter/core/direct/_name_times.py
@@ -22,7 +22,7 @@
 
     def record(self, state: _State, *, at_seconds: float) -> None:
         """Record that no change beyond a state had been made at a time."""
-        if math.isinf(at_seconds):
+        if not math.isfinite(at_seconds):
             return
         known = self._seconds_by_state.get(state, at_seconds)
         self._seconds_by_state[state] = max(known, at_seconds)
--- a/egretrouter/core/direct/_placement.py
+++ b/egretrouter/core/direct/_placement.py
@@ -59,6 +59,8 @@
     """Whether the endpoint accepts no new calls until its weights are loaded."""
     versions: dict[ModelName, int] | None = None
     started_ms: int = 0
+    leaving: bool = False
+    """Whether the endpoint gets no new calls because it leaves."""
 
 
 class _EndpointStats:
@@ -137,6 +139,8 @@
     endpoints: int
     """How many endpoints could accept the call if they had capacity."""
     retry_after_seconds: float
+    wait_seconds: float = 0.0
+    """Time in which no endpoint that is known now can accept the call."""
 
 
 class Placement:
--- a/egretrouter/direct/_agent.py
+++ b/egretrouter/direct/_agent.py
@@ -239,7 +239,8 @@
             return
         serving = (state.load.versions or {}).get(switch.model, 0)
         switch.start_lead_seconds = self._start_lead_seconds
-        self._announce_version(switch.model, serving)
+        # Others must not wait until an engine that leaves has switched.
+        self._announce_serving("" if state.leaving else f"{switch.model}/{serving}")
         now = boot_seconds()
         shares = {
             version: self.copies.held_share(manifest)
@@ -256,6 +257,10 @@
             self.copies.set_idle_agents(self._manifests[switch.model, known].digest, idle)
         for version_to_copy in to_copy:
             self._ensure_copy(switch.model, version_to_copy)
+        if state.leaving:
+            # Its copies still serve other agents.
+            self._draining = False
+            return
         self._draining = switch.should_drain(
             serving=serving,
             shares=shares,
@@ -302,8 +307,7 @@
                 )
         return replicas
 
-    def _announce_version(self, model: ModelName, version: int) -> None:
-        serving = f"{model}/{version}"
+    def _announce_serving(self, serving: str) -> None:
         if self.fleet.fleet.own.serving != serving:
             self.fleet.announce(serving=serving)
 
--- a/egretrouter/direct/_callers.py
+++ b/egretrouter/direct/_callers.py
@@ -8,7 +8,6 @@
 from multidict import CIMultiDict
 
 from egretrouter.backends import (
-    AnswerHeaders,
     CallDialect,
     CallHeaders,
     CallHeadersError,
@@ -17,7 +16,7 @@
 from egretrouter.core.direct import (
     CallKind,
     Choice,
-    Endpoint,
+    EndpointPauses,
     EndpointRun,
     EventSplitter,
     GracePeriod,
@@ -32,6 +31,7 @@
 from egretrouter.core.errors import EventTooLargeError, StreamMismatchError
 from egretrouter.direct._active_call import ActiveCall
 from egretrouter.direct._admission import CallAdmission
+from egretrouter.direct._answer_facts import AnswerFacts
 from egretrouter.direct._choices import EndpointChoices
 from egretrouter.direct._logs import log_event
 from egretrouter.direct._metrics import CallMetrics
@@ -83,12 +83,18 @@
         self._time_limits = CallTimeLimits(state=state, placement=placement)
         self._start_limits = StartLimits(state)
         self._admission = CallAdmission(state=state, rng=rng)
+        self.pauses = EndpointPauses(rng=rng)
+        self._facts = AnswerFacts(
+            state=state, placement=placement, news=news, pauses=self.pauses, metrics=metrics
+        )
         self._choices = EndpointChoices(
             state=state,
             placement=placement,
             guard=guard,
             limits=news.limits,
             time_limits=self._time_limits,
+            leaving=news.leaving,
+            pauses=self.pauses,
             rng=rng,
         )
 
@@ -163,20 +169,18 @@
                 if step is NextStep.PASS_ON and error.complete is not None:
                     return self._responder.pass_on(call, error.complete)
                 if step is not NextStep.SEND:
-                    return self._responder.end_call(call, step, 502, error.reason)
+                    return self._responder.end_call(
+                        call,
+                        step,
+                        502,
+                        error.reason,
+                        retry_after_seconds=self._choices.unavailable_seconds(call),
+                    )
 
     def _handle_send_error(self, call: ActiveCall, choice: Choice, error: SendError) -> NextStep:
-        endpoint_id, now = choice.endpoint.endpoint_id, time.monotonic()
-        if error.answer is not None and error.answer.limit_per_second is not None:
-            self._record_limit(choice.endpoint, error.answer, sent_seconds=now)
-        if error.answer is not None and error.answer.load is not None:
-            self._placement.record_report(
-                endpoint_id, error.answer.load, by_agent=False, now_seconds=now
-            )
-        elif error.outcome not in (SendOutcome.REJECTED, SendOutcome.EXPIRED):
-            self._placement.record_failure(endpoint_id, now_seconds=now)
+        self._facts.record_failed_send(choice.endpoint, error)
         allowed = self._may_repeat(call, error.outcome) and self._budget.try_repeat(
-            call.service.name, now_seconds=now
+            call.service.name, now_seconds=time.monotonic()
         )
         step = call.progress.handle_send_ended(
             SendEnded(outcome=error.outcome, repeat_allowed=allowed)
@@ -184,7 +188,7 @@
         log_event(
             "call:send_ended",
             call=call.headers.call_id,
-            endpoint=endpoint_id,
+            endpoint=choice.endpoint.endpoint_id,
             outcome=error.outcome.value,
             reason=error.reason,
             next=step.value,
@@ -215,34 +219,17 @@
             self._budget.record_call(call.service.name, now_seconds=now)
         self._placement.record_send(endpoint.endpoint_id, now_seconds=now)
         self._news.limits.record_send(endpoint, now_seconds=now)
+        self.pauses.record_send(EndpointRun.of(endpoint))
         try:
             answer = await self._open(call, choice, left)
-            self._record_limit(endpoint, answer.answer, sent_seconds=now)
+            self._facts.record_answer(endpoint, answer.answer, sent_seconds=now)
             try:
-                if answer.answer.load is not None:
-                    self._placement.record_report(
-                        endpoint.endpoint_id,
-                        answer.answer.load,
-                        by_agent=False,
-                        now_seconds=time.monotonic(),
-                    )
                 return await self._forward_answer(call, choice, answer)
             finally:
                 answer.close()
         finally:
             self._placement.record_release(endpoint.endpoint_id)
 
-    def _record_limit(
-        self, endpoint: Endpoint, answer: AnswerHeaders, *, sent_seconds: float
-    ) -> None:
-        self._news.limits.record_answer(
-            EndpointRun.of(endpoint),
-            answer.limit_per_second,
-            sent_seconds=sent_seconds,
-            now_seconds=time.monotonic(),
-        )
-        self._news.spread_findings()
-
     async def _open(self, call: ActiveCall, choice: Choice, left_seconds: float) -> OpenAnswer:
         exact_version = self._choices.exact_version(call, choice)
         start_left = self._start_limits.left_seconds(call.headers.model, choice.version)
--- a/egretrouter/direct/_notes.py
+++ b/egretrouter/direct/_notes.py
@@ -10,9 +10,11 @@
 from egretrouter.core.decoding import DECODE_ERRORS
 from egretrouter.core.direct import (
     Greeting,
+    LeavingNews,
     LimitNews,
     LoadReport,
     PartNews,
+    check_leaving_news,
     check_limit_news,
     check_load,
     check_member,
@@ -47,6 +49,7 @@
     """Whether the sender has just started and asks for all that the receiver knows."""
     completes_all: bool = False
     """Whether this is the last note of such an answer, from a process that has learned it all."""
+    leaving: tuple[LeavingNews, ...] = ()
 
 
 Note = LoadNote | GreetingNote | NewsNote
@@ -96,6 +99,7 @@
         note,
         parts=tuple(_keep_valid(note.parts, check_part_news)),
         limits=tuple(_keep_valid(note.limits, check_limit_news)),
+        leaving=tuple(_keep_valid(note.leaving, check_leaving_news)),
     )
 
 
