--- a/egretrouter/direct/_shared_state.py
+++ b/egretrouter/direct/_shared_state.py
@@ -21,13 +21,10 @@
     Endpoint,
     EndpointDirectory,
     FleetMember,
-    NamedVersion,
-    NameTimes,
     Revisions,
     RouteIndex,
     RoutingTable,
     StoreRevision,
-    TransitTimes,
     WeightTargets,
     WeightVersion,
 )
@@ -35,6 +32,7 @@
 from egretrouter.direct._boot_clock import boot_seconds, suspended_seconds
 from egretrouter.direct._fleet_service import FleetService
 from egretrouter.direct._logs import log_event
+from egretrouter.direct._name_ages import NameAges
 from egretrouter.direct._peer_state import PeerStateClient, SharedState
 from egretrouter.direct._settings import DirectSettings
 from egretrouter.direct._store_watch import StoreWatchService
@@ -44,8 +42,6 @@
 PEER_LEAD_SECONDS = 0.3
 REMOTE_WAIT_SECONDS = 1.5
 EXPIRY_TICK_SECONDS = 0.25
-# Larger integers can't be encoded in a greeting.
-LARGEST_SUM = 2**63 - 1
 # Shorter differences between the clocks come from the time between reading them.
 MIN_SUSPENSION_SECONDS = 0.05
 
@@ -93,9 +89,7 @@
         """The revision of the newest content, which is the same in all processes that have it."""
         self._seen_revisions = dict.fromkeys(StateKind, StoreRevision())
         """The store's revision up to which all changes have been applied."""
-        self._sum_times: NameTimes[int] = NameTimes()
-        self._revision_times: NameTimes[StoreRevision] = NameTimes()
-        self._transit_times = TransitTimes()
+        self._name_ages = NameAges(self.weights)
         self._fetching: set[StateKind] = set()
         self._waiting: set[StateKind] = set()
         """Kinds that are fetched from a peer unless they come another way before."""
@@ -158,7 +152,7 @@
             return
         before = self._revisions()
         # Names between this listing and the last one known may have been replaced by later ones.
-        named_seconds = self._weights_newest_seconds()
+        named_seconds = self._name_ages.newest_seconds()
         if kind is StateKind.ENDPOINTS:
             if self._replace_by_listing(listing, after_outage=after_outage):
                 # A removal leaves no object with a newer revision.
@@ -170,18 +164,10 @@
                 self._apply_item(item, named_seconds=named_seconds)
         self._seen_revisions[kind] = listing.revision
         self._loaded_kinds.add(kind)
-        self._record_name_times(kind, listing, asked_seconds)
+        self._name_ages.record_listing(kind, listing.revision, asked_seconds=asked_seconds)
         if self._revisions() != before:
             self._fleet.gossip_update()
 
-    def _record_name_times(
-        self, kind: StateKind, listing: StateListing, asked_seconds: float
-    ) -> None:
-        """Record that what is known now of names is all that there was when a listing was asked."""
-        self._revision_times.record(listing.revision, at_seconds=asked_seconds)
-        if kind is StateKind.WEIGHTS:
-            self._sum_times.record(self._weights_sum(), at_seconds=asked_seconds)
-
     def _replace_by_listing(self, listing: StateListing, *, after_outage: bool) -> bool:
         listed = [item for item in listing.items if isinstance(item, Endpoint)]
         changed = self._replace_endpoints(listed, listing.revision, after_outage=after_outage)
@@ -222,7 +208,9 @@
         self._seen_revisions[kind] = changes.revision
         for event in changes.events:
             if event.item is not None and not isinstance(event.item, Endpoint):
-                self._apply_item(event.item, named_seconds=self._event_seconds(event, changes))
+                changed = StoreRevision(changes.revision.era, event.revision)
+                named_seconds = self._name_ages.change_seconds(changed)
+                self._apply_item(event.item, named_seconds=named_seconds)
             elif kind is StateKind.ENDPOINTS:
                 self._apply_endpoint_event(event, changes.revision)
         if kind is StateKind.ENDPOINTS:
@@ -230,14 +218,6 @@
             self._notify_endpoints_changed()
         self._fleet.gossip_update()
 
-    def _event_seconds(self, event: StateEvent, changes: StateChanges) -> float:
-        """Return the last time at which a change that a watch reported had surely not been made.
-
-        A watch reports every change, so nothing was named between this and the one before.
-        """
-        before = StoreRevision(changes.revision.era, event.revision - 1)
-        return max(self._weights_newest_seconds(), self._revision_times.unchanged_until(before))
-
     def _apply_endpoint_event(self, event: StateEvent, revision: StoreRevision) -> None:
         if isinstance(event.item, Endpoint):
             endpoint = event.item
@@ -276,12 +256,6 @@
             for listener in self.on_weights:
                 listener(item)
 
-    def _weights_newest_seconds(self) -> float:
-        """Return the last time at which this process surely knew the newest of all versions."""
-        if StateKind.WEIGHTS not in self._loaded_kinds:
-            return -math.inf
-        return self._sum_times.unchanged_until(self._weights_sum())
-
     def _apply_configuration(self, table: RoutingTable, *, peer: str | None = None) -> None:
         # An active configuration is never replaced by an older version.
         if self.routes is not None and table.version <= self.routes.table.version:
@@ -306,7 +280,7 @@
         return Revisions(
             configuration=self.routes.table.version if self.routes is not None else 0,
             endpoints=self._endpoints_revision,
-            weights=self._weights_sum(),
+            weights=self._name_ages.versions_sum,
             era=self._fleet.eras.newest,
         )
 
@@ -314,34 +288,20 @@
         now = boot_seconds()
         return msgspec.structs.replace(
             self._revisions(),
-            weights_age_seconds=now - self._weights_newest_seconds(),
+            weights_age_seconds=now - self._name_ages.newest_seconds(),
             sent_seconds=now,
         )
 
-    def _weights_sum(self) -> int:
-        """Return a number that grows with each version that is named."""
-        return min(LARGEST_SUM, sum(target.version for target in self.weights.list_targets()))
-
     def _is_behind(self, kind: StateKind, peer_revisions: Revisions) -> bool:
         if kind is StateKind.CONFIGURATION:
             own = self.routes.table.version if self.routes is not None else 0
             return peer_revisions.configuration > own
         if kind is StateKind.ENDPOINTS:
             return peer_revisions.endpoints > self._seen_revisions[kind]
-        return peer_revisions.weights > self._weights_sum()
+        return peer_revisions.weights > self._name_ages.versions_sum
 
     def _handle_peer_revisions(self, peer: FleetMember, peer_revisions: Revisions) -> None:
-        now = boot_seconds()
-        transit = self._transit_times.record(
-            peer.instance_id,
-            started_ms=peer.started_ms,
-            sent_seconds=peer_revisions.sent_seconds,
-            now_seconds=now,
-        )
-        self._sum_times.record(
-            peer_revisions.weights,
-            at_seconds=now - transit - peer_revisions.weights_age_seconds,
-        )
+        self._name_ages.record_greeting(peer, peer_revisions)
         for kind in self._kinds:
             if not self._is_behind(kind, peer_revisions):
                 continue
@@ -408,7 +368,7 @@
                 revision=state.endpoints_revision,
             )
         if state.weights is not None:
-            known = self._weights_newest_seconds()
+            known = self._name_ages.newest_seconds()
             self._loaded_kinds.add(StateKind.WEIGHTS)
             for name in state.weights:
                 target = WeightVersion(model=name.model, version=name.version)
@@ -431,21 +391,12 @@
             endpoints_revision=self._endpoints_revision,
             endpoints_in_grace=StateKind.ENDPOINTS in kinds and self.directory.in_grace,
             weights=(
-                self._names_for_peers()
+                self._name_ages.export_names()
                 if StateKind.WEIGHTS in kinds and StateKind.WEIGHTS in self._loaded_kinds
                 else None
             ),
         )
 
-    def _names_for_peers(self) -> tuple[NamedVersion, ...]:
-        now = boot_seconds()
-        return tuple(
-            NamedVersion(
-                model=target.model, version=target.version, age_seconds=now - named_seconds
-            )
-            for target, named_seconds in self.weights.list_names()
-        )
-
     def snapshot(self) -> dict[str, Any]:
         """Return the state for the state dump."""
         return {
