Start processes without the parts of the product that they never use

Cause: the thin packages pulled in everything beside what a direct process uses: the protocol the calls of agents, these the configuration files with pydantic, the weights the configuration for one enum, the copies both daemons. And the HTTP client reads all certificate authorities when it is imported, though the platform speaks plain HTTP only.

Objective, VersionReference and the rendezvous ranking are modules of their own, answers and copies separate modules of the protocol, and the daemons are imported when they are used.

The three new tests failed before.

--- a/benchmarks/baselines/distribution.py
+++ b/benchmarks/baselines/distribution.py
@@ -4,8 +4,7 @@
 from typing import Any
 
 from egretrouter.core.identifiers import ChunkIndex, InstanceId
-from egretrouter.core.rollout import VersionReference
-from egretrouter.core.weights import ChunkArrived, CopyMessage, Manifest
+from egretrouter.core.weights import ChunkArrived, CopyMessage, Manifest, VersionReference
 from egretrouter.daemons._weight_transfers import WeightTransfers
 from egretrouter.protocol import egretrouter_pb2 as pb
 
--- a/benchmarks/distribution.py
+++ b/benchmarks/distribution.py
@@ -26,7 +26,7 @@
 from benchmarks.token_streams import TokenStreams
 from egretrouter.core.configuration import Objective
 from egretrouter.core.identifiers import InstanceId, ModelName, VersionName, ZoneId
-from egretrouter.core.rollout import VersionReference
+from egretrouter.core.weights import VersionReference
 from egretrouter.standins import OriginStandin
 
 WORKERS = 7
--- a/benchmarks/distribution_nodes.py
+++ b/benchmarks/distribution_nodes.py
@@ -16,8 +16,7 @@
 from egretrouter.backends import HttpWeightSource
 from egretrouter.core.configuration import Objective
 from egretrouter.core.identifiers import Digest, InstanceId, RegionId, ZoneId
-from egretrouter.core.rollout import VersionReference
-from egretrouter.core.weights import ChunkMemory, CopySettings, Manifest, Peer
+from egretrouter.core.weights import ChunkMemory, CopySettings, Manifest, Peer, VersionReference
 from egretrouter.daemons._copies import CopyLimits, CopyService
 from egretrouter.daemons._metrics import AgentMetrics
 from egretrouter.daemons._peers import PeersServicer
--- a/benchmarks/shaped_links.py
+++ b/benchmarks/shaped_links.py
@@ -9,8 +9,7 @@
 import msgspec
 
 from egretrouter.core.identifiers import ChunkIndex, Digest, InstanceId, ZoneId
-from egretrouter.core.rollout import VersionReference
-from egretrouter.core.weights import ChunkArrived, CopyMessage
+from egretrouter.core.weights import ChunkArrived, CopyMessage, VersionReference
 from egretrouter.daemons._weight_transfers import WeightTransfers
 from egretrouter.protocol import egretrouter_pb2 as pb
 
--- a/egretrouter/core/configuration/__init__.py
+++ b/egretrouter/core/configuration/__init__.py
@@ -32,7 +32,6 @@
     EngineRole,
     IdempotencyRule,
     ModelServiceFile,
-    Objective,
     OperatorFile,
     PlacementFile,
     PlainServiceFile,
@@ -81,6 +80,7 @@
     UpdateIndex,
 )
 from egretrouter.core.configuration._state import NO_GENERATION, ConfigurationState, select_watchers
+from egretrouter.core.objective import Objective
 from egretrouter.core.validation import Mistake
 
 __all__ = [
--- a/egretrouter/core/configuration/_difference.py
+++ b/egretrouter/core/configuration/_difference.py
@@ -7,8 +7,9 @@
 
 from egretrouter.core.configuration._collection import FileCollection, WeightSizes
 from egretrouter.core.configuration._configuration import Configuration
-from egretrouter.core.configuration._files import ModelServiceFile, Objective
+from egretrouter.core.configuration._files import ModelServiceFile
 from egretrouter.core.identifiers import ModelName, ServiceName, VersionName
+from egretrouter.core.objective import Objective
 
 
 class FieldChange(msgspec.Struct, frozen=True, kw_only=True):
--- a/egretrouter/core/configuration/_files.py
+++ b/egretrouter/core/configuration/_files.py
@@ -5,6 +5,8 @@
 
 from pydantic import BaseModel, ConfigDict, Field, model_validator
 
+from egretrouter.core.objective import Objective
+
 Name = Annotated[str, Field(pattern=r"^[a-z0-9][a-z0-9._-]{0,62}$")]
 HexDigest = Annotated[str, Field(pattern=r"^[0-9a-f]{64}$")]
 
@@ -15,13 +17,6 @@
     model_config = ConfigDict(extra="forbid", frozen=True)
 
 
-class Objective(Enum):
-    """List what the distribution of weights can optimize."""
-
-    TIME = "time"
-    ORIGIN_BYTES = "origin-bytes"
-
-
 class EngineRole(Enum):
     """List the phases of a model call that an engine can serve."""
 
--- a/egretrouter/core/configuration/_state.py
+++ b/egretrouter/core/configuration/_state.py
@@ -36,7 +36,7 @@
 from egretrouter.core.configuration._survey import Survey
 from egretrouter.core.digests import content_digest
 from egretrouter.core.identifiers import Digest, Generation, InstanceId, ZoneId
-from egretrouter.core.membership._ranking import highest_ranked
+from egretrouter.core.rendezvous import highest_ranked
 
 NO_GENERATION = Generation(0)
 WATCHERS_PER_ZONE = 2
--- a/egretrouter/core/direct/_endpoint_limits.py
+++ b/egretrouter/core/direct/_endpoint_limits.py
@@ -14,7 +14,7 @@
 from egretrouter.core.direct._relay_queue import RelayQueue
 from egretrouter.core.identifiers import InstanceId, ZoneId
 from egretrouter.core.limits import TokenBucket
-from egretrouter.core.membership import highest_ranked
+from egretrouter.core.rendezvous import highest_ranked
 
 # An owner that has got no answer for this long may not reach the endpoint, so others have a turn.
 OWNER_TERM_SECONDS = 15.0
--- a/egretrouter/core/membership/__init__.py
+++ b/egretrouter/core/membership/__init__.py
@@ -32,7 +32,6 @@
     Tick,
     ZoneSummaryChanged,
 )
-from egretrouter.core.membership._ranking import highest_ranked, rendezvous_weight
 from egretrouter.core.membership._records import (
     Facts,
     LoadReport,
@@ -86,6 +85,4 @@
     "decode_gossip",
     "encode_gossip",
     "gateways",
-    "highest_ranked",
-    "rendezvous_weight",
 ]
--- a/egretrouter/core/membership/_summaries.py
+++ b/egretrouter/core/membership/_summaries.py
@@ -6,7 +6,6 @@
 import msgspec
 
 from egretrouter.core.identifiers import Digest, InstanceId, ServiceName, ZoneId
-from egretrouter.core.membership._ranking import highest_ranked
 from egretrouter.core.membership._records import (
     Member,
     MemberRole,
@@ -16,6 +15,7 @@
     ZoneSummary,
 )
 from egretrouter.core.membership._table import MemberTable
+from egretrouter.core.rendezvous import highest_ranked
 
 GATEWAYS_PER_ZONE = 2
 CONTACTS_PER_ZONE = 4
--- a/egretrouter/core/rollout/__init__.py
+++ b/egretrouter/core/rollout/__init__.py
@@ -26,7 +26,6 @@
 from egretrouter.core.rollout._placement import (
     Assignment,
     PlacementMember,
-    VersionReference,
     assign_services,
     replica_rank,
 )
@@ -57,7 +56,6 @@
     "StartCopy",
     "Tick",
     "UnloadVersion",
-    "VersionReference",
     "WeightsFailed",
     "WeightsReady",
     "assign_services",
--- a/egretrouter/core/rollout/_adapters.py
+++ b/egretrouter/core/rollout/_adapters.py
@@ -13,7 +13,8 @@
     StartCopy,
     UnloadVersion,
 )
-from egretrouter.core.rollout._placement import Assignment, VersionReference
+from egretrouter.core.rollout._placement import Assignment
+from egretrouter.core.weights import VersionReference
 
 
 class AdapterRollout:
--- a/egretrouter/core/rollout/_messages.py
+++ b/egretrouter/core/rollout/_messages.py
@@ -5,7 +5,8 @@
 import msgspec
 
 from egretrouter.core.identifiers import Digest, InstanceId, ModelName, ServiceName, ZoneId
-from egretrouter.core.rollout._placement import Assignment, VersionReference
+from egretrouter.core.rollout._placement import Assignment
+from egretrouter.core.weights import VersionReference
 
 
 class Phase(Enum):
--- a/egretrouter/core/rollout/_placement.py
+++ b/egretrouter/core/rollout/_placement.py
@@ -21,14 +21,7 @@
     VersionName,
     ZoneId,
 )
-
-
-class VersionReference(msgspec.Struct, frozen=True, kw_only=True):
-    """Identify a version of a model or adapter by the digest of its manifest."""
-
-    model: ModelName
-    version: VersionName
-    manifest_digest: Digest
+from egretrouter.core.weights import VersionReference
 
 
 class Assignment(msgspec.Struct, frozen=True, kw_only=True):
--- a/egretrouter/core/rollout/_rollout.py
+++ b/egretrouter/core/rollout/_rollout.py
@@ -28,7 +28,8 @@
     WeightsFailed,
     WeightsReady,
 )
-from egretrouter.core.rollout._placement import Assignment, VersionReference, replica_rank
+from egretrouter.core.rollout._placement import Assignment, replica_rank
+from egretrouter.core.weights import VersionReference
 
 GOSSIP_SPREAD_SECONDS = 3.0
 """Time for gossip to spread the intention to switch in a zone before the agent drains."""
--- a/egretrouter/core/status.py
+++ b/egretrouter/core/status.py
@@ -9,7 +9,8 @@
 from egretrouter.core.decoding import DECODE_ERRORS
 from egretrouter.core.errors import ValidationError
 from egretrouter.core.identifiers import Digest, Generation, InstanceId, ServiceName, ZoneId
-from egretrouter.core.membership import Member, MemberRole, MemberStatus, highest_ranked
+from egretrouter.core.membership import Member, MemberRole, MemberStatus
+from egretrouter.core.rendezvous import highest_ranked
 
 STATUS_KEY_PREFIX = "status/"
 WRITE_SECONDS = 5.0
--- a/egretrouter/core/weights/__init__.py
+++ b/egretrouter/core/weights/__init__.py
@@ -54,9 +54,11 @@
 )
 from egretrouter.core.weights._ownership import Ownership, Peer
 from egretrouter.core.weights._part_window import PartWindow
+from egretrouter.core.weights._references import VersionReference
 from egretrouter.core.weights._serving import LinkShares
 
 __all__ = [
+    "VersionReference",
     "DEFAULT_CHUNK_BYTES",
     "FETCHING_STATES",
     "ORIGIN",
--- a/egretrouter/core/weights/_messages.py
+++ b/egretrouter/core/weights/_messages.py
@@ -2,9 +2,9 @@
 
 import msgspec
 
-from egretrouter.core.configuration import Objective
 from egretrouter.core.errors import WeightsError
 from egretrouter.core.identifiers import ChunkIndex, InstanceId
+from egretrouter.core.objective import Objective
 from egretrouter.core.weights._ownership import Peer
 
 ORIGIN = InstanceId("@origin")
--- a/egretrouter/core/weights/_planner.py
+++ b/egretrouter/core/weights/_planner.py
@@ -4,8 +4,8 @@
 
 from xxhash import xxh3_64_intdigest
 
-from egretrouter.core.configuration import Objective
 from egretrouter.core.identifiers import ChunkIndex, Digest, InstanceId
+from egretrouter.core.objective import Objective
 from egretrouter.core.weights._budget import OriginAllowance
 from egretrouter.core.weights._claims import ChunkClaims
 from egretrouter.core.weights._manifest import Manifest
--- a/egretrouter/daemons/_admitted_versions.py
+++ b/egretrouter/daemons/_admitted_versions.py
@@ -4,7 +4,8 @@
 
 from egretrouter.core.identifiers import Digest, ServiceName
 from egretrouter.core.membership import Facts, Member, MemberRole
-from egretrouter.core.rollout import Phase, PlacementMember, ReplicaFacts, VersionReference
+from egretrouter.core.rollout import Phase, PlacementMember, ReplicaFacts
+from egretrouter.core.weights import VersionReference
 
 # Calls of a version that is drained are still admitted for this time, until gossip has informed
 # the routers of the zone; otherwise calls in transit would be refused.
--- a/egretrouter/daemons/_agent_calls.py
+++ b/egretrouter/daemons/_agent_calls.py
@@ -41,7 +41,7 @@
 from egretrouter.daemons._running_call import RunningCall
 from egretrouter.protocol import egretrouter_pb2 as pb
 from egretrouter.protocol import egretrouter_pb2_grpc as pb_grpc
-from egretrouter.protocol import encode_frame, encode_head
+from egretrouter.protocol.answers import encode_frame, encode_head
 
 MAX_FRAMES_PER_MESSAGE = 512
 # Reports come once a second or more often; links carry about one a second.
--- a/egretrouter/daemons/_call_claim.py
+++ b/egretrouter/daemons/_call_claim.py
@@ -37,7 +37,7 @@
 from egretrouter.daemons._caller_stream import CallerStream
 from egretrouter.daemons._claims import ClaimService
 from egretrouter.daemons._routed_call import RoutedCall
-from egretrouter.protocol import decode_head
+from egretrouter.protocol.answers import decode_head
 
 IN_PROGRESS_REASON = "idempotency_key_in_progress"
 MISMATCH_REASON = "idempotency_key_reused"
--- a/egretrouter/daemons/_call_driver.py
+++ b/egretrouter/daemons/_call_driver.py
@@ -55,8 +55,8 @@
 from egretrouter.daemons._endpoint_choice import ChosenEndpoint, choose_endpoint
 from egretrouter.daemons._link import AgentLink
 from egretrouter.daemons._routed_call import CallServices, RoutedCall
-from egretrouter.protocol import decode_body
 from egretrouter.protocol import egretrouter_pb2 as pb
+from egretrouter.protocol.answers import decode_body
 
 # Refusals because this router's view of the agent was out of date. Such a call took none of the
 # endpoint's time, so its retry is not charged to the retry budget.
--- a/egretrouter/daemons/_copies.py
+++ b/egretrouter/daemons/_copies.py
@@ -15,7 +15,6 @@
     WeightsError,
 )
 from egretrouter.core.identifiers import Digest, InstanceId
-from egretrouter.core.rollout import VersionReference
 from egretrouter.core.weights import (
     FETCHING_STATES,
     Announce,
@@ -37,13 +36,14 @@
     Superseded,
     Tick,
     TokenBucket,
+    VersionReference,
     WeightCopy,
 )
 from egretrouter.daemons._metrics import AgentMetrics
 from egretrouter.daemons._running_copy import RunningCopy
 from egretrouter.daemons._weight_transfers import CopyPeer, WeightTransfers
-from egretrouter.protocol import decode_notice, encode_notice
 from egretrouter.protocol import egretrouter_pb2 as pb
+from egretrouter.protocol.copies import decode_notice, encode_notice
 
 TICK_SECONDS = 0.25
 # Failure reasons of ended copies kept for the state dump; the oldest are dropped first.
--- a/egretrouter/daemons/_orders.py
+++ b/egretrouter/daemons/_orders.py
@@ -17,7 +17,8 @@
 )
 from egretrouter.core.identifiers import Digest
 from egretrouter.core.membership import LoadReport
-from egretrouter.core.rollout import LoadVersion, UnloadVersion, VersionReference
+from egretrouter.core.rollout import LoadVersion, UnloadVersion
+from egretrouter.core.weights import VersionReference
 from egretrouter.daemons._copies import CopyService
 from egretrouter.daemons._lease import OrderLeaseService
 
--- a/egretrouter/daemons/_peers.py
+++ b/egretrouter/daemons/_peers.py
@@ -2,17 +2,20 @@
 
 import json
 from collections.abc import Callable
-from typing import Any
+from typing import TYPE_CHECKING, Any
 
 import grpc
 
 from egretrouter.core.identifiers import Digest
-from egretrouter.daemons._claims import ClaimService
-from egretrouter.daemons._control import ControlService
-from egretrouter.daemons._copies import CopyService
 from egretrouter.protocol import egretrouter_pb2 as pb
 from egretrouter.protocol import egretrouter_pb2_grpc as pb_grpc
 
+if TYPE_CHECKING:
+    # A process imports only the services that it has.
+    from egretrouter.daemons._claims import ClaimService
+    from egretrouter.daemons._control import ControlService
+    from egretrouter.daemons._copies import CopyService
+
 
 class PeersServicer(pb_grpc.PeersServicer):
     """Pass peers' requests to the service that owns the state."""
--- a/egretrouter/daemons/_running_copy.py
+++ b/egretrouter/daemons/_running_copy.py
@@ -10,7 +10,6 @@
 
 from egretrouter.core.errors import CorruptedChunkError, ManifestMismatchError
 from egretrouter.core.identifiers import ChunkIndex, Digest, InstanceId
-from egretrouter.core.rollout import VersionReference
 from egretrouter.core.weights import (
     ORIGIN,
     STOPPED_STATES,
@@ -40,13 +39,14 @@
     Unavailable,
     UploadEnded,
     VerifyWeights,
+    VersionReference,
     WeightCopy,
     WeightsVerified,
 )
 from egretrouter.daemons._metrics import AgentMetrics
 from egretrouter.daemons._weight_transfers import WeightTransfers
 from egretrouter.protocol import egretrouter_pb2 as pb
-from egretrouter.protocol import encode_notice, encode_refusal
+from egretrouter.protocol.copies import encode_notice, encode_refusal
 
 
 class RunningCopy:
--- a/egretrouter/daemons/_weight_transfers.py
+++ b/egretrouter/daemons/_weight_transfers.py
@@ -18,8 +18,7 @@
     RateLimitedError,
 )
 from egretrouter.core.identifiers import ChunkIndex, Digest, InstanceId
-from egretrouter.core.membership import rendezvous_weight
-from egretrouter.core.rollout import VersionReference
+from egretrouter.core.rendezvous import rendezvous_weight
 from egretrouter.core.weights import (
     ORIGIN,
     Busy,
@@ -32,11 +31,12 @@
     Peer,
     TokenBucket,
     Unavailable,
+    VersionReference,
 )
 from egretrouter.daemons._metrics import AgentMetrics
-from egretrouter.protocol import decode_chunk
 from egretrouter.protocol import egretrouter_pb2 as pb
 from egretrouter.protocol import egretrouter_pb2_grpc as pb_grpc
+from egretrouter.protocol.copies import decode_chunk
 from egretrouter.transport._rpc import ChannelPool
 
 NOTICE_TIMEOUT_SECONDS = 2.0
--- a/egretrouter/direct/_agent.py
+++ b/egretrouter/direct/_agent.py
@@ -30,8 +30,7 @@
     BackendError,
 )
 from egretrouter.core.identifiers import Digest, ModelName, VersionName
-from egretrouter.core.rollout import VersionReference
-from egretrouter.core.weights import ChunkMemory, Manifest, Peer
+from egretrouter.core.weights import ChunkMemory, Manifest, Peer, VersionReference
 from egretrouter.daemons._copies import CopyService
 from egretrouter.daemons._metrics import AgentMetrics
 from egretrouter.daemons._peers import PeersServicer
--- a/egretrouter/direct/_copy_limits.py
+++ b/egretrouter/direct/_copy_limits.py
@@ -1,6 +1,6 @@
 """Derive the limits of copies from an instance's link and the time allowed for a switch."""
 
-from egretrouter.core.configuration import Objective
+from egretrouter.core.objective import Objective
 from egretrouter.core.weights import CopySettings, Manifest, PartWindow
 from egretrouter.daemons._copies import CopyLimits, link_bucket
 from egretrouter.daemons._weight_transfers import NarrowLink
--- a/egretrouter/direct/_part_guard.py
+++ b/egretrouter/direct/_part_guard.py
@@ -13,7 +13,7 @@
     SendOutcome,
 )
 from egretrouter.core.identifiers import PromptPartId
-from egretrouter.core.membership import highest_ranked
+from egretrouter.core.rendezvous import highest_ranked
 from egretrouter.direct._active_call import ActiveCall
 from egretrouter.direct._fleet_service import FleetService
 from egretrouter.direct._logs import log_event
--- a/tests/copies_world.py
+++ b/tests/copies_world.py
@@ -15,8 +15,7 @@
     VersionName,
     ZoneId,
 )
-from egretrouter.core.rollout import VersionReference
-from egretrouter.core.weights import ChunkMemory, CopySettings, Manifest, Peer
+from egretrouter.core.weights import ChunkMemory, CopySettings, Manifest, Peer, VersionReference
 from egretrouter.daemons._copies import CopyLimits, CopyService
 from egretrouter.daemons._metrics import AgentMetrics
 from egretrouter.daemons._peers import PeersServicer
--- a/tests/test_daemon_copies.py
+++ b/tests/test_daemon_copies.py
@@ -7,7 +7,7 @@
 from copies_world import WEIGHT_BYTES, CopyAgent, CopyWorld
 from helpers import wait_until
 
-from egretrouter.core.rollout import VersionReference
+from egretrouter.core.weights import VersionReference
 from egretrouter.standins import Outage
 
 SLOW = WEIGHT_BYTES / 1.5
--- a/tests/test_engine_orders.py
+++ b/tests/test_engine_orders.py
@@ -18,8 +18,8 @@
     VersionConflictError,
 )
 from egretrouter.core.identifiers import Digest, EndpointId, InstanceId, ModelName, VersionName
-from egretrouter.core.rollout import LoadVersion, UnloadVersion, VersionReference
-from egretrouter.core.weights import build_manifest
+from egretrouter.core.rollout import LoadVersion, UnloadVersion
+from egretrouter.core.weights import VersionReference, build_manifest
 from egretrouter.daemons._lease import OrderLeaseService
 from egretrouter.daemons._orders import ATTEMPTS, EngineOrders
 
--- a/tests/test_platform_start.py
+++ b/tests/test_platform_start.py
@@ -1,9 +1,13 @@
 """Test how the platform's processes start."""
 
 import asyncio
+import os
+import subprocess
 import sys
 from pathlib import Path
 
+import pytest
+
 RUN = Path(__file__).parent.parent / "platform" / "run.py"
 START_WITH_RELOAD = """
 import runpy, sys, types
@@ -19,6 +23,49 @@
 def main():
     return 0
 """
+MAIN_WITHOUT_AUTHORITIES = """
+import ssl
+
+def main():
+    return len(ssl.create_default_context().get_ca_certs())
+"""
+IMPORTS_OF_A_ROLE = """
+import sys
+sys.path[:0] = sys.argv[1:3]
+import egretrouter_platform._main
+if sys.argv[3] == "router":
+    import egretrouter.direct._router
+else:
+    import egretrouter.direct._agent
+    import egretrouter_platform._engine
+print(*sorted(sys.modules))
+"""
+# The parts for operators' files and the checks of their content take a quarter of a start.
+UNUSED = ("pydantic", "egretrouter.core.configuration", "egretrouter.core.calls")
+
+
+class TestImports:
+    """Guard against starts that import what the process never uses."""
+
+    @pytest.mark.parametrize("role", ["router", "agent"])
+    def test_process_imports_only_what_it_uses(self, role: str) -> None:
+        platform = RUN.parent
+        arguments = [str(platform.parent), str(platform), role]
+        done = subprocess.run(
+            [sys.executable, "-c", IMPORTS_OF_A_ROLE, *arguments],
+            capture_output=True,
+            text=True,
+            check=True,
+        )
+        assert set(done.stdout.split()).isdisjoint(UNUSED)
+
+    async def test_certificate_authorities_are_not_read(self, tmp_path: Path) -> None:
+        (tmp_path / "_main.py").write_text(MAIN_WITHOUT_AUTHORITIES)
+        environment = {k: v for k, v in os.environ.items() if k != "SSL_CERT_FILE"}
+        process = await asyncio.create_subprocess_exec(
+            sys.executable, "-c", START_WITH_RELOAD, str(tmp_path), str(RUN), env=environment
+        )
+        assert await process.wait() == 0
 
 
 class TestProcessStart:
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -35,10 +35,10 @@
     StartCopy,
     Tick,
     UnloadVersion,
-    VersionReference,
     WeightsFailed,
     WeightsReady,
 )
+from egretrouter.core.weights import VersionReference
 
 ZONE = ZoneId("serra-z1")
 
--- a/tests/test_status.py
+++ b/tests/test_status.py
@@ -1,7 +1,7 @@
 """Test when a zone's status is written to the store."""
 
 from egretrouter.core.identifiers import Generation, InstanceId, ZoneId
-from egretrouter.core.membership import highest_ranked
+from egretrouter.core.rendezvous import highest_ranked
 from egretrouter.core.status import (
     StatusReporter,
     WriteEnded,
