Pass load reports between zones on together, and report less often in large zones

Cause: each agent sent ten reports a second to each router of its zone, and every report to another zone was passed on in a datagram of its own by a router chosen at random: with 99 routers and 55 agents 330 datagrams a second arrived at each router, each of which wakes the process.

Two routers of each zone take turns to pass reports on, so that those of 0.1 s go out in one datagram; an agent sends at most 100 reports a second within its zone, which changes nothing up to ten routers a zone.

--- a/egretrouter/core/direct/_fleet.py
+++ b/egretrouter/core/direct/_fleet.py
@@ -35,6 +35,8 @@
 VERIFIERS = 3
 # Links between regions have little bandwidth, so most greetings stay within the zone.
 REMOTE_SHARE = 0.3
+# While one of a zone's relays is frozen or gone unnoticed, half of the reports arrive.
+RELAYS_PER_ZONE = 2
 
 
 class SendGreeting(msgspec.Struct, frozen=True, kw_only=True):
@@ -270,10 +272,26 @@
         """Return the members to pass something on to that another process found."""
         return self._round_targets(FANOUT)
 
-    def report_targets(self, *, role: FleetRole) -> list[FleetMember]:
-        """Return all live members of a role in this zone and one in each other zone."""
-        same_zone, other_zones = self._split_by_zone(self.live_members(role=role))
-        return same_zone + self._pick_one_per_zone(other_zones)
+    def zone_routers(self) -> list[FleetMember]:
+        """Return the live routers of this zone."""
+        routers = self.live_members(role=FleetRole.ROUTER)
+        return [router for router in routers if router.zone == self.own.zone]
+
+    def report_relays(self, *, turn: int) -> list[FleetMember]:
+        """Return the router of each other zone that passes reports on, alternating with turn.
+
+        All agents choose the same few routers of a zone, so that these can pass on many reports
+        together.
+        """
+        zones: dict[ZoneId, list[FleetMember]] = {}
+        for router in self.live_members(role=FleetRole.ROUTER):
+            if router.zone != self.own.zone:
+                zones.setdefault(router.zone, []).append(router)
+        relays = []
+        for routers in zones.values():
+            ranked = sorted(routers, key=_relay_order)[:RELAYS_PER_ZONE]
+            relays.append(ranked[turn % len(ranked)])
+        return relays
 
     def watch_rank(self) -> int:
         """Return this process's rank among those of its zone that may watch the store."""
@@ -299,6 +317,10 @@
     return SendGreeting(targets=targets, wants_answer=True, only_news=True)
 
 
+def _relay_order(router: FleetMember) -> tuple[bool, bool, InstanceId]:
+    return router.leaving, router.health is not MemberHealth.ALIVE, router.instance_id
+
+
 def _watch_order(member: FleetMember) -> tuple[bool, bool, InstanceId]:
     # Routers go before agents because they need more of the store's state.
     return member.store_lost, member.role is FleetRole.AGENT, member.instance_id
--- a/egretrouter/direct/_agent.py
+++ b/egretrouter/direct/_agent.py
@@ -3,6 +3,7 @@
 import asyncio
 import math
 import random
+import time
 from collections.abc import Collection
 from typing import Any
 
@@ -45,8 +46,9 @@
 from egretrouter.protocol import egretrouter_pb2 as pb
 
 REPORT_SECONDS = 0.1
-OTHER_ZONES_REPORT_EVERY = 2
-"""Routers of other zones receive every second report."""
+OTHER_ZONES_REPORT_SECONDS = 0.2
+# In zones with many routers an agent reports less often, as each router sends it fewer calls.
+REPORTS_PER_SECOND = 100
 ANNOUNCED_COPIES = 3
 STEP_SECONDS = 0.1
 FIRST_VERSION = 1
@@ -54,6 +56,11 @@
 CHUNK_MEMORY_BYTES = 48 * 1024 * 1024
 
 
+def report_interval_seconds(routers: int) -> float:
+    """Return the time between two reports to the routers of a zone."""
+    return max(REPORT_SECONDS, routers / REPORTS_PER_SECOND)
+
+
 class AgentPeersServicer(PeersServicer):
     """Serve state, chunks and dumps to other agents and routers."""
 
@@ -160,7 +167,7 @@
     @Service.task
     async def _report(self) -> None:
         """Report the engine's load to routers periodically."""
-        count = 0
+        other_zones_due = time.monotonic()
         while not self.should_stop:
             try:
                 self._engine_state = await self._engine.state()
@@ -169,11 +176,13 @@
                     log_event("engine:lost", error=str(error))
                 self._engine_state = None
             else:
-                self._send_report(
-                    self._engine_state, to_other_zones=count % OTHER_ZONES_REPORT_EVERY == 0
-                )
-            count += 1
-            await self.sleep(REPORT_SECONDS)
+                now = time.monotonic()
+                to_other_zones = now >= other_zones_due
+                if to_other_zones:
+                    other_zones_due = now + OTHER_ZONES_REPORT_SECONDS - REPORT_SECONDS / 2
+                self._send_report(self._engine_state, to_other_zones=to_other_zones)
+            routers = len(self.fleet.fleet.zone_routers())
+            await self.sleep(report_interval_seconds(routers))
 
     def _send_report(self, state: EngineState, *, to_other_zones: bool) -> None:
         report = state.load
--- a/egretrouter/direct/_fleet_service.py
+++ b/egretrouter/direct/_fleet_service.py
@@ -23,10 +23,12 @@
 )
 from egretrouter.core.errors import BackendError
 from egretrouter.core.identifiers import InstanceId
+from egretrouter.direct._load_relay import LoadRelay
 from egretrouter.direct._logs import log_event
 from egretrouter.direct._notes import (
     GreetingNote,
     LoadNote,
+    LoadsNote,
     NewsNote,
     Note,
     NoteMalformedError,
@@ -99,6 +101,8 @@
         self._entry_lost = asyncio.Event()
         """Set when the store may no longer have this process in its list."""
         self._joined = asyncio.Event()
+        self._load_relay = LoadRelay(targets=self.fleet.zone_routers, send_note=self.send_note)
+        self._reports_relayed = 0
         self._transport: asyncio.DatagramTransport
 
     async def on_start(self) -> None:
@@ -112,6 +116,7 @@
 
     async def on_stop(self) -> None:
         """Close the datagram socket."""
+        self._load_relay.close()
         self._transport.close()
 
     async def wait_until_joined(self, limit_seconds: float) -> None:
@@ -135,19 +140,13 @@
 
     def send_load(self, address: str, report: LoadReport, *, to_other_zones: bool) -> None:
         """Send a load report to the zone's routers, and through one router to each other zone."""
-        same_zone_data = encode_note(LoadNote(address=address, report=report))
-        other_zones_data = encode_note(LoadNote(address=address, report=report, relay=True))
-        for member in self.fleet.report_targets(role=FleetRole.ROUTER):
-            if member.zone == self.fleet.own.zone:
-                self._send(same_zone_data, member.address)
-            elif to_other_zones:
-                self._send(other_zones_data, member.address)
-
-    def _relay(self, note: LoadNote) -> None:
-        data = encode_note(msgspec.structs.replace(note, relay=False))
-        for member in self.live_members(FleetRole.ROUTER):
-            if member.zone == self.fleet.own.zone:
-                self._send(data, member.address)
+        routers = self.fleet.zone_routers()
+        self.send_note(LoadNote(address=address, report=report), [r.address for r in routers])
+        if to_other_zones:
+            self._reports_relayed += 1
+            relays = self.fleet.report_relays(turn=self._reports_relayed)
+            note = LoadNote(address=address, report=report, relay=True)
+            self.send_note(note, [r.address for r in relays])
 
     def send_note(self, note: Note, addresses: Iterable[str]) -> None:
         """Send a note to processes at some addresses."""
@@ -191,7 +190,13 @@
         for on_load in self.on_load:
             on_load(note.address, note.report)
         if note.relay:
-            self._relay(note)
+            self._load_relay.add(LoadNote(address=note.address, report=note.report))
+
+    @_handle_note.register
+    def _handle_loads(self, note: LoadsNote) -> None:
+        for load in note.loads:
+            for on_load in self.on_load:
+                on_load(load.address, load.report)
 
     @_handle_note.register
     def _handle_news(self, note: NewsNote) -> None:
--- a/egretrouter/direct/_notes.py
+++ b/egretrouter/direct/_notes.py
@@ -33,6 +33,12 @@
     """Whether the receiver forwards the note within its zone."""
 
 
+class LoadsNote(msgspec.Struct, frozen=True, kw_only=True, tag="loads", array_like=True):
+    """Carry load reports of several engines of other zones, which a router passes on."""
+
+    loads: tuple[LoadNote, ...]
+
+
 class GreetingNote(msgspec.Struct, frozen=True, kw_only=True, tag="greeting", array_like=True):
     """Wrap a greeting as a datagram."""
 
@@ -52,7 +58,7 @@
     leaving: tuple[LeavingNews, ...] = ()
 
 
-Note = LoadNote | GreetingNote | NewsNote
+Note = LoadNote | LoadsNote | GreetingNote | NewsNote
 encode_note = msgspec.msgpack.Encoder().encode
 _decode = msgspec.msgpack.Decoder(Note).decode
 _Item = TypeVar("_Item")
@@ -79,12 +85,17 @@
 
 
 @_check.register
-def _check_load_note(note: LoadNote) -> Note:
+def _check_load_note(note: LoadNote) -> LoadNote:
     check_address(note.address)
     check_load(note.report)
     return note
 
 
+@_check.register
+def _check_loads_note(note: LoadsNote) -> Note:
+    return LoadsNote(loads=tuple(_keep_valid(note.loads, _check_load_note)))
+
+
 @_check.register
 def _check_greeting_note(note: GreetingNote) -> Note:
     check_member(note.greeting.sender)
