Prove every 0.3 s that no version was named, and date proofs by round trips

Callers found no engine for up to 1.3 s longer than the rule asks around each name of a version: in calm agents believed a name 0.7 to 1.8 s old that they heard 0.03 to 0.08 s after it, so the older version ended that much early.

Cause: the proof that nothing newer was named came from listings once a second, travelled by greetings to single members, and lost half a second at each process that passed it on, since only the shortest of a peer's messages was assumed to take less.

The names are listed every 0.3 s, in one zone for all; its watcher tells the other zones' watchers and these their whole zone. An answer to a greeting echoes when the question was sent: it was sent after that, which bounds the difference of two machines' clocks from below and so dates each later message to within the round trip.

--- a/egretrouter/core/direct/__init__.py
+++ b/egretrouter/core/direct/__init__.py
@@ -24,6 +24,7 @@
     LeavingNews,
     LeavingSource,
 )
+from egretrouter.core.direct._listing_turns import ZONE_STEP, ListingTurns
 from egretrouter.core.direct._members import (
     FleetMember,
     FleetRole,
@@ -73,6 +74,7 @@
 )
 
 __all__ = [
+    "ZONE_STEP",
     "MIN_START_LEAD_SECONDS",
     "CallKind",
     "CallRequirements",
@@ -97,6 +99,7 @@
     "LeavingNews",
     "LeavingSource",
     "LimitNews",
+    "ListingTurns",
     "LoadReport",
     "MemberHealth",
     "LoadedWeights",
--- a/egretrouter/core/direct/_fleet.py
+++ b/egretrouter/core/direct/_fleet.py
@@ -49,6 +49,8 @@
     wants_verification: bool = False
     only_news: bool = False
     """Whether to leave out records that did not change lately, to spare links between regions."""
+    answers_seconds: float = -math.inf
+    """When the target sent the greeting that this answers, by its own clock."""
 
 
 class _Entry:
@@ -119,7 +121,11 @@
             greetings.append(SendGreeting(targets=(sender,), about=(entry.member,)))
         elif greeting.wants_answer:
             greetings.append(
-                SendGreeting(targets=(sender,), only_news=sender.zone != self.own.zone)
+                SendGreeting(
+                    targets=(sender,),
+                    only_news=sender.zone != self.own.zone,
+                    answers_seconds=greeting.revisions.sent_seconds,
+                )
             )
         return greetings
 
@@ -227,7 +233,7 @@
         """Build a greeting with the newest changes of other members."""
         return Greeting(
             sender=self.own,
-            revisions=revisions,
+            revisions=msgspec.structs.replace(revisions, answers_seconds=command.answers_seconds),
             others=self._pick_others(command),
             wants_answer=command.wants_answer,
             wants_verification=command.wants_verification,
@@ -293,16 +299,32 @@
             relays.append(ranked[turn % len(ranked)])
         return relays
 
+    def zone_rank(self) -> int:
+        """Return the rank of this process's zone among those that answer."""
+        return len({m.zone for m in self.live_members() if m.zone < self.own.zone})
+
+    def zone_members(self) -> list[FleetMember]:
+        """Return the live members of this zone."""
+        return [member for member in self.live_members() if member.zone == self.own.zone]
+
+    def other_watchers(self) -> list[FleetMember]:
+        """Return the process of each other zone that watches the store."""
+        watchers: dict[ZoneId, FleetMember] = {}
+        for member in self.live_members():
+            if member.zone == self.own.zone or not _may_watch(member):
+                continue
+            first = watchers.setdefault(member.zone, member)
+            if _watch_order(member) < _watch_order(first):
+                watchers[member.zone] = member
+        return list(watchers.values())
+
     def watch_rank(self) -> int:
         """Return this process's rank among those of its zone that may watch the store."""
         own = _watch_order(self.own)
         return sum(
             1
             for member in self.live_members()
-            if member.zone == self.own.zone
-            and not member.leaving
-            and member.health is MemberHealth.ALIVE
-            and _watch_order(member) < own
+            if member.zone == self.own.zone and _may_watch(member) and _watch_order(member) < own
         )
 
 
@@ -317,6 +339,10 @@
     return SendGreeting(targets=targets, wants_answer=True, only_news=True)
 
 
+def _may_watch(member: FleetMember) -> bool:
+    return not member.leaving and member.health is MemberHealth.ALIVE
+
+
 def _relay_order(router: FleetMember) -> tuple[bool, bool, InstanceId]:
     return router.leaving, router.health is not MemberHealth.ALIVE, router.instance_id
 
--- a/egretrouter/core/direct/_listing_turns.py
+++ b/egretrouter/core/direct/_listing_turns.py
@@ -3,7 +3,7 @@
 import math
 
 # How much longer each further zone waits for news of a listing, in periods.
-ZONE_STEP = 0.3
+ZONE_STEP = 0.6
 
 
 class ListingTurns:
--- a/egretrouter/core/direct/_members.py
+++ b/egretrouter/core/direct/_members.py
@@ -70,6 +70,10 @@
     """How long ago the weights were certainly the newest; infinite if that is not known."""
     sent_seconds: float = float("-inf")
     """When this was sent, by the boot clock of the sender's machine."""
+    listed_age_seconds: float = float("inf")
+    """How long ago any process that the sender heard of listed the store's whole state."""
+    answers_seconds: float = float("-inf")
+    """When the receiver, by its own clock, sent the greeting that this answers."""
 
 
 class Greeting(msgspec.Struct, frozen=True, kw_only=True, array_like=True):
--- a/egretrouter/core/direct/_transit_times.py
+++ b/egretrouter/core/direct/_transit_times.py
@@ -22,6 +22,8 @@
     recorded_seconds: float
     first_seconds: float
     """When the first message of the peer was recorded."""
+    least_seconds: float
+    """What the difference is at least, as round trips have shown."""
 
 
 class TransitTimes:
@@ -29,7 +31,8 @@
 
     The clocks of two machines have no common zero, but the difference between them is constant.
     A message that shows a larger difference than another one was on its way longer by that much:
-    it waited for a link, or at this process while it was frozen.
+    it waited for a link, or at this process while it was frozen. An answer was sent after its
+    question, which bounds the difference from below.
 
     Load pattern: a few messages a second from each of a few peers.
     """
@@ -38,24 +41,40 @@
         self._offsets: dict[tuple[InstanceId, int], _Offset] = {}
 
     def record(
-        self, peer: InstanceId, *, started_ms: int, sent_seconds: float, now_seconds: float
+        self,
+        peer: InstanceId,
+        *,
+        started_ms: int,
+        sent_seconds: float,
+        now_seconds: float,
+        answers_seconds: float = -math.inf,
     ) -> float:
         """Record a message, and return how long it was on its way at the most.
 
-        sent_seconds is by the sender's clock. The result is infinite if that is not known, and for
-        the first messages of a peer, which may all have waited.
+        sent_seconds is by the sender's clock, answers_seconds by the own one: when the question
+        was sent that the message answers. The result is infinite if it is not known, and without
+        a round trip for the first messages of a peer, which may all have waited.
         """
-        if math.isinf(sent_seconds):
+        if not math.isfinite(sent_seconds):
             return math.inf
         difference = now_seconds - sent_seconds
+        least = -math.inf
+        if answers_seconds <= now_seconds:
+            least = answers_seconds - sent_seconds
         known = self._offsets.pop((peer, started_ms), None)
         smallest, first = difference, now_seconds
         if known is not None:
             drift = CLOCK_DRIFT * (now_seconds - known.recorded_seconds)
             smallest, first = min(difference, known.seconds + drift), known.first_seconds
-        self._offsets[peer, started_ms] = _Offset(smallest, now_seconds, first)
+            least = max(least, known.least_seconds - drift)
+        self._offsets[peer, started_ms] = _Offset(smallest, now_seconds, first, least)
         if len(self._offsets) > KEPT_PEERS:
             del self._offsets[next(iter(self._offsets))]
         if now_seconds - first < BACKLOG_SECONDS:
-            return math.inf
-        return difference - smallest + SHORTEST_TRANSIT_SECONDS
+            return difference - least
+        return min(difference - least, difference - smallest + SHORTEST_TRANSIT_SECONDS)
+
+    def is_measured(self, peer: InstanceId, *, started_ms: int) -> bool:
+        """Return whether a round trip to a peer has been recorded."""
+        known = self._offsets.get((peer, started_ms))
+        return known is not None and math.isfinite(known.least_seconds)
--- a/egretrouter/direct/_fleet_service.py
+++ b/egretrouter/direct/_fleet_service.py
@@ -133,6 +133,25 @@
         """Send greetings immediately after this process's state or record has changed."""
         self._greet([self.fleet.announcement()])
 
+    def greet_watchers(self) -> None:
+        """Send greetings to the processes of other zones that watch the store."""
+        self._greet_shortly(self.fleet.other_watchers())
+
+    def greet_zone(self) -> None:
+        """Send greetings to all processes of this zone."""
+        self._greet_shortly(self.fleet.zone_members())
+
+    def ask(self, member: FleetMember) -> None:
+        """Send a greeting that a member answers, to learn how long its messages take."""
+        self._greet_shortly([member], wants_answer=True)
+
+    def _greet_shortly(self, members: list[FleetMember], *, wants_answer: bool = False) -> None:
+        if members:
+            greeting = SendGreeting(
+                targets=tuple(members), wants_answer=wants_answer, only_news=True
+            )
+            self._greet([greeting])
+
     def announce(self, **changes: object) -> None:
         """Change this process's record and send it immediately."""
         self.fleet.update_own(**changes)
--- a/egretrouter/direct/_name_ages.py
+++ b/egretrouter/direct/_name_ages.py
@@ -14,6 +14,8 @@
 
 # Larger integers can't be encoded in a greeting.
 LARGEST_SUM = 2**63 - 1
+# A smaller gain is not worth a round trip.
+WORTH_ASKING_SECONDS = 0.2
 
 
 class NameAges:
@@ -58,11 +60,21 @@
             started_ms=peer.started_ms,
             sent_seconds=revisions.sent_seconds,
             now_seconds=now,
+            answers_seconds=revisions.answers_seconds,
         )
         self._sum_times.record(
             revisions.weights, at_seconds=now - transit - revisions.weights_age_seconds
         )
 
+    def needs_round_trip(self, peer: FleetMember, revisions: Revisions) -> bool:
+        """Return whether a peer would prove more if it were known how long its messages take."""
+        may_prove = boot_seconds() - revisions.weights_age_seconds
+        return (
+            revisions.weights == self.versions_sum
+            and may_prove > self.newest_seconds() + WORTH_ASKING_SECONDS
+            and not self._transit_times.is_measured(peer.instance_id, started_ms=peer.started_ms)
+        )
+
     def export_names(self) -> tuple[NamedVersion, ...]:
         """Return all names with their ages, for a peer."""
         now = boot_seconds()
--- a/egretrouter/direct/_shared_state.py
+++ b/egretrouter/direct/_shared_state.py
@@ -21,6 +21,7 @@
     Endpoint,
     EndpointDirectory,
     FleetMember,
+    ListingTurns,
     Revisions,
     RouteIndex,
     RoutingTable,
@@ -42,6 +43,8 @@
 PEER_LEAD_SECONDS = 0.3
 REMOTE_WAIT_SECONDS = 1.5
 EXPIRY_TICK_SECONDS = 0.25
+# Newer proofs than this go to the whole zone.
+PROOF_STEP_SECONDS = 0.2
 # Shorter differences between the clocks come from the time between reading them.
 MIN_SUSPENSION_SECONDS = 0.05
 
@@ -71,6 +74,7 @@
         self.on_weights: list[Callable[[WeightVersion], None]] = []
         self.on_resumed: list[Callable[[], None]] = []
         """Called after the machine was suspended, as timers leave that time out."""
+        self.listing_turns = ListingTurns()
         self._settings = settings
         self._fleet = fleet
         self._store_watch = StoreWatchService(
@@ -90,6 +94,8 @@
         self._seen_revisions = dict.fromkeys(StateKind, StoreRevision())
         """The store's revision up to which all changes have been applied."""
         self._name_ages = NameAges(self.weights)
+        self._proof_sent_seconds = -math.inf
+        """Until when the names were proven complete in what this process last sent its zone."""
         self._fetching: set[StateKind] = set()
         self._waiting: set[StateKind] = set()
         """Kinds that are fetched from a peer unless they come another way before."""
@@ -104,6 +110,10 @@
         """Return whether every kind was loaded from the store or a peer."""
         return self._loaded_kinds.issuperset(self._kinds) and self.routes is not None
 
+    def names_proven_seconds(self) -> float:
+        """Return until when this process surely knows all names, by the boot clock."""
+        return self._name_ages.newest_seconds()
+
     def is_loaded(self, kind: StateKind) -> bool:
         """Return whether a kind was loaded from the store or a peer."""
         return kind in self._loaded_kinds
@@ -165,6 +175,8 @@
         self._seen_revisions[kind] = listing.revision
         self._loaded_kinds.add(kind)
         self._name_ages.record_listing(kind, listing.revision, asked_seconds=asked_seconds)
+        if kind is StateKind.WEIGHTS:
+            self._spread_proof()
         if self._revisions() != before:
             self._fleet.gossip_update()
 
@@ -290,6 +302,7 @@
             self._revisions(),
             weights_age_seconds=now - self._name_ages.newest_seconds(),
             sent_seconds=now,
+            listed_age_seconds=self.listing_turns.age_seconds(now_seconds=now),
         )
 
     def _is_behind(self, kind: StateKind, peer_revisions: Revisions) -> bool:
@@ -302,6 +315,10 @@
 
     def _handle_peer_revisions(self, peer: FleetMember, peer_revisions: Revisions) -> None:
         self._name_ages.record_greeting(peer, peer_revisions)
+        if self._name_ages.needs_round_trip(peer, peer_revisions):
+            self._fleet.ask(peer)
+        self._spread_proof()
+        self.listing_turns.record(listed_seconds=boot_seconds() - peer_revisions.listed_age_seconds)
         for kind in self._kinds:
             if not self._is_behind(kind, peer_revisions):
                 continue
@@ -317,6 +334,14 @@
             self._fetch_tasks.add(task)
             task.add_done_callback(self._fetch_tasks.discard)
 
+    def _spread_proof(self) -> None:
+        """Pass on to the zone's processes until when no newer version had been named."""
+        proven = self._name_ages.newest_seconds()
+        if proven - self._proof_sent_seconds < PROOF_STEP_SECONDS or self._store_watch.rank() > 0:
+            return
+        self._proof_sent_seconds = proven
+        self._fleet.greet_zone()
+
     def _peer_wait_seconds(self, kind: StateKind, peer: FleetMember) -> float:
         """Return how long a change may come another way before it is fetched from a peer."""
         if kind not in self._loaded_kinds:
--- a/egretrouter/direct/_store_watch.py
+++ b/egretrouter/direct/_store_watch.py
@@ -14,7 +14,7 @@
     StateListing,
     StateStore,
 )
-from egretrouter.core.direct import StoreRevision
+from egretrouter.core.direct import ZONE_STEP, FleetRole, ListingTurns, StoreRevision
 from egretrouter.core.errors import BackendError, BackendUnavailableError
 from egretrouter.direct._boot_clock import boot_seconds
 from egretrouter.direct._fleet_service import FleetService
@@ -33,6 +33,9 @@
 FIRST_LISTING_RANK_SECONDS = 0.1
 FIRST_LISTING_STEP_SECONDS = 0.05
 POLL_SECONDS = 1.0
+POLL_STEP_SECONDS = 0.1
+NAMES_SECONDS = 0.3
+NAMES_STEP_SECONDS = 0.1
 # Where a listing takes long because the link is narrow, listings may use this share of it.
 POLL_LINK_SHARE = 0.1
 POLL_LIMIT_SECONDS = 3.0
@@ -41,6 +44,11 @@
 class StateSink(Protocol):
     """Define the state to which content of the store is applied."""
 
+    listing_turns: ListingTurns
+
+    def names_proven_seconds(self) -> float:
+        """Return until when all names of versions are surely known, by the boot clock."""
+
     def is_loaded(self, kind: StateKind) -> bool:
         """Return whether a kind was loaded from the store or a peer."""
 
@@ -93,7 +101,9 @@
         """Start to watch and poll each kind."""
         for kind in self._kinds:
             self.add_future(self._watch(kind))
-            self.add_future(self._poll(kind))
+        self.add_future(self._poll())
+        if StateKind.WEIGHTS in self._kinds:
+            self.add_future(self._poll_names())
         self.add_future(self._try_lost_store())
 
     def is_watcher(self, kind: StateKind) -> bool:
@@ -185,25 +195,29 @@
             await self.sleep(FIRST_LISTING_STEP_SECONDS)
             left_seconds -= FIRST_LISTING_STEP_SECONDS
 
-    async def _poll(self, kind: StateKind) -> None:
-        """List a kind periodically in one process of each zone.
+    async def _poll(self) -> None:
+        """List all kinds but names periodically in one process of the fleet.
 
-        A watch can miss changes without an error, and ends only long after them. A zone with a
-        narrow link to the store lists less often; it learns of missed changes from the others.
+        A watch can miss changes without an error, and ends only long after them. A process with a
+        narrow link to the store lists less often.
         """
         period = POLL_SECONDS
         outage = False
         while not self.should_stop:
-            await self.sleep(period * (0.9 + 0.2 * self._rng.random()))
-            if self.rank() > 0 or not self._sink.is_loaded(kind):
+            await self.sleep(max(POLL_STEP_SECONDS, self._seconds_until_due(period)))
+            is_loaded = all(self._sink.is_loaded(kind) for kind in self._kinds)
+            if self.rank() > 0 or not is_loaded or self._seconds_until_due(period) > 0:
                 continue
+            asked = boot_seconds()
             started = time.monotonic()
             try:
-                await self._list(kind, after_outage=outage)
+                # Names are listed more often, by _poll_names.
+                for kind in (k for k in self._kinds if k is not StateKind.WEIGHTS):
+                    await self._list(kind, after_outage=outage)
             except BackendError as error:
                 outage = True
                 self._record_failure()
-                log_event("store:poll_failed", kind=kind.value, error=str(error))
+                log_event("store:poll_failed", error=str(error))
                 await self.sleep(RETRY_LIMIT_SECONDS * self._rng.random())
             else:
                 outage = False
@@ -211,6 +225,41 @@
                 period = max(
                     POLL_SECONDS, min(POLL_LIMIT_SECONDS, listing_seconds / POLL_LINK_SHARE)
                 )
+                # An agent lists only a part of the state.
+                is_whole = self._fleet.fleet.own.role is FleetRole.ROUTER
+                self._sink.listing_turns.record_own(listed_seconds=asked, is_whole=is_whole)
+                self._fleet.greet_watchers()
+
+    async def _poll_names(self) -> None:
+        """List the names of versions often in one process of the fleet.
+
+        Until which time no newer version had been named decides how long an older one may be used.
+        """
+        while not self.should_stop:
+            await self.sleep(NAMES_STEP_SECONDS)
+            if not self._sink.is_loaded(StateKind.WEIGHTS) or self._store_lost or self.rank() > 0:
+                continue
+            period = NAMES_SECONDS * (1 + ZONE_STEP * self._fleet.fleet.zone_rank())
+            if boot_seconds() - self._sink.names_proven_seconds() < period:
+                continue
+            try:
+                await self._list(StateKind.WEIGHTS, after_outage=False)
+            except BackendError as error:
+                log_event("store:poll_failed", kind=StateKind.WEIGHTS.value, error=str(error))
+                await self.sleep(RETRY_LIMIT_SECONDS * (0.5 + self._rng.random()))
+            else:
+                self._fleet.greet_watchers()
+
+    @property
+    def _store_lost(self) -> bool:
+        return self._fleet.fleet.own.store_lost
+
+    def _seconds_until_due(self, period_seconds: float) -> float:
+        return self._sink.listing_turns.wait_seconds(
+            zone_rank=self._fleet.fleet.zone_rank(),
+            period_seconds=period_seconds * (0.9 + 0.2 * self._rng.random()),
+            now_seconds=boot_seconds(),
+        )
 
     async def _list(self, kind: StateKind, *, after_outage: bool) -> StoreRevision:
         asked = boot_seconds()
--- a/tests/shared_state_world.py
+++ b/tests/shared_state_world.py
@@ -4,6 +4,7 @@
 import functools
 import random
 import time
+from collections import Counter
 from types import SimpleNamespace
 from typing import Any
 
@@ -80,6 +81,10 @@
         self.tables: list[tuple[int, RoutingTable]] = []
         self.names: list[tuple[int, WeightVersion]] = []
         self.served_bytes = 0
+        self.listings: Counter[str] = Counter()
+        """Listings by the address of the process that made them."""
+        self.silent_watches: set[str] = set()
+        """Addresses of processes whose watches deliver nothing."""
         self.unreachable: set[str] = set()
         """Addresses of processes that the store does not answer."""
         self._sizes: dict[int, int] = {}
@@ -139,6 +144,7 @@
         self._members = members
 
     async def list_state(self, kind: StateKind) -> StateListing:
+        self._store.listings[self._address] += 1
         newest = self._store.changes(kind)[-1:]
         revision = self._store.revision
         await self._call(newest, self.CALL_TIMEOUT_SECONDS)
@@ -152,6 +158,9 @@
         self, kind: StateKind, *, after_revision: StoreRevision, wait_seconds: float
     ) -> StateChanges:
         after = after_revision.revision
+        if self._address in self._store.silent_watches:
+            await asyncio.sleep(wait_seconds)
+            return StateChanges(events=(), revision=after_revision)
         await self._store.wait_for_change(kind, after, wait_seconds)
         found = [(r, item) for r, item in self._store.changes(kind) if r > after]
         revision = self._store.revision
--- a/tests/test_shared_state_spread.py
+++ b/tests/test_shared_state_spread.py
@@ -1,6 +1,7 @@
 """Test how fast the shared state reaches every process of a fleet, in virtual time."""
 
 import asyncio
+from collections import Counter
 from collections.abc import Awaitable, Callable
 
 import pytest
@@ -131,3 +132,55 @@
 
         zones = 3
         assert run_virtual(main) <= zones
+
+
+class TestListingTurns:
+    """Guard against listings whose number grows with zones, and against none at all."""
+
+    MEASURE_SECONDS = 10.0
+
+    def test_one_zone_lists_for_all(self, large_fleet: StartFleet) -> None:
+        async def main(loop: VirtualLoop) -> Counter[str]:
+            world = await large_fleet(loop)
+            before = world.store.listings.copy()
+            await asyncio.sleep(self.MEASURE_SECONDS)
+            return world.store.listings - before
+
+        listings = run_virtual(main)
+        assert self.MEASURE_SECONDS / 2 <= listings.total() <= 1.2 * self.MEASURE_SECONDS
+
+    def test_others_list_while_the_store_does_not_answer_the_first_zone(
+        self, large_fleet: StartFleet
+    ) -> None:
+        async def main(loop: VirtualLoop) -> Counter[str]:
+            world = await large_fleet(loop)
+            world.store.unreachable.update(world.routers[:ROUTERS])
+            await asyncio.sleep(TAKEOVER_SECONDS)
+            before = world.store.listings.copy()
+            await asyncio.sleep(self.MEASURE_SECONDS)
+            return world.store.listings - before
+
+        listings = run_virtual(main)
+        answered = sum(count for address, count in listings.items() if address[:5] != "10.0.")
+        assert answered >= self.MEASURE_SECONDS / 2
+
+    @pytest.mark.parametrize("zone", [0, 1, 2])
+    def test_change_that_a_watch_misses_is_found(self, large_fleet: StartFleet, zone: int) -> None:
+        async def main(loop: VirtualLoop) -> float:
+            world = await large_fleet(loop)
+            world.store.silent_watches.update(world.routers[zone * ROUTERS : (zone + 1) * ROUTERS])
+            await asyncio.sleep(TAKEOVER_SECONDS * 3)
+            published = await publish_series(world, loop, count=2, gap_seconds=5.0, routes=240)
+            return longest_delay_seconds(world, published)
+
+        assert run_virtual(main) <= CONFIGURATION_SECONDS
+
+    def test_all_watches_miss_a_change(self, large_fleet: StartFleet) -> None:
+        async def main(loop: VirtualLoop) -> float:
+            world = await large_fleet(loop)
+            world.store.silent_watches.update(world.routers)
+            await asyncio.sleep(TAKEOVER_SECONDS * 3)
+            published = await publish_series(world, loop, count=2, gap_seconds=5.0, routes=240)
+            return longest_delay_seconds(world, published)
+
+        assert run_virtual(main) <= CONFIGURATION_SECONDS
--- a/tests/test_transit_times.py
+++ b/tests/test_transit_times.py
@@ -61,3 +61,45 @@
 
     def test_message_without_its_time_proves_nothing(self) -> None:
         assert Messages().deliver(sent_seconds=-math.inf, transit_seconds=0.1) == math.inf
+
+
+class TestRoundTrips:
+    """Guard against answers that prove more or less than that they followed their question."""
+
+    @staticmethod
+    def record(
+        times: TransitTimes, *, sent: float, received: float, asked: float = -math.inf
+    ) -> float:
+        return times.record(
+            PEER,
+            started_ms=1,
+            sent_seconds=sent + 1000,
+            now_seconds=received,
+            answers_seconds=asked,
+        )
+
+    def test_answer_was_on_its_way_no_longer_than_its_question_is_old(self) -> None:
+        transit = self.record(TransitTimes(), asked=1.0, sent=1.01, received=1.02)
+        assert 0.01 <= transit <= 0.03
+
+    def test_later_message_is_dated_by_the_round_trip(self) -> None:
+        times = TransitTimes()
+        self.record(times, asked=1.0, sent=1.01, received=1.02)
+        assert 0.4 <= self.record(times, sent=2.0, received=2.4) <= 0.42
+
+    def test_slow_answer_proves_little_and_a_fast_one_more(self) -> None:
+        times = TransitTimes()
+        assert self.record(times, asked=1.0, sent=3.9, received=4.0) >= 0.1
+        self.record(times, asked=5.0, sent=5.01, received=5.02)
+        assert self.record(times, sent=6.0, received=6.01) <= 0.05
+
+    def test_answer_to_a_question_of_the_future_proves_nothing(self) -> None:
+        assert self.record(TransitTimes(), asked=9.0, sent=1.0, received=1.1) == math.inf
+
+    def test_peer_is_measured_once_it_has_answered(self) -> None:
+        times = TransitTimes()
+        self.record(times, sent=1.0, received=1.1)
+        assert not times.is_measured(PEER, started_ms=1)
+        self.record(times, asked=1.0, sent=1.1, received=1.2)
+        assert times.is_measured(PEER, started_ms=1)
+        assert not times.is_measured(PEER, started_ms=2)
--- a/tests/test_version_spread.py
+++ b/tests/test_version_spread.py
@@ -94,6 +94,39 @@
         assert named - LARGEST_DOUBT_SECONDS <= counted <= named
 
 
+class TestCalm:
+    """Guard against older versions that end early because nobody knows when the newer was named."""
+
+    # An older version serves for at least 7.5 of its 8 s.
+    LARGEST_CALM_DOUBT_SECONDS = 0.5
+
+    def test_every_process_knows_when_a_version_was_named(self, fleet: StartFleet) -> None:
+        async def main(loop: VirtualLoop) -> list[tuple[float, list[float]]]:
+            world = await fleet(loop)
+            counted = []
+            for version in range(2, 8):
+                named = loop.time()
+                world.store.name_version(version)
+                await asyncio.sleep(1.37)
+                target = WeightVersion(model=MODEL, version=version)
+                times = [state.weights.named_seconds(target) for state in world.states.values()]
+                counted.append((named, times))
+            return counted
+
+        for named, times in run_virtual(main):
+            assert max(times) <= named
+            assert min(times) >= named - self.LARGEST_CALM_DOUBT_SECONDS
+
+    def test_names_are_listed_a_few_times_a_second_in_all(self, fleet: StartFleet) -> None:
+        async def main(loop: VirtualLoop) -> int:
+            world = await fleet(loop)
+            before = world.store.listings.total()
+            await asyncio.sleep(10.0)
+            return world.store.listings.total() - before
+
+        assert run_virtual(main) <= 40
+
+
 class TestDelayedGreetings:
     """Guard against greetings that prove less than they say because they were long on their way."""
 
