Let a watcher answer to a series of changes together

Cause: a watch ends with the first change, and the next one was asked for at once.

After a change of the configuration or the endpoints a watcher waits 0.2 s before it asks again; what came meanwhile is answered together.

The new test failed before (90 watches for 30 changes in three zones).

--- a/egretrouter/direct/_store_watch.py
+++ b/egretrouter/direct/_store_watch.py
@@ -25,6 +25,7 @@
 WATCH_LIMIT_SECONDS = 25.0
 RETRY_FIRST_SECONDS = 0.1
 RETRY_LIMIT_SECONDS = 1.6
+SERIES_SECONDS = 0.2
 LOST_FAILURES = 2
 WATCHERS_PER_ZONE = 1
 RANK_SECONDS = 0.3
@@ -155,6 +156,9 @@
                 failures = 0
                 self._sink.apply_changes(kind, changes)
                 revision = changes.revision
+                if changes.events and kind is not StateKind.WEIGHTS:
+                    # The next changes of a series are answered together.
+                    await self.sleep(SERIES_SECONDS)
                 if _is_behind(changes):
                     log_event("store:watch_behind", kind=kind.value, events=len(changes.events))
                     revision = None
--- a/tests/shared_state_world.py
+++ b/tests/shared_state_world.py
@@ -83,6 +83,7 @@
         self.served_bytes = 0
         self.listings: Counter[str] = Counter()
         """Listings by the address of the process that made them."""
+        self.watches = 0
         self.silent_watches: set[str] = set()
         """Addresses of processes whose watches deliver nothing."""
         self.unreachable: set[str] = set()
@@ -157,6 +158,7 @@
     async def watch_state(
         self, kind: StateKind, *, after_revision: StoreRevision, wait_seconds: float
     ) -> StateChanges:
+        self._store.watches += 1
         after = after_revision.revision
         if self._address in self._store.silent_watches:
             await asyncio.sleep(wait_seconds)
--- a/tests/test_shared_state_spread.py
+++ b/tests/test_shared_state_spread.py
@@ -134,6 +134,24 @@
         assert run_virtual(main) <= zones
 
 
+class TestSeriesOfChanges:
+    """Guard against a call of each watcher for each change of a series."""
+
+    def test_changes_of_a_series_are_answered_together(self, large_fleet: StartFleet) -> None:
+        async def main(loop: VirtualLoop) -> tuple[int, float]:
+            world = await large_fleet(loop)
+            before = world.store.watches
+            published = await publish_series(world, loop, count=30, gap_seconds=0.08, routes=240)
+            watches = world.store.watches - before
+            await asyncio.sleep(4.0)
+            return watches, longest_delay_seconds(world, published)
+
+        zones = 3
+        watches, delay_seconds = run_virtual(main)
+        assert watches <= 30 * zones / 2
+        assert delay_seconds <= CONFIGURATION_SECONDS
+
+
 class TestListingTurns:
     """Guard against listings whose number grows with zones, and against none at all."""
 
