Reject greetings whose ages lie in the future

Found by review. A greeting with a negative age proves that no version was named, or that the state was listed, at a time that is still to come: one such datagram would let a process use older versions beyond their time, or keep all zones from listing the store for good.

Ages must be zero or more; infinite means unknown. The new test failed before.

--- a/egretrouter/core/direct/__init__.py
+++ b/egretrouter/core/direct/__init__.py
@@ -10,6 +10,7 @@
     check_member,
     check_named_version,
     check_part_news,
+    check_revisions,
     check_weight_version,
 )
 from egretrouter.core.direct._directory import EndpointDirectory
@@ -145,5 +146,6 @@
     "check_member",
     "check_named_version",
     "check_part_news",
+    "check_revisions",
     "check_weight_version",
 ]
--- a/egretrouter/core/direct/_checks.py
+++ b/egretrouter/core/direct/_checks.py
@@ -9,7 +9,7 @@
 from egretrouter.core.addresses import check_address, check_host
 from egretrouter.core.direct._endpoint_limits import LimitNews
 from egretrouter.core.direct._leaving import LeavingNews
-from egretrouter.core.direct._members import FleetMember
+from egretrouter.core.direct._members import FleetMember, Revisions
 from egretrouter.core.direct._placement import LoadReport
 from egretrouter.core.direct._quarantine import PartNews
 from egretrouter.core.direct._records import Endpoint, NamedVersion, WeightVersion
@@ -54,6 +54,19 @@
     return member
 
 
+def check_revisions(revisions: Revisions) -> Revisions:
+    """Return revisions whose ages are possible; infinite means unknown.
+
+    An age below zero would prove the state of a time that is still to come. Raises
+    RecordMalformedError.
+    """
+    for name in ("weights_age_seconds", "listed_age_seconds"):
+        age: float = getattr(revisions, name)
+        if not age >= 0:
+            raise RecordMalformedError(f"{name} is {age}, expected 0 or more")
+    return revisions
+
+
 def check_endpoint(endpoint: Endpoint) -> Endpoint:
     """Return a registration that names an engine to use.
 
--- a/egretrouter/direct/_notes.py
+++ b/egretrouter/direct/_notes.py
@@ -19,6 +19,7 @@
     check_load,
     check_member,
     check_part_news,
+    check_revisions,
 )
 from egretrouter.core.errors import ValidationError
 from egretrouter.direct._logs import log_event
@@ -99,6 +100,7 @@
 @_check.register
 def _check_greeting_note(note: GreetingNote) -> Note:
     check_member(note.greeting.sender)
+    check_revisions(note.greeting.revisions)
     others = tuple(_keep_valid(note.greeting.others, check_member))
     return GreetingNote(greeting=msgspec.structs.replace(note.greeting, others=others))
 
--- a/tests/test_odd_notes.py
+++ b/tests/test_odd_notes.py
@@ -36,6 +36,7 @@
     LoadNote,
     NewsNote,
     Note,
+    NoteMalformedError,
     decode_note,
     encode_note,
 )
@@ -228,6 +229,17 @@
         assert not receiver.knows(odd.instance_id)
 
 
+class TestOddAges:
+    """Guard against greetings that prove the state of a time that is still to come."""
+
+    @pytest.mark.parametrize("field", ["weights_age_seconds", "listed_age_seconds"])
+    @pytest.mark.parametrize("age", [-1.0, -1e9, float("-inf"), float("nan")])
+    def test_greeting_with_an_impossible_age_is_rejected(self, field: str, age: float) -> None:
+        odd = Greeting(sender=member("x"), revisions=Revisions(**{field: age}))
+        with pytest.raises(NoteMalformedError, match=field):
+            decode_note(encode_note(GreetingNote(greeting=odd)))
+
+
 class TestEncoding:
     """Guard against checks that reject what processes send."""
 
