Fetch chunks of the origin before parts from peers

Cause: a chunk of the origin took its turn with the parts that peers send, for tokens that up to four chunks of peers had reserved before, and for a place among the parts in flight that is given to whoever asks at the right moment. One agent's chunk was begun 1.1 s after the name and had not come 1.4 s later, while its parts from peers went on.

--- a/egretrouter/daemons/_weight_transfers.py
+++ b/egretrouter/daemons/_weight_transfers.py
@@ -4,7 +4,7 @@
 import contextlib
 import random
 import time
-from collections.abc import AsyncIterator, Callable, Iterable
+from collections.abc import AsyncIterator, Callable, Iterable, Iterator
 
 import grpc
 import msgspec
@@ -128,12 +128,13 @@
                 on_progress()
 
         reason: FailureReason = Unavailable()
-        await self._wait_to_receive(length)
+        # The origin may be gone soon, so parts from peers wait for its chunks and not the reverse.
+        self._reserve_download(length)
         for backend in (self._weight_store, self._origin):
             if backend is None:
                 continue
             try:
-                async with self._reserve_link(length=length):
+                with self._record_transfer(length=length):
                     content = await backend.chunk(
                         version.model,
                         version.version,
@@ -197,12 +198,19 @@
     @contextlib.asynccontextmanager
     async def _reserve_link(self, *, length: int) -> AsyncIterator[None]:
         """Wait until the window has capacity, and record how long a part of the transfer takes."""
+        if self._link is not None:
+            while not self._link.window.has_capacity:  # noqa: ASYNC110
+                await asyncio.sleep(WINDOW_POLL_SECONDS)
+        with self._record_transfer(length=length):
+            yield
+
+    @contextlib.contextmanager
+    def _record_transfer(self, *, length: int) -> Iterator[None]:
+        """Take a place in the window, and record how long a part of the transfer takes."""
         if self._link is None:
             yield
             return
         window = self._link.window
-        while not window.has_capacity:  # noqa: ASYNC110
-            await asyncio.sleep(WINDOW_POLL_SECONDS)
         window.record_start()
         start_seconds = time.monotonic()
         try:
@@ -212,6 +220,13 @@
             parts = max(1.0, length / self._link.part_bytes)
             window.record_end(seconds=(now - start_seconds) / parts, now_seconds=now)
 
+    def _reserve_download(self, length: int) -> None:
+        """Count a transfer against the link's rate without waiting for it."""
+        if self._link is not None:
+            self._link.downloads.reserve(
+                length, now_seconds=time.monotonic(), max_delay_seconds=RATE_DELAY_LIMIT_SECONDS
+            )
+
     async def _wait_to_receive(self, length: int) -> None:
         if self._link is not None:
             await _wait_for_tokens(self._link.downloads, length)
