Measure a peer again before the clocks have drifted apart

Found by review: a round trip dates the later messages of a peer, less what two clocks may drift apart since. A peer counted as measured for good, so in a process that runs for hours the proofs from another zone would again be taken for half a second older than they are.

A round trip counts for a minute; after that the peer is asked again where that proves more. The test failed before, as such a peer stayed measured.

--- a/egretrouter/core/direct/_transit_times.py
+++ b/egretrouter/core/direct/_transit_times.py
@@ -13,6 +13,8 @@
 # Seconds that the clocks of two machines may drift apart in each second.
 CLOCK_DRIFT = 2e-4
 KEPT_PEERS = 4096
+# The clocks may have drifted apart by some 0.01 s after this time.
+ROUND_TRIP_VALID_SECONDS = 60.0
 
 
 class _Offset(msgspec.Struct, frozen=True):
@@ -24,6 +26,8 @@
     """When the first message of the peer was recorded."""
     least_seconds: float
     """What the difference is at least, as round trips have shown."""
+    measured_seconds: float
+    """When the last round trip was recorded."""
 
 
 class TransitTimes:
@@ -58,23 +62,24 @@
         if not math.isfinite(sent_seconds):
             return math.inf
         difference = now_seconds - sent_seconds
-        least = -math.inf
-        if answers_seconds <= now_seconds:
-            least = answers_seconds - sent_seconds
+        least = measured = -math.inf
+        if -math.inf < answers_seconds <= now_seconds:
+            least, measured = answers_seconds - sent_seconds, now_seconds
         known = self._offsets.pop((peer, started_ms), None)
         smallest, first = difference, now_seconds
         if known is not None:
             drift = CLOCK_DRIFT * (now_seconds - known.recorded_seconds)
             smallest, first = min(difference, known.seconds + drift), known.first_seconds
             least = max(least, known.least_seconds - drift)
-        self._offsets[peer, started_ms] = _Offset(smallest, now_seconds, first, least)
+            measured = max(measured, known.measured_seconds)
+        self._offsets[peer, started_ms] = _Offset(smallest, now_seconds, first, least, measured)
         if len(self._offsets) > KEPT_PEERS:
             del self._offsets[next(iter(self._offsets))]
         if now_seconds - first < BACKLOG_SECONDS:
             return difference - least
         return min(difference - least, difference - smallest + SHORTEST_TRANSIT_SECONDS)
 
-    def is_measured(self, peer: InstanceId, *, started_ms: int) -> bool:
-        """Return whether a round trip to a peer has been recorded."""
+    def is_measured(self, peer: InstanceId, *, started_ms: int, now_seconds: float) -> bool:
+        """Return whether a round trip to a peer has been recorded lately."""
         known = self._offsets.get((peer, started_ms))
-        return known is not None and math.isfinite(known.least_seconds)
+        return known is not None and now_seconds - known.measured_seconds < ROUND_TRIP_VALID_SECONDS
--- a/egretrouter/direct/_name_ages.py
+++ b/egretrouter/direct/_name_ages.py
@@ -68,11 +68,14 @@
 
     def needs_round_trip(self, peer: FleetMember, revisions: Revisions) -> bool:
         """Return whether a peer would prove more if it were known how long its messages take."""
-        may_prove = boot_seconds() - revisions.weights_age_seconds
+        now = boot_seconds()
+        may_prove = now - revisions.weights_age_seconds
         return (
             revisions.weights == self.versions_sum
             and may_prove > self.newest_seconds() + WORTH_ASKING_SECONDS
-            and not self._transit_times.is_measured(peer.instance_id, started_ms=peer.started_ms)
+            and not self._transit_times.is_measured(
+                peer.instance_id, started_ms=peer.started_ms, now_seconds=now
+            )
         )
 
     def export_names(self) -> tuple[NamedVersion, ...]:
--- a/tests/test_transit_times.py
+++ b/tests/test_transit_times.py
@@ -96,10 +96,12 @@
     def test_answer_to_a_question_of_the_future_proves_nothing(self) -> None:
         assert self.record(TransitTimes(), asked=9.0, sent=1.0, received=1.1) == math.inf
 
-    def test_peer_is_measured_once_it_has_answered(self) -> None:
+    def test_peer_is_measured_again_before_the_clocks_drift_apart(self) -> None:
         times = TransitTimes()
         self.record(times, sent=1.0, received=1.1)
-        assert not times.is_measured(PEER, started_ms=1)
+        assert not times.is_measured(PEER, started_ms=1, now_seconds=1.1)
         self.record(times, asked=1.0, sent=1.1, received=1.2)
-        assert times.is_measured(PEER, started_ms=1)
-        assert not times.is_measured(PEER, started_ms=2)
+        assert times.is_measured(PEER, started_ms=1, now_seconds=30.0)
+        assert not times.is_measured(PEER, started_ms=2, now_seconds=30.0)
+        self.record(times, sent=400.0, received=400.1)
+        assert not times.is_measured(PEER, started_ms=1, now_seconds=400.1)
