Pass proofs on only once there is one

Before a process knew any name of a version, minus infinity less itself is no number, and the comparison let each greeting that a watcher received make it greet its whole zone. That lasted until the names were first listed, at each start of a zone, and slowed the tests of fleets without versions.

Found while the suite was slow. The new test failed before.

--- a/egretrouter/direct/_shared_state.py
+++ b/egretrouter/direct/_shared_state.py
@@ -337,7 +337,7 @@
     def _spread_proof(self) -> None:
         """Pass on to the zone's processes until when no newer version had been named."""
         proven = self._name_ages.newest_seconds()
-        if proven - self._proof_seconds < PROOF_STEP_SECONDS:
+        if not math.isfinite(proven) or proven - self._proof_seconds < PROOF_STEP_SECONDS:
             return
         self._proof_seconds = proven
         if self._store_watch.rank() == 0:
--- a/tests/test_shared_state_spread.py
+++ b/tests/test_shared_state_spread.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from egretrouter.direct._fleet_service import FleetService
 from tests.shared_state_world import SharedStateWorld, build_table
 from tests.virtual_network import VirtualLoop, run_virtual
 
@@ -217,3 +218,15 @@
             return longest_delay_seconds(world, published)
 
         assert run_virtual(main) <= CONFIGURATION_SECONDS
+
+    def test_nothing_is_passed_on_while_no_names_are_known(
+        self, small_fleet: StartFleet, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        passed_on: list[FleetService] = []
+        monkeypatch.setattr(FleetService, "greet_zone", lambda fleet: passed_on.append(fleet))
+
+        async def main(loop: VirtualLoop) -> None:
+            await small_fleet(loop)
+
+        run_virtual(main)
+        assert passed_on == []
