Ask a peer that echoes nothing a few times a second at most

Found by review. A peer of a former release answers without the time of the question, so each of its answers led to another question: while a fleet is replaced, two processes exchange greetings as fast as they can.

A process asks at most five times a second, whomever. The new test failed before.

--- a/egretrouter/direct/_name_ages.py
+++ b/egretrouter/direct/_name_ages.py
@@ -1,5 +1,7 @@
 """Tell when versions of weights were named at the earliest."""
 
+import math
+
 from egretrouter.backends import StateKind
 from egretrouter.core.direct import (
     FleetMember,
@@ -16,6 +18,8 @@
 LARGEST_SUM = 2**63 - 1
 # A smaller gain is not worth a round trip.
 WORTH_ASKING_SECONDS = 0.2
+# A peer of a former release answers without the time of the question, so it may be asked again.
+REQUEST_SECONDS = 0.2
 
 
 class NameAges:
@@ -26,6 +30,7 @@
         self._sum_times: NameTimes[int] = NameTimes()
         self._revision_times: NameTimes[StoreRevision] = NameTimes()
         self._transit_times = TransitTimes()
+        self._next_request_seconds = -math.inf
 
     @property
     def versions_sum(self) -> int:
@@ -67,16 +72,21 @@
         )
 
     def needs_round_trip(self, peer: FleetMember, revisions: Revisions) -> bool:
-        """Return whether a peer would prove more if it were known how long its messages take."""
+        """Return whether to ask a peer, which would prove more once a round trip was measured."""
         now = boot_seconds()
+        if now < self._next_request_seconds:
+            return False
         may_prove = now - revisions.weights_age_seconds
-        return (
+        needs = (
             revisions.weights == self.versions_sum
             and may_prove > self.newest_seconds() + WORTH_ASKING_SECONDS
             and not self._transit_times.is_measured(
                 peer.instance_id, started_ms=peer.started_ms, now_seconds=now
             )
         )
+        if needs:
+            self._next_request_seconds = now + REQUEST_SECONDS
+        return needs
 
     def export_names(self) -> tuple[NamedVersion, ...]:
         """Return all names with their ages, for a peer."""
--- a/tests/test_version_spread.py
+++ b/tests/test_version_spread.py
@@ -3,10 +3,19 @@
 import asyncio
 from collections.abc import Awaitable, Callable
 
+import msgspec
 import pytest
 
 from egretrouter.backends import StateKind
-from egretrouter.core.direct import WeightVersion
+from egretrouter.core.direct import (
+    Fleet,
+    FleetMember,
+    Greeting,
+    Revisions,
+    SendGreeting,
+    WeightVersion,
+)
+from egretrouter.direct._fleet_service import FleetService
 from tests.shared_state_world import MODEL, SharedStateWorld
 from tests.virtual_network import VirtualLoop, run_virtual
 
@@ -147,3 +156,35 @@
 
         named, counted = run_virtual(main)
         assert counted <= named
+
+
+class TestFormerRelease:
+    """Guard against answers without an echo that each lead to another question."""
+
+    def test_peer_that_echoes_nothing_is_asked_a_few_times_a_second(
+        self, fleet: StartFleet, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        requests: list[FleetMember] = []
+        request_greeting = FleetService.request_greeting
+
+        def count(service: FleetService, member: FleetMember) -> None:
+            requests.append(member)
+            request_greeting(service, member)
+
+        monkeypatch.setattr(FleetService, "request_greeting", count)
+        build_greeting = Fleet.build_greeting
+
+        def build_without_echo(own: Fleet, command: SendGreeting, revisions: Revisions) -> Greeting:
+            silent = msgspec.structs.replace(command, answers_seconds=float("-inf"))
+            return build_greeting(own, silent, revisions)
+
+        monkeypatch.setattr(Fleet, "build_greeting", build_without_echo)
+
+        async def main(loop: VirtualLoop) -> int:
+            await fleet(loop)
+            requests.clear()
+            await asyncio.sleep(5.0)
+            return len(requests)
+
+        processes, seconds = 12, 5
+        assert run_virtual(main) <= 6 * processes * seconds
