List each kind though another one can't be listed

Found by review. Since one loop lists all kinds, a configuration whose listing fails or can't be read kept the endpoints from being listed in any zone, so what a watch had missed of them was found only when it ended.

Each kind has its own outcome, as before; the listing counts as whole only if all succeed. The new test failed before.

--- a/egretrouter/direct/_store_watch.py
+++ b/egretrouter/direct/_store_watch.py
@@ -206,7 +206,9 @@
         narrow link to the store lists less often.
         """
         period = POLL_SECONDS
-        outage = False
+        # Names are listed more often, by _poll_names.
+        kinds = [kind for kind in self._kinds if kind is not StateKind.WEIGHTS]
+        failed: set[StateKind] = set()
         while not self.should_stop:
             await self.sleep(max(POLL_STEP_SECONDS, self._seconds_until_due(period)))
             is_loaded = all(self._sink.is_loaded(kind) for kind in self._kinds)
@@ -214,25 +216,26 @@
                 continue
             asked = boot_seconds()
             started = time.monotonic()
-            try:
-                # Names are listed more often, by _poll_names.
-                for kind in (k for k in self._kinds if k is not StateKind.WEIGHTS):
-                    await self._list(kind, after_outage=outage)
-            except BackendError as error:
-                outage = True
-                self._record_failure()
-                log_event("store:poll_failed", error=str(error))
+            failed = {kind for kind in kinds if not await self._poll_kind(kind, failed)}
+            if failed:
                 await self.sleep(RETRY_LIMIT_SECONDS * self._rng.random())
-            else:
-                outage = False
-                listing_seconds = time.monotonic() - started
-                period = max(
-                    POLL_SECONDS, min(POLL_LIMIT_SECONDS, listing_seconds / POLL_LINK_SHARE)
-                )
-                # An agent lists only a part of the state.
-                is_whole = self._fleet.fleet.own.role is FleetRole.ROUTER
-                self._sink.listing_turns.record_own(listed_seconds=asked, is_whole=is_whole)
-                self._fleet.greet_watchers()
+                continue
+            listing_seconds = time.monotonic() - started
+            period = max(POLL_SECONDS, min(POLL_LIMIT_SECONDS, listing_seconds / POLL_LINK_SHARE))
+            # An agent lists only a part of the state.
+            is_whole = self._fleet.fleet.own.role is FleetRole.ROUTER
+            self._sink.listing_turns.record_own(listed_seconds=asked, is_whole=is_whole)
+            self._fleet.greet_watchers()
+
+    async def _poll_kind(self, kind: StateKind, failed: set[StateKind]) -> bool:
+        """List a kind, whose last listing may have failed, and return whether that succeeded."""
+        try:
+            await self._list(kind, after_outage=kind in failed)
+        except BackendError as error:
+            self._record_failure()
+            log_event("store:poll_failed", kind=kind.value, error=str(error))
+            return False
+        return True
 
     async def _poll_names(self) -> None:
         """List the names of versions often in one process of the fleet.
--- a/tests/shared_state_world.py
+++ b/tests/shared_state_world.py
@@ -23,7 +23,7 @@
     Target,
     WeightVersion,
 )
-from egretrouter.core.errors import BackendUnavailableError
+from egretrouter.core.errors import BackendUnavailableError, MalformedAnswerError
 from egretrouter.core.identifiers import InstanceId, ModelName, RegionId, ServiceName, ZoneId
 from egretrouter.direct import _fleet_service, _shared_state, _store_watch
 from egretrouter.direct._fleet_service import FleetService
@@ -84,6 +84,8 @@
         self.listings: Counter[str] = Counter()
         """Listings by the address of the process that made them."""
         self.watches = 0
+        self.malformed_kinds: set[StateKind] = set()
+        """Kinds whose listings can't be read."""
         self.silent_watches: set[str] = set()
         """Addresses of processes whose watches deliver nothing."""
         self.unreachable: set[str] = set()
@@ -146,6 +148,8 @@
 
     async def list_state(self, kind: StateKind) -> StateListing:
         self._store.listings[self._address] += 1
+        if kind in self._store.malformed_kinds:
+            raise MalformedAnswerError("the listing can't be read")
         newest = self._store.changes(kind)[-1:]
         revision = self._store.revision
         await self._call(newest, self.CALL_TIMEOUT_SECONDS)
--- a/tests/test_shared_state_spread.py
+++ b/tests/test_shared_state_spread.py
@@ -3,9 +3,11 @@
 import asyncio
 from collections import Counter
 from collections.abc import Awaitable, Callable
+from typing import Any
 
 import pytest
 
+from egretrouter.backends import StateKind
 from egretrouter.direct._fleet_service import FleetService
 from tests.shared_state_world import SharedStateWorld, build_table
 from tests.virtual_network import VirtualLoop, run_virtual
@@ -230,3 +232,32 @@
 
         run_virtual(main)
         assert passed_on == []
+
+
+class TestOneKindFails:
+    """Guard against a kind that can't be listed and hides what watches of the others missed."""
+
+    def test_endpoints_are_listed_while_the_configuration_is_malformed(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        listed: Counter[StateKind] = Counter()
+
+        async def main(loop: VirtualLoop) -> None:
+            kinds = (StateKind.CONFIGURATION, StateKind.ENDPOINTS)
+            world = SharedStateWorld(loop, monkeypatch, seed=1, kinds=kinds)
+            world.store.publish(build_table(1, routes=10))
+            await world.start(zones=1, routers=2, agents=1)
+            await asyncio.sleep(SETTLE_SECONDS)
+            world.store.malformed_kinds.add(StateKind.CONFIGURATION)
+            for state in world.states.values():
+                apply = state.apply_listing
+
+                def count(kind: StateKind, *values: Any, apply: Any = apply, **named: Any) -> None:
+                    listed[kind] += 1
+                    apply(kind, *values, **named)
+
+                monkeypatch.setattr(state, "apply_listing", count)
+            await asyncio.sleep(10.0)
+
+        run_virtual(main)
+        assert listed[StateKind.ENDPOINTS] >= 3
