Count the way of a greeting in the age of the listing that it tells of

The age of a listing was counted from when its news arrived, so a zone whose greetings wait for seconds on a full link took listings for new that were not, and never listed for itself.

What bounds the age of names bounds this one as well. The new test failed before.

--- a/egretrouter/core/direct/_listing_turns.py
+++ b/egretrouter/core/direct/_listing_turns.py
@@ -22,7 +22,7 @@
         """When this process last listed what it keeps of the state."""
 
     def record(self, *, listed_seconds: float) -> None:
-        """Record that some process listed the whole state."""
+        """Record that some process listed the whole state; minus infinity proves nothing."""
         self._whole_seconds = max(self._whole_seconds, listed_seconds)
 
     def record_own(self, *, listed_seconds: float, is_whole: bool) -> None:
--- a/egretrouter/direct/_name_ages.py
+++ b/egretrouter/direct/_name_ages.py
@@ -57,8 +57,11 @@
         if kind is StateKind.WEIGHTS:
             self._sum_times.record(self.versions_sum, at_seconds=asked_seconds)
 
-    def record_greeting(self, peer: FleetMember, revisions: Revisions) -> None:
-        """Record until when a peer surely knew the newest of all versions."""
+    def record_greeting(self, peer: FleetMember, revisions: Revisions) -> float:
+        """Record until when a peer surely knew the newest of all versions.
+
+        Returns when the greeting was sent at the earliest, in seconds of the boot clock.
+        """
         now = boot_seconds()
         transit = self._transit_times.record(
             peer.instance_id,
@@ -70,6 +73,7 @@
         self._sum_times.record(
             revisions.weights, at_seconds=now - transit - revisions.weights_age_seconds
         )
+        return now - transit
 
     def needs_round_trip(self, peer: FleetMember, revisions: Revisions) -> bool:
         """Return whether to ask a peer, which would prove more once a round trip was measured."""
--- a/egretrouter/direct/_shared_state.py
+++ b/egretrouter/direct/_shared_state.py
@@ -314,11 +314,11 @@
         return peer_revisions.weights > self._name_ages.versions_sum
 
     def _handle_peer_revisions(self, peer: FleetMember, peer_revisions: Revisions) -> None:
-        self._name_ages.record_greeting(peer, peer_revisions)
+        sent_seconds = self._name_ages.record_greeting(peer, peer_revisions)
         if self._name_ages.needs_round_trip(peer, peer_revisions):
             self._fleet.request_greeting(peer)
         self._spread_proof()
-        self.listing_turns.record(listed_seconds=boot_seconds() - peer_revisions.listed_age_seconds)
+        self.listing_turns.record(listed_seconds=sent_seconds - peer_revisions.listed_age_seconds)
         for kind in self._kinds:
             if not self._is_behind(kind, peer_revisions):
                 continue
--- a/tests/test_shared_state_spread.py
+++ b/tests/test_shared_state_spread.py
@@ -8,6 +8,7 @@
 import pytest
 
 from egretrouter.backends import StateKind
+from egretrouter.core.direct import FleetMember, Revisions
 from egretrouter.direct._fleet_service import FleetService
 from tests.shared_state_world import SharedStateWorld, build_table
 from tests.virtual_network import VirtualLoop, run_virtual
@@ -261,3 +262,33 @@
 
         run_virtual(main)
         assert listed[StateKind.ENDPOINTS] >= 3
+
+
+class TestLateNews:
+    """Guard against zones that rely on listings of which they hear long after."""
+
+    def test_zone_whose_news_come_late_lists_for_itself(self, small_fleet: StartFleet) -> None:
+        async def main(loop: VirtualLoop) -> Counter[str]:
+            world = await small_fleet(loop)
+            late = world.routers[FEW_ROUTERS : 2 * FEW_ROUTERS]
+            fleets = [world.fleets[address] for address in late]
+            for fleet in fleets:
+                delay_greetings(loop, fleet, seconds=4.0)
+            await asyncio.sleep(8.0)
+            before = world.store.listings.copy()
+            await asyncio.sleep(10.0)
+            return world.store.listings - before
+
+        listings = run_virtual(main)
+        assert sum(count for address, count in listings.items() if address[:5] == "10.1.") >= 3
+
+
+def delay_greetings(loop: VirtualLoop, fleet: FleetService, *, seconds: float) -> None:
+    """Let a process hear of its peers' state some seconds late."""
+    prompt = list(fleet.on_revisions)
+
+    def pass_on_late(peer: FleetMember, revisions: Revisions) -> None:
+        for on_revisions in prompt:
+            loop.call_later(seconds, on_revisions, peer, revisions)
+
+    fleet.on_revisions[:] = [pass_on_late]
