Bound the time between reports of an agent in a large zone

Found by review. The time grew with the routers of the zone without a bound: from 70 routers on it passes the 0.7 s after which an agent counts as silent, so that routers would leave out its engine.

It is 0.3 s at most. The new test failed before for 67 routers and more.

--- a/egretrouter/direct/_agent.py
+++ b/egretrouter/direct/_agent.py
@@ -47,8 +47,10 @@
 
 REPORT_SECONDS = 0.1
 OTHER_ZONES_REPORT_SECONDS = 0.2
-# In zones with many routers an agent reports less often, as each router sends it fewer calls.
+# In zones with many routers an agent reports less often, as each router sends it fewer calls, but
+# often enough that one lost report does not make it count as silent.
 REPORTS_PER_SECOND = 100
+REPORT_LIMIT_SECONDS = 0.3
 ANNOUNCED_COPIES = 3
 STEP_SECONDS = 0.1
 FIRST_VERSION = 1
@@ -58,7 +60,7 @@
 
 def report_interval_seconds(routers: int) -> float:
     """Return the time between two reports to the routers of a zone."""
-    return max(REPORT_SECONDS, routers / REPORTS_PER_SECOND)
+    return min(REPORT_LIMIT_SECONDS, max(REPORT_SECONDS, routers / REPORTS_PER_SECOND))
 
 
 class AgentPeersServicer(PeersServicer):
--- a/tests/test_load_reports.py
+++ b/tests/test_load_reports.py
@@ -4,7 +4,10 @@
 import random
 from collections import Counter
 
+import pytest
+
 from egretrouter.core.direct import Fleet, FleetMember, FleetRole, LoadReport
+from egretrouter.core.direct._placement import STALE_REPORT_SECONDS
 from egretrouter.core.identifiers import InstanceId, RegionId, ZoneId
 from egretrouter.direct._agent import OTHER_ZONES_REPORT_SECONDS, report_interval_seconds
 from egretrouter.direct._load_relay import RELAY_SECONDS, REPORTS_PER_NOTE, LoadRelay
@@ -83,6 +86,10 @@
         for turn in range(4):
             assert leaving not in fleet.report_relays(turn=turn)
 
+    @pytest.mark.parametrize("routers", [1, 20, 67, 400, 10_000])
+    def test_agent_counts_as_reporting_though_a_report_is_lost(self, routers: int) -> None:
+        assert 2 * report_interval_seconds(routers) < STALE_REPORT_SECONDS
+
     def test_small_zone_gets_reports_as_often_as_before(self) -> None:
         assert report_interval_seconds(7) == 0.1
 
