Bound what a watcher sends to pass a proof on to its zone

Found by review. A zone's watcher greeted all of its zone for each newer proof, up to five times a second: 1,780 datagrams a second in a zone of 357, from one process.

It sends 300 a second at most, so proofs of a larger zone are older: 1.2 s there. Zones of up to 60 processes get them as before. The test is against a new function; the count above is arithmetic, no run.

--- a/egretrouter/direct/_fleet_service.py
+++ b/egretrouter/direct/_fleet_service.py
@@ -137,9 +137,11 @@
         """Send greetings to the processes of other zones that watch the store."""
         self._send_brief_greeting(self.fleet.other_watchers())
 
-    def greet_zone(self) -> None:
-        """Send greetings to all processes of this zone."""
-        self._send_brief_greeting(self.fleet.zone_members())
+    def greet_zone(self) -> int:
+        """Send greetings to all processes of this zone, and return how many these are."""
+        members = self.fleet.zone_members()
+        self._send_brief_greeting(members)
+        return len(members)
 
     def request_greeting(self, member: FleetMember) -> None:
         """Send a greeting that a member answers, to learn how long its messages take."""
--- a/egretrouter/direct/_shared_state.py
+++ b/egretrouter/direct/_shared_state.py
@@ -43,12 +43,19 @@
 PEER_LEAD_SECONDS = 0.3
 REMOTE_WAIT_SECONDS = 1.5
 EXPIRY_TICK_SECONDS = 0.25
-# Newer proofs than this go to the whole zone.
+# A proof that is newer by this much goes to the whole zone.
 PROOF_STEP_SECONDS = 0.2
+# What a zone's watcher may send for that does not grow with the zone.
+PROOF_GREETINGS_PER_SECOND = 300
 # Shorter differences between the clocks come from the time between reading them.
 MIN_SUSPENSION_SECONDS = 0.05
 
 
+def proof_step_seconds(members: int) -> float:
+    """Return how much newer a proof is than the last one that a zone of some members was sent."""
+    return max(PROOF_STEP_SECONDS, members / PROOF_GREETINGS_PER_SECOND)
+
+
 class SharedStateService(Service):
     """Maintain this process's copy of the configuration, endpoints and target versions."""
 
@@ -96,6 +103,7 @@
         self._name_ages = NameAges(self.weights)
         self._proof_seconds = -math.inf
         """Until when the names were proven complete when that was last passed on to the zone."""
+        self._proof_step_seconds = PROOF_STEP_SECONDS
         self._fetching: set[StateKind] = set()
         self._waiting: set[StateKind] = set()
         """Kinds that are fetched from a peer unless they come another way before."""
@@ -337,11 +345,12 @@
     def _spread_proof(self) -> None:
         """Pass on to the zone's processes until when no newer version had been named."""
         proven = self._name_ages.newest_seconds()
-        if not math.isfinite(proven) or proven - self._proof_seconds < PROOF_STEP_SECONDS:
+        if not math.isfinite(proven) or proven - self._proof_seconds < self._proof_step_seconds:
             return
         self._proof_seconds = proven
         if self._store_watch.rank() == 0:
-            self._fleet.greet_zone()
+            greeted = self._fleet.greet_zone()
+            self._proof_step_seconds = proof_step_seconds(greeted)
 
     def _peer_wait_seconds(self, kind: StateKind, peer: FleetMember) -> float:
         """Return how long a change may come another way before it is fetched from a peer."""
--- a/tests/test_shared_state_spread.py
+++ b/tests/test_shared_state_spread.py
@@ -226,7 +226,7 @@
         self, small_fleet: StartFleet, monkeypatch: pytest.MonkeyPatch
     ) -> None:
         passed_on: list[FleetService] = []
-        monkeypatch.setattr(FleetService, "greet_zone", lambda fleet: passed_on.append(fleet))
+        monkeypatch.setattr(FleetService, "greet_zone", lambda fleet: passed_on.append(fleet) or 0)
 
         async def main(loop: VirtualLoop) -> None:
             await small_fleet(loop)
--- a/tests/test_version_spread.py
+++ b/tests/test_version_spread.py
@@ -16,6 +16,7 @@
     WeightVersion,
 )
 from egretrouter.direct._fleet_service import FleetService
+from egretrouter.direct._shared_state import proof_step_seconds
 from tests.shared_state_world import MODEL, SharedStateWorld
 from tests.virtual_network import VirtualLoop, run_virtual
 
@@ -136,6 +137,17 @@
         assert run_virtual(main) <= 40
 
 
+class TestLargeZone:
+    """Guard against a watcher whose greetings grow with its zone."""
+
+    @pytest.mark.parametrize("members", [0, 10, 60, 357, 2000])
+    def test_greetings_of_a_watcher_are_bounded(self, members: int) -> None:
+        assert members / proof_step_seconds(members) <= 300
+
+    def test_small_zone_gets_each_proof(self) -> None:
+        assert proof_step_seconds(60) == 0.2
+
+
 class TestDelayedGreetings:
     """Guard against greetings that prove less than they say because they were long on their way."""
 
