--- a/review/standins.py
+++ b/review/standins.py
@@ -562,6 +562,15 @@
         self._record("signal", name=name, signal=number.name)
         self._running[name].send_signal(number)
 
+    def memory_mb(self, name: str) -> float:
+        """Return the resident memory of a process that this case started; 0 once it has ended."""
+        try:
+            status = Path(f"/proc/{self._running[name].pid}/status").read_text(encoding="utf-8")
+        except OSError:
+            return 0.0
+        used = [line.split()[1] for line in status.splitlines() if line.startswith("VmRSS:")]
+        return int(used[0]) / 1024 if used else 0.0
+
     def is_running(self, name: str) -> bool:
         """Return whether a process has not ended."""
         return self._running[name].returncode is None
