Let a process that its zone doesn't answer watch the store itself

Cause: a process whose last three probes of its zone failed took itself for cut off and suspected nobody from then on. Only a greeting of its own zone ended that, and there was nobody left to send one. Of the lost processes one or more stayed alive in its table, ranked before it, and so nobody of the zone watched or listed the store.

Change: two beliefs in place of one. A process takes itself for cut off only while no process of any zone greets it, so a survivor that hears other zones finds its lost neighbours. And a process whose own zone doesn't answer ranks first for the watch, whatever its table says: it can't learn what the others may watch. Both end with the next greeting. The number of live routers, by which the budget of repeats is shared, stays as it was.

--- a/egretrouter/core/direct/_fleet.py
+++ b/egretrouter/core/direct/_fleet.py
@@ -319,7 +319,13 @@
         return list(watchers.values())
 
     def watch_rank(self) -> int:
-        """Return this process's rank among those of its zone that may watch the store."""
+        """Return this process's rank among those of its zone that may watch the store.
+
+        A process whose zone does not answer ranks first: it can't tell whether the others watch,
+        and nothing of what they learn would reach it.
+        """
+        if self._probes.alone_in_zone:
+            return 0
         own = _watch_order(self.own)
         return sum(
             1
--- a/egretrouter/core/direct/_probes.py
+++ b/egretrouter/core/direct/_probes.py
@@ -13,8 +13,8 @@
 # A zone that has not been heard for this long is probed, through several of its members.
 QUIET_ZONE_SECONDS = 1.0
 ZONE_PROBES = 2
-# After this many failed probes in a row, the process itself is cut off.
-ISOLATION_FAILURES = 3
+# After this many failed probes in a row, the own zone does not answer this process.
+SILENT_ZONE_FAILURES = 3
 
 
 class _Probe(msgspec.Struct, kw_only=True):
@@ -48,13 +48,20 @@
         self._heard_seconds: dict[ZoneId, float] = {}
         """When a member of each other zone last sent a greeting, or the zone became known."""
         self._unreachable: set[ZoneId] = set()
-        self._failures = 0
-        """Failed probes since a member of the own zone last sent a greeting."""
+        self._zone_failures = 0
+        """Failed probes of the own zone since a member of it last sent a greeting."""
+        self._fleet_failures = 0
+        """Failed probes of the own zone since any process last sent a greeting."""
 
     @property
     def isolated(self) -> bool:
-        """Return whether this process itself seems to be cut off from its zone."""
-        return self._failures >= ISOLATION_FAILURES
+        """Return whether no process at all answers, so that this one itself may be cut off."""
+        return self._fleet_failures >= SILENT_ZONE_FAILURES
+
+    @property
+    def alone_in_zone(self) -> bool:
+        """Return whether no other process of the own zone answers, lost or cut off."""
+        return self._zone_failures >= SILENT_ZONE_FAILURES
 
     def is_reachable(self, zone: ZoneId) -> bool:
         """Return whether members of a zone answer."""
@@ -103,12 +110,13 @@
 
     def record_greeting(self, sender: FleetMember, *, now_seconds: float) -> None:
         """Record that a member sent a greeting."""
+        self._fleet_failures = 0
         if sender.zone != self._zone:
             self._heard_seconds[sender.zone] = now_seconds
             self._unreachable.discard(sender.zone)
             self._open.pop(sender.zone, None)
             return
-        self._failures = 0
+        self._zone_failures = 0
         probe = self._open.get(self._zone)
         if probe is not None and probe.targets[0].instance_id == sender.instance_id:
             del self._open[self._zone]
@@ -131,7 +139,8 @@
 
     def _record_failure(self, zone: ZoneId) -> None:
         if zone == self._zone:
-            self._failures += 1
+            self._zone_failures += 1
+            self._fleet_failures += 1
         else:
             self._unreachable.add(zone)
             # The other quiet zones get their turn before this one is probed again.
--- a/tests/shared_state_world.py
+++ b/tests/shared_state_world.py
@@ -5,6 +5,7 @@
 import random
 import time
 from collections import Counter
+from collections.abc import Iterable
 from types import SimpleNamespace
 from typing import Any
 
@@ -324,6 +325,11 @@
                 )
             )
 
+    def lose(self, addresses: Iterable[str]) -> None:
+        """Lose the processes at some addresses for good."""
+        self.network.lost.update(addresses)
+        self.routers = [router for router in self.routers if router not in self.network.lost]
+
     def answer_peer(self, address: str, request: pb.StateRequest) -> pb.StateReply:
         """Answer a fetch of shared state at one process."""
         return self._replies[address].build(request)
--- a/tests/test_fleet_gossip.py
+++ b/tests/test_fleet_gossip.py
@@ -57,6 +57,64 @@
         assert serving == {"model/2"}
 
 
+class TestLastOfItsZone:
+    """Guard against a process that, left alone in its zone, takes itself for cut off for good.
+
+    It counted a lost process of its zone as the watcher, so nobody watched the store.
+    """
+
+    @pytest.mark.parametrize("seed", range(8))
+    @pytest.mark.parametrize(("zones", "routers"), [(3, 4), (1, 4), (1, 3), (2, 12)])
+    def test_last_process_of_each_zone_watches(self, zones: int, routers: int, seed: int) -> None:
+        world = FleetWorld(zones=zones, routers=routers, agents=0, seed=seed)
+        world.run(SETTLE_SECONDS)
+        lose_all_but_last(world)
+        world.run(DETECTION_SECONDS)
+        assert len(world.watchers()) == zones
+
+    @pytest.mark.parametrize("seed", range(4))
+    def test_last_process_watches_after_losses_in_waves(self, seed: int) -> None:
+        world = FleetWorld(zones=2, routers=12, agents=0, seed=seed)
+        world.run(SETTLE_SECONDS)
+        for last in (3, 7, 11):
+            lose_all_but_last(world, up_to=last)
+            world.run(1.0)
+        world.run(DETECTION_SECONDS)
+        assert len(world.watchers()) == 2
+
+    def test_agent_left_without_routers_watches(self) -> None:
+        world = FleetWorld(zones=1, routers=4, agents=1)
+        world.run(SETTLE_SECONDS)
+        world.stopped.update(i for i in world.fleets if i.startswith("router"))
+        world.run(DETECTION_SECONDS)
+        assert len(world.watchers()) == 1
+
+    def test_process_that_returns_is_seen_again(self) -> None:
+        world = FleetWorld(zones=1, routers=6, agents=0)
+        world.run(SETTLE_SECONDS)
+        lose_all_but_last(world)
+        world.run(DETECTION_SECONDS)
+        world.stopped.clear()
+        world.run(DETECTION_SECONDS)
+        assert {len(view) for view in world.views()} == {5}
+        assert [member.instance_id for member in world.watchers()] == [FIRST_ROUTER]
+
+    def test_other_zones_see_whom_the_last_process_lost(self) -> None:
+        world = FleetWorld(zones=3, routers=4, agents=0)
+        world.run(SETTLE_SECONDS)
+        lose_all_but_last(world)
+        world.run(3 * DETECTION_SECONDS)
+        assert {len(view) for view in world.views()} == {2}
+
+
+def lose_all_but_last(world: FleetWorld, *, up_to: int = 1_000) -> None:
+    """Stop all processes of each zone but its last one, or those numbered below up_to."""
+    zones = {fleet.own.zone for fleet in world.fleets.values()}
+    for zone in zones:
+        names = sorted(i for i, fleet in world.fleets.items() if fleet.own.zone == zone)
+        world.stopped.update(names[:-1][:up_to])
+
+
 class TestFailures:
     """Guard against failed members that count as live, and live ones that count as failed."""
 
--- a/tests/test_shared_state_spread.py
+++ b/tests/test_shared_state_spread.py
@@ -17,6 +17,8 @@
 """A confirmed change is in force at every router within this time."""
 SETTLE_SECONDS = 16.0
 TAKEOVER_SECONDS = 4.0
+LOSS_SECONDS = 6.0
+"""Calm after a loss of processes, in which those that are left take over their duties."""
 LARGE_ROUTES = 1650
 ROUTERS = 24
 """Routers of each zone."""
@@ -235,6 +237,27 @@
         assert passed_on == []
 
 
+class TestLastRouterOfItsZone:
+    """Guard against routers that, left alone in their zones, apply no configuration any more."""
+
+    @pytest.mark.parametrize("agents_left", [0, 2])
+    def test_changes_are_in_force_after_the_others_are_lost(
+        self, small_fleet: StartFleet, agents_left: int
+    ) -> None:
+        async def main(loop: VirtualLoop) -> float:
+            world = await small_fleet(loop)
+            agents = [address for address in world.states if address not in world.routers]
+            if not agents_left:
+                world.lose(agents)
+            last_routers = world.routers[FEW_ROUTERS - 1 :: FEW_ROUTERS]
+            world.lose([router for router in world.routers if router not in last_routers])
+            await asyncio.sleep(LOSS_SECONDS)
+            published = await publish_series(world, loop, count=4, gap_seconds=6.0, routes=240)
+            return longest_delay_seconds(world, published)
+
+        assert run_virtual(main) <= CONFIGURATION_SECONDS
+
+
 class TestOneKindFails:
     """Guard against a kind that can't be listed and hides what watches of the others missed."""
 
--- a/tests/virtual_network.py
+++ b/tests/virtual_network.py
@@ -101,6 +101,8 @@
         self.hosts: dict[str, Host] = {}
         self.held: dict[str, list[Callable[[], None]]] = {}
         """Datagrams that wait at hosts whose processes are frozen."""
+        self.lost: set[str] = set()
+        """Hosts that are gone, from and to which nothing arrives."""
         self._loop = loop
         self._region_links: dict[tuple[str, str], Link] = {}
         self._protocols: dict[tuple[str, int], Any] = {}
@@ -135,7 +137,9 @@
             deliver()
 
     async def transfer(self, source: str, target: str, size_bytes: int) -> None:
-        """Wait until a flow of some bytes has arrived."""
+        """Wait until a flow of some bytes has arrived, which never happens at a lost host."""
+        if self.lost & {source, target}:
+            await asyncio.Event().wait()
         links, latency_seconds = self._path(source, target)
         window = asyncio.Semaphore(WINDOW_PIECES)
 
@@ -162,6 +166,8 @@
         self._loop.call_at(sent + latency_seconds, self._deliver, source, target, data)
 
     def _deliver(self, source: tuple[str, int], target: tuple[str, int], data: bytes) -> None:
+        if self.lost & {source[0], target[0]}:
+            return
         if target[0] in self.held:
             self.held[target[0]].append(lambda: self._deliver(source, target, data))
             return
