Let a process that hears of no listing list the store itself

Whoever ranked first in a zone by what its processes believe of each other was the only one to watch and list the store there. Where that belief is wrong, or a watcher answers probes while its watch hangs, changes never came into force in that zone.

Cause: the promise of configurations hung on the detection of failures alone.

Change: a process that does not rank first and has heard of no listing for two periods (2 s; 0.6 s more for each zone before its own, 0.1 s more for each process that ranks before it) lists by itself, and goes on each period while no newer listing is heard of. The age of the last listing is a proof that all greetings carry already, so it costs no message. Names are listed in the same way. Failed attempts are spread by rank, so that their rate does not grow with the zone. state:stands_in logs who began and how old its proof was.

Evidence: TestStandIns failed in five cases before (never in force) with watchers of one or three zones whose calls to the store hang; the longest delay is under 3 s now.

--- a/egretrouter/core/direct/__init__.py
+++ b/egretrouter/core/direct/__init__.py
@@ -25,7 +25,7 @@
     LeavingNews,
     LeavingSource,
 )
-from egretrouter.core.direct._listing_turns import ZONE_STEP, ListingTurns
+from egretrouter.core.direct._listing_turns import ZONE_STEP, ListingTurns, stand_in_seconds
 from egretrouter.core.direct._members import (
     FleetMember,
     FleetRole,
@@ -148,4 +148,5 @@
     "check_part_news",
     "check_revisions",
     "check_weight_version",
+    "stand_in_seconds",
 ]
--- a/egretrouter/direct/_shared_state.py
+++ b/egretrouter/direct/_shared_state.py
@@ -81,7 +81,7 @@
         self.on_weights: list[Callable[[WeightVersion], None]] = []
         self.on_resumed: list[Callable[[], None]] = []
         """Called after the machine was suspended, as timers leave that time out."""
-        self.listing_turns = ListingTurns()
+        self.listing_turns = ListingTurns(started_seconds=boot_seconds())
         self._settings = settings
         self._fleet = fleet
         self._store_watch = StoreWatchService(
@@ -348,7 +348,7 @@
         if not math.isfinite(proven) or proven - self._proof_seconds < self._proof_step_seconds:
             return
         self._proof_seconds = proven
-        if self._store_watch.rank() == 0:
+        if self._store_watch.lists_for_zone():
             greeted = self._fleet.greet_zone()
             self._proof_step_seconds = proof_step_seconds(greeted)
 
--- a/egretrouter/direct/_store_watch.py
+++ b/egretrouter/direct/_store_watch.py
@@ -1,6 +1,7 @@
 """Watch and list the shared state at the store, in few processes of each zone."""
 
 import asyncio
+import math
 import random
 import time
 from typing import Any, Protocol
@@ -14,7 +15,13 @@
     StateListing,
     StateStore,
 )
-from egretrouter.core.direct import ZONE_STEP, FleetRole, ListingTurns, StoreRevision
+from egretrouter.core.direct import (
+    ZONE_STEP,
+    FleetRole,
+    ListingTurns,
+    StoreRevision,
+    stand_in_seconds,
+)
 from egretrouter.core.errors import BackendError, BackendUnavailableError
 from egretrouter.direct._boot_clock import boot_seconds
 from egretrouter.direct._fleet_service import FleetService
@@ -37,6 +44,8 @@
 POLL_STEP_SECONDS = 0.1
 NAMES_SECONDS = 0.3
 NAMES_STEP_SECONDS = 0.1
+# Who stands in for a watcher that lists nothing lists the names too; this is for lost names alone.
+NAMES_STAND_IN_SECONDS = 3.0
 # Where a listing takes long because the link is narrow, listings may use this share of it.
 POLL_LINK_SHARE = 0.1
 POLL_LIMIT_SECONDS = 3.0
@@ -120,6 +129,10 @@
         """Return this process's rank among those of its zone that may watch."""
         return self._fleet.fleet.watch_rank()
 
+    def lists_for_zone(self) -> bool:
+        """Return whether this process is the one whose listings its zone relies on."""
+        return self.rank() == 0 or self._sink.listing_turns.newest_is_own
+
     async def _watch(self, kind: StateKind) -> None:
         """Watch a kind at the store while this process is one of its watchers."""
         await self._wait_for_peers(kind)
@@ -202,30 +215,47 @@
     async def _poll(self) -> None:
         """List all kinds but names periodically in one process of the fleet.
 
-        A watch can miss changes without an error, and ends only long after them. A process with a
-        narrow link to the store lists less often.
+        A watch can miss changes without an error, and ends only long after them. A watcher can
+        stop to watch and still answer probes. A process with a narrow link to the store lists less
+        often.
         """
         period = POLL_SECONDS
         # Names are listed more often, by _poll_names.
         kinds = [kind for kind in self._kinds if kind is not StateKind.WEIGHTS]
         failed: set[StateKind] = set()
         while not self.should_stop:
-            await self.sleep(max(POLL_STEP_SECONDS, self._seconds_until_due(period)))
+            await self.sleep(max(POLL_STEP_SECONDS, self._seconds_until_due(period, rank=0)))
             is_loaded = all(self._sink.is_loaded(kind) for kind in self._kinds)
-            if self.rank() > 0 or not is_loaded or self._seconds_until_due(period) > 0:
+            rank = self.rank()
+            if not is_loaded or self._seconds_until_due(period, rank=rank) > 0:
                 continue
             asked = boot_seconds()
+            turns = self._sink.listing_turns
+            # Who listed meanwhile goes on with it until it hears of this listing.
+            must_tell_zone = rank > 0 or turns.is_overtaken
+            if rank > 0 and not turns.newest_is_own:
+                self._log_stand_in(rank, now_seconds=asked)
             started = time.monotonic()
             failed = {kind for kind in kinds if not await self._poll_kind(kind, failed)}
             if failed:
-                await self.sleep(RETRY_LIMIT_SECONDS * self._rng.random())
+                await self.sleep(_retry_limit_seconds(rank) * self._rng.random())
                 continue
             listing_seconds = time.monotonic() - started
             period = max(POLL_SECONDS, min(POLL_LIMIT_SECONDS, listing_seconds / POLL_LINK_SHARE))
             # An agent lists only a part of the state.
             is_whole = self._fleet.fleet.own.role is FleetRole.ROUTER
-            self._sink.listing_turns.record_own(listed_seconds=asked, is_whole=is_whole)
+            turns.record_own(listed_seconds=asked, is_whole=is_whole)
             self._fleet.greet_watchers()
+            if must_tell_zone:
+                self._fleet.gossip_update()
+
+    def _log_stand_in(self, rank: int, *, now_seconds: float) -> None:
+        age = self._sink.listing_turns.age_seconds(now_seconds=now_seconds)
+        log_event(
+            "state:stands_in",
+            rank=rank,
+            listing_age_seconds=round(age, 3) if math.isfinite(age) else None,
+        )
 
     async def _poll_kind(self, kind: StateKind, failed: set[StateKind]) -> bool:
         """List a kind, whose last listing may have failed, and return whether that succeeded."""
@@ -247,20 +277,25 @@
             age = boot_seconds() - self._sink.names_proven_seconds()
             if age < NAMES_SECONDS or not self._sink.is_loaded(StateKind.WEIGHTS):
                 continue
-            if self._fleet.fleet.own.store_lost or self.rank() > 0:
+            if self._fleet.fleet.own.store_lost:
                 continue
-            if age < NAMES_SECONDS * (1 + ZONE_STEP * self._fleet.fleet.zone_rank()):
+            rank = self.rank()
+            patience = NAMES_SECONDS * (1 + ZONE_STEP * self._fleet.fleet.zone_rank())
+            if rank > 0 and not self._sink.listing_turns.newest_is_own:
+                patience += stand_in_seconds(rank=rank, period_seconds=NAMES_STAND_IN_SECONDS)
+            if age < patience:
                 continue
             try:
                 await self._list(StateKind.WEIGHTS, after_outage=False)
             except BackendError as error:
                 log_event("store:poll_failed", kind=StateKind.WEIGHTS.value, error=str(error))
-                await self.sleep(RETRY_LIMIT_SECONDS * (0.5 + self._rng.random()))
+                await self.sleep(_retry_limit_seconds(rank) * (0.5 + self._rng.random()))
             else:
                 self._fleet.greet_watchers()
 
-    def _seconds_until_due(self, period_seconds: float) -> float:
+    def _seconds_until_due(self, period_seconds: float, *, rank: int) -> float:
         return self._sink.listing_turns.wait_seconds(
+            rank=rank,
             zone_rank=self._fleet.fleet.zone_rank(),
             period_seconds=period_seconds * (0.9 + 0.2 * self._rng.random()),
             now_seconds=boot_seconds(),
@@ -306,6 +341,11 @@
                 log_event("store:poll_failed", kind=StateKind.WEIGHTS.value, error=str(error))
 
 
+def _retry_limit_seconds(rank: int) -> float:
+    """Return the longest wait after a failed listing, so that calls do not grow with the zone."""
+    return RETRY_LIMIT_SECONDS * (1 + rank)
+
+
 def _is_behind(changes: StateChanges) -> bool:
     """Return whether most of the changes were superseded by others before they arrived.
 
--- a/tests/shared_state_world.py
+++ b/tests/shared_state_world.py
@@ -91,6 +91,8 @@
         """Addresses of processes whose watches deliver nothing."""
         self.unreachable: set[str] = set()
         """Addresses of processes that the store does not answer."""
+        self.stuck: set[str] = set()
+        """Addresses of processes whose calls to the store never end."""
         self._sizes: dict[int, int] = {}
         self._loop = loop
         self._changed = asyncio.Event()
@@ -148,6 +150,7 @@
         self._members = members
 
     async def list_state(self, kind: StateKind) -> StateListing:
+        await self._wait_if_stuck()
         self._store.listings[self._address] += 1
         if kind in self._store.malformed_kinds:
             raise MalformedAnswerError("the listing can't be read")
@@ -163,6 +166,7 @@
     async def watch_state(
         self, kind: StateKind, *, after_revision: StoreRevision, wait_seconds: float
     ) -> StateChanges:
+        await self._wait_if_stuck()
         self._store.watches += 1
         after = after_revision.revision
         if self._address in self._store.silent_watches:
@@ -177,6 +181,10 @@
             revision=StoreRevision(0, revision),
         )
 
+    async def _wait_if_stuck(self) -> None:
+        if self._address in self._store.stuck:
+            await asyncio.Event().wait()
+
     async def _call(self, found: list[tuple[int, StateItem]], timeout_seconds: float) -> None:
         try:
             async with asyncio.timeout(timeout_seconds):
--- a/tests/test_shared_state_spread.py
+++ b/tests/test_shared_state_spread.py
@@ -59,10 +59,10 @@
 
 @pytest.fixture
 def small_fleet(monkeypatch: pytest.MonkeyPatch) -> StartFleet:
-    async def start(loop: VirtualLoop) -> SharedStateWorld:
+    async def start(loop: VirtualLoop, *, zones: int = 3) -> SharedStateWorld:
         world = SharedStateWorld(loop, monkeypatch, seed=1)
         world.store.publish(build_table(1, routes=240))
-        await world.start(zones=3, routers=FEW_ROUTERS, agents=2)
+        await world.start(zones=zones, routers=FEW_ROUTERS, agents=2)
         await asyncio.sleep(SETTLE_SECONDS)
         return world
 
@@ -258,6 +258,78 @@
         assert run_virtual(main) <= CONFIGURATION_SECONDS
 
 
+class TestStandIns:
+    """Guard against a zone that waits for a watcher which answers probes and watches no more."""
+
+    MEASURE_SECONDS = 10.0
+    CALLS_PER_SECOND = 10
+    """What a zone of any size may ask of a store that does not answer."""
+
+    @pytest.mark.parametrize("stuck", [1, 3])
+    @pytest.mark.parametrize("zones", [1, 3])
+    def test_changes_are_in_force_while_watchers_are_stuck(
+        self, small_fleet: StartFleet, zones: int, stuck: int
+    ) -> None:
+        async def main(loop: VirtualLoop) -> float:
+            world = await small_fleet(loop, zones=zones)
+            first_routers = [r for r in world.routers if int(r.rpartition(".")[2]) < stuck]
+            world.store.stuck.update(first_routers)
+            await asyncio.sleep(LOSS_SECONDS)
+            published = await publish_series(world, loop, count=5, gap_seconds=4.0, routes=240)
+            return longest_delay_seconds(world, published)
+
+        assert run_virtual(main) <= CONFIGURATION_SECONDS
+
+    def test_one_process_of_each_zone_stands_in(self, large_fleet: StartFleet) -> None:
+        async def main(loop: VirtualLoop) -> tuple[float, Counter[str]]:
+            world = await large_fleet(loop)
+            world.store.stuck.update(world.routers[::ROUTERS])
+            await asyncio.sleep(LOSS_SECONDS)
+            before = world.store.listings.copy()
+            published = await publish_series(world, loop, count=5, gap_seconds=4.0, routes=240)
+            listings = world.store.listings - before
+            return longest_delay_seconds(world, published), listings
+
+        zones = 3
+        delay_seconds, listings = run_virtual(main)
+        assert delay_seconds <= CONFIGURATION_SECONDS
+        assert listings.total() <= 1.2 * zones * 20
+
+    def test_nobody_stands_in_for_a_watcher_that_lists(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        async def main(loop: VirtualLoop) -> Counter[str]:
+            kinds = (StateKind.CONFIGURATION, StateKind.WEIGHTS)
+            world = SharedStateWorld(loop, monkeypatch, seed=1, kinds=kinds)
+            world.store.publish(build_table(1, routes=240))
+            await world.start(zones=3, routers=ROUTERS, agents=13)
+            await asyncio.sleep(SETTLE_SECONDS)
+            before = world.store.listings.copy()
+            await asyncio.sleep(self.MEASURE_SECONDS)
+            return world.store.listings - before
+
+        assert len(run_virtual(main)) == 1
+
+    @pytest.mark.parametrize("routers", [FEW_ROUTERS, ROUTERS])
+    def test_calls_to_a_store_that_is_away_do_not_grow_with_the_zone(
+        self, monkeypatch: pytest.MonkeyPatch, routers: int
+    ) -> None:
+        zones = 3
+
+        async def main(loop: VirtualLoop) -> int:
+            kinds = (StateKind.CONFIGURATION, StateKind.WEIGHTS)
+            world = SharedStateWorld(loop, monkeypatch, seed=1, kinds=kinds)
+            world.store.publish(build_table(1, routes=240))
+            await world.start(zones=zones, routers=routers, agents=2)
+            await asyncio.sleep(SETTLE_SECONDS)
+            world.store.unreachable.update(world.states)
+            before = world.store.listings.total()
+            await asyncio.sleep(self.MEASURE_SECONDS)
+            return world.store.listings.total() - before
+
+        assert run_virtual(main) <= zones * self.CALLS_PER_SECOND * self.MEASURE_SECONDS
+
+
 class TestOneKindFails:
     """Guard against a kind that can't be listed and hides what watches of the others missed."""
 
