Copy a wanted version on or again, whatever its origin spoils

What callers saw: an origin spoilt 4 of about 130 answers in 8 s, and the agent gave up the version for good.

Cause: after three spoilt chunks, which no sound chunk made up for, the copy read the manifest of the origin again, and one answer with another digest halted it. Nothing started it again: on the direct path nobody listened to the failure, and an error while a copy started ended it in the same way (and with it all loops of the agent). On the product's own path one spoilt manifest at the start ended a copy too.

Change: a copy halts, or is refused at its start, only if the origin gives the same other manifest twice; one that can't be read proves nothing. An agent on the direct path forgets the manifest of a copy that failed and starts it again, after a time that grows from 0.3 to 4 s. A sound chunk takes a strike back, and the quarantine of the origin is bounded by the longest backoff. A manifest is still believed only if it came twice, and none but the pinned one on the product's own path.

--- a/egretrouter/core/weights/__init__.py
+++ b/egretrouter/core/weights/__init__.py
@@ -55,6 +55,7 @@
 from egretrouter.core.weights._ownership import Ownership, Peer
 from egretrouter.core.weights._part_window import PartWindow
 from egretrouter.core.weights._references import VersionReference
+from egretrouter.core.weights._restarts import CopyRestarts
 from egretrouter.core.weights._serving import LinkShares
 
 __all__ = [
@@ -81,6 +82,7 @@
     "CopyCompleted",
     "CopyHalted",
     "CopyMessage",
+    "CopyRestarts",
     "CopySettings",
     "CopyState",
     "FailureReason",
--- a/egretrouter/core/weights/_copy.py
+++ b/egretrouter/core/weights/_copy.py
@@ -114,6 +114,8 @@
         self._owned_fetch_due = True
         self._serve_until_seconds: float | None = None
         self._counts: Counter[str] = Counter()
+        self._other_digest: Digest | None = None
+        """The digest of a manifest of the origin that is not the pinned one, as last answered."""
 
     @property
     def state(self) -> CopyState:
@@ -343,10 +345,20 @@
         if self._state not in FETCHING_STATES:
             return []
         try:
-            Manifest.from_json(message.content, pinned_digest=self._digest)
-        except ManifestMismatchError as error:
-            return self._halt(error)
-        return []
+            found = Manifest.from_json(message.content).digest
+        except ManifestMismatchError:
+            # A spoilt answer does not show what the origin has.
+            self._counts["malformed_manifests"] += 1
+            return []
+        before, self._other_digest = self._other_digest, None
+        if found == self._digest:
+            return []
+        if found == before:
+            reason = f"the origin has manifest {found}, but the configuration pins {self._digest}"
+            return self._halt(ManifestMismatchError(reason))
+        # One answer may be spoilt. The content was replaced if the origin gives the same one twice.
+        self._other_digest = found
+        return [FetchManifest()] if before is None else []
 
     @_handle_message.register
     def _on_weights_verified(
--- a/egretrouter/core/weights/_sources.py
+++ b/egretrouter/core/weights/_sources.py
@@ -4,7 +4,7 @@
 from random import Random
 
 from egretrouter.core.identifiers import ChunkIndex, InstanceId
-from egretrouter.core.weights._messages import CopySettings
+from egretrouter.core.weights._messages import ORIGIN, CopySettings
 
 
 def bit_positions(mask: int) -> Iterator[ChunkIndex]:
@@ -120,9 +120,13 @@
         return None
 
     def record_success(self, source: InstanceId) -> None:
-        """Reset the failure count of a source, which shortens its next backoff."""
+        """Shorten the next backoff of a source, and take back a strike for a sound chunk."""
         known = self._sources.setdefault(source, _SourceRecord())
         known.failures = 0
+        if known.strikes:
+            known.strikes -= 1
+        else:
+            known.quarantines = 0
 
     def record_busy(self, source: InstanceId, seconds: float, *, now_seconds: float) -> None:
         """Block a busy source for a jittered time."""
@@ -151,6 +155,10 @@
             return None
         known.strikes = 0
         seconds = self._settings.quarantine_seconds * float(1 << min(known.quarantines, 6))
+        if source == ORIGIN:
+            # It may be the only source, and sound again soon.
+            longest = max(self._settings.quarantine_seconds, self._settings.backoff_max_seconds)
+            seconds = min(seconds, longest)
         known.quarantines += 1
         known.quarantined_until_seconds = now_seconds + seconds
         return seconds
--- a/egretrouter/daemons/_weight_transfers.py
+++ b/egretrouter/daemons/_weight_transfers.py
@@ -252,7 +252,7 @@
     ) -> bytes:
         """Read the manifest from a peer, or from the origin after a delay that grows with the rank.
 
-        Raises ManifestMismatchError.
+        Raises ManifestMismatchError if the origin has none, or gives the same other one twice.
         """
         digest = version.manifest_digest
         ranked = self._rank_peers(peers(), digest)
@@ -260,6 +260,7 @@
         rank = sum(1 for weight, _ in ranked if weight > own_weight)
         origin_read_seconds = time.monotonic() + rank * MANIFEST_FALLBACK_SECONDS
         delay_seconds = MANIFEST_RETRY_SECONDS
+        mismatched: bytes | None = None
         while True:
             for _, peer in ranked[:MANIFEST_PEERS]:
                 content = await self.manifest_from_peer(peer.address, digest)
@@ -268,7 +269,16 @@
             if time.monotonic() >= origin_read_seconds:
                 origin_content = await self.manifest_from_origin(version)
                 if origin_content is not None:
-                    return origin_content
+                    try:
+                        Manifest.from_json(origin_content, pinned_digest=digest)
+                    except ManifestMismatchError as error:
+                        # One answer may be spoilt.
+                        if origin_content == mismatched:
+                            raise
+                        log_message("agent:manifest_mismatched", error=str(error))
+                        mismatched = origin_content
+                    else:
+                        return origin_content
             await asyncio.sleep(delay_seconds * (0.5 + self._rng.random()))
             delay_seconds = min(2 * delay_seconds, MANIFEST_RETRY_LIMIT_SECONDS)
             ranked = self._rank_peers(peers(), digest)
--- a/egretrouter/direct/_agent.py
+++ b/egretrouter/direct/_agent.py
@@ -27,11 +27,10 @@
     service_seconds,
     start_lead_seconds,
 )
-from egretrouter.core.errors import (
-    BackendError,
-)
+from egretrouter.core.errors import BackendError, EgretrouterError
 from egretrouter.core.identifiers import Digest, ModelName, VersionName
-from egretrouter.core.weights import ChunkMemory, Manifest, Peer, VersionReference
+from egretrouter.core.limits import Backoff
+from egretrouter.core.weights import ChunkMemory, CopyRestarts, Manifest, Peer, VersionReference
 from egretrouter.daemons._copies import CopyService
 from egretrouter.daemons._metrics import AgentMetrics
 from egretrouter.daemons._peers import PeersServicer
@@ -56,6 +55,9 @@
 FIRST_VERSION = 1
 STOP_MARGIN_SECONDS = 0.7
 CHUNK_MEMORY_BYTES = 48 * 1024 * 1024
+# A copy that failed starts again within this time, which doubles with each failure in a row.
+RESTART_FIRST_SECONDS = 0.3
+RESTART_LIMIT_SECONDS = 4.0
 
 
 def report_interval_seconds(routers: int) -> float:
@@ -116,6 +118,7 @@
             rng=rng,
         )
         self.copies.on_ready = self._record_complete
+        self.copies.on_failed = self._handle_failed_copy
         self._engine = engine
         self._staging = WeightStaging(engine, memory=self.copies.memory)
         self._manifest_finder = ManifestFinder(
@@ -129,6 +132,9 @@
         self._manifests: dict[tuple[ModelName, int], Manifest] = {}
         self._complete: set[Digest] = set()
         self._active_copies: set[tuple[ModelName, int]] = set()
+        self._restarts: CopyRestarts[tuple[ModelName, int]] = CopyRestarts(
+            Backoff(rng, base_seconds=RESTART_FIRST_SECONDS, limit_seconds=RESTART_LIMIT_SECONDS)
+        )
         self._paused: set[tuple[ModelName, int]] = set()
         """Paused incomplete copies, whose chunks other agents may still fetch."""
         self._engine_state: EngineState | None = None
@@ -322,10 +328,36 @@
             self.fleet.announce(serving=serving)
 
     def _ensure_copy(self, model: ModelName, version: int) -> None:
-        if (model, version) not in self._active_copies:
-            self._active_copies.add((model, version))
-            self._paused.discard((model, version))
-            self.add_future(self._copy(model, version))
+        key = (model, version)
+        if key in self._active_copies or not self._restarts.may_start(
+            key, now_seconds=time.monotonic()
+        ):
+            return
+        self._active_copies.add(key)
+        self._paused.discard(key)
+        self.add_future(self._run_copy(model, version))
+
+    async def _run_copy(self, model: ModelName, version: int) -> None:
+        """Start a copy, and let it start again later if that fails."""
+        try:
+            await self._copy(model, version)
+        except EgretrouterError as error:
+            log_event("weights:copy_failed", model=model, version=version, error=str(error))
+            self._end_copy((model, version))
+
+    def _handle_failed_copy(self, digest: Digest, reason: str) -> None:
+        """Forget a version's manifest, which may be wrong, and copy the version again later."""
+        for key in [k for k, manifest in self._manifests.items() if manifest.digest == digest]:
+            log_event("weights:copy_failed", model=key[0], version=key[1], error=reason)
+            del self._manifests[key]
+            self._paused.discard(key)
+            self._end_copy(key)
+        self._complete.discard(digest)
+        self._announce_copies()
+
+    def _end_copy(self, key: tuple[ModelName, int]) -> None:
+        self._active_copies.discard(key)
+        self._restarts.record_failure(key, now_seconds=time.monotonic())
 
     async def _copy(self, model: ModelName, version: int) -> None:
         """Obtain the manifest, reuse chunks that are already staged, and copy the rest."""
@@ -365,6 +397,9 @@
 
     def _record_complete(self, digest: Digest) -> None:
         self._complete.add(digest)
+        for key, manifest in self._manifests.items():
+            if manifest.digest == digest:
+                self._restarts.record_success(key)
 
     async def _load_version(self, model: ModelName, version: int, state: EngineState) -> None:
         manifest = self._manifests[model, version]
--- a/tests/test_daemon_copies.py
+++ b/tests/test_daemon_copies.py
@@ -99,6 +99,22 @@
         await wait_for_copies([agent], version, content)
         assert agent.state(version)["counts"]["corrupted"] == 2
 
+    async def test_starts_although_the_first_manifest_is_spoilt(self, world: CopyWorld) -> None:
+        """One spoilt answer ended the copy of a version for good."""
+        version, content = world.add_version("v1")
+        world.origin.corrupt_manifests_next = 1
+        (agent,) = await world.add("a")
+        start([agent], version)
+        await wait_for_copies([agent], version, content)
+        assert not agent.failed
+
+    async def test_ends_if_the_origin_has_another_manifest(self, world: CopyWorld) -> None:
+        version, _ = world.add_version("v1")
+        world.origin.corrupt_manifests_next = 1_000
+        (agent,) = await world.add("a")
+        start([agent], version)
+        await wait_until(lambda: version.manifest_digest in agent.failed)
+
     async def test_halts_when_the_version_changed_at_the_origin(self, world: CopyWorld) -> None:
         old, old_content = world.add_version("v1")
         agent, other = await world.add("a", "b")
--- a/tests/test_platform_weights.py
+++ b/tests/test_platform_weights.py
@@ -14,6 +14,7 @@
 from egretrouter_platform._store import PlatformStore
 
 from egretrouter.core.direct import FleetMember, FleetRole, Greeting, Revisions
+from egretrouter.core.errors import WeightMemoryError
 from egretrouter.core.identifiers import InstanceId, RegionId, ServiceName, ZoneId
 from egretrouter.direct._agent import DirectAgent
 from tests.helpers import free_ports, wait_until
@@ -199,6 +200,52 @@
         assert len(world.engine.orders) == 1
 
 
+class TestSpoiltOrigin:
+    """Guard against a version that is given up for good, though its origin is sound again."""
+
+    async def wait_until_version_2_is_loaded(self, world: WeightsWorld) -> None:
+        world.store.put("versions", "m", {"model": "m", "version": 2})
+        await world.wait_until_loaded(2)
+        assert list(world.engine.loaded_chunks.values()) == world.origin.chunks
+
+    async def start(self, world: WeightsWorld) -> None:
+        world.origin.chunks = [bytes([number + 100]) * 4096 for number in range(16)]
+        world.engine.version = 1
+        await world.start()
+
+    async def test_manifest_is_spoilt_after_spoilt_chunks(self, world: WeightsWorld) -> None:
+        await self.start(world)
+        world.origin.corrupt_chunks[15] = 3
+        world.origin.corrupt_manifests = {number + 3 for number in (0, 2, 4)}
+        await self.wait_until_version_2_is_loaded(world)
+
+    async def test_first_chunk_is_spoilt_for_a_while(self, world: WeightsWorld) -> None:
+        await self.start(world)
+        world.origin.corrupt_chunks[0] = 8
+        await self.wait_until_version_2_is_loaded(world)
+
+    async def test_wrong_manifest_that_was_sent_twice_is_replaced(
+        self, world: WeightsWorld
+    ) -> None:
+        await self.start(world)
+        world.origin.corrupt_manifests = {1, 2}
+        await self.wait_until_version_2_is_loaded(world)
+
+    async def test_copy_starts_again_after_an_error(
+        self, world: WeightsWorld, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        await self.start(world)
+        reuse, errors = world.agent._staging.reuse_staged, [WeightMemoryError("full")] * 2
+
+        async def fail_first(*values: Any) -> None:
+            if errors:
+                raise errors.pop()
+            await reuse(*values)
+
+        monkeypatch.setattr(world.agent._staging, "reuse_staged", fail_first)
+        await self.wait_until_version_2_is_loaded(world)
+
+
 class TestLeavingEngine:
     """Guard against agents that load weights into an engine that leaves, or wait for it."""
 
