Take a closed channel to a peer for a failed request of a copy

What callers saw: nothing yet; the review suspected it. A fetch of shared state that fails closes the channel to that peer, which cancels every other call on it. A manifest that was being read there ended the start of its copy without a word, and that version was never copied; a chunk waited for its stall.

Cause: a call whose channel is closed raises CancelledError, as if the task that waits for it had been cancelled, and no handler of failures catches that.

Change: where the task itself was not cancelled, such a call counts as failed.

Evidence: TestClosedChannels failed before with CancelledError.

--- a/egretrouter/daemons/_weight_transfers.py
+++ b/egretrouter/daemons/_weight_transfers.py
@@ -75,6 +75,12 @@
     window: PartWindow
 
 
+def is_being_cancelled() -> bool:
+    """Return whether the current task was cancelled, and not a call because its channel closed."""
+    task = asyncio.current_task()
+    return task is not None and task.cancelling() > 0
+
+
 async def _wait_for_tokens(bucket: TokenBucket, length: int) -> None:
     delay_seconds = bucket.reserve(
         length, now_seconds=time.monotonic(), max_delay_seconds=RATE_DELAY_LIMIT_SECONDS
@@ -183,6 +189,10 @@
                 reply.content += part.content
         except grpc.aio.AioRpcError:
             return ChunkFailed(source=source, index=index, reason=Unavailable())
+        except asyncio.CancelledError:
+            if is_being_cancelled():
+                raise
+            return ChunkFailed(source=source, index=index, reason=Unavailable())
         if reply.status == pb.ChunkReply.CONTENT:
             self._metrics.peer_bytes.add({}, len(reply.content))
         return decode_chunk(reply, source=source, index=index)
@@ -314,6 +324,10 @@
             )
         except grpc.aio.AioRpcError:
             return b""
+        except asyncio.CancelledError:
+            if is_being_cancelled():
+                raise
+            return b""
         content: bytes = reply.manifest
         try:
             Manifest.from_json(content, pinned_digest=digest)
--- a/tests/test_daemon_copies.py
+++ b/tests/test_daemon_copies.py
@@ -1,12 +1,15 @@
 """Test copies of weights between agents over loopback, with failures of agents and origin."""
 
+import asyncio
 from collections.abc import AsyncIterator, Iterable
+from typing import Any
 
 import aiohttp
 import pytest
 from copies_world import WEIGHT_BYTES, CopyAgent, CopyWorld
 from helpers import wait_until
 
+from egretrouter.core.identifiers import Digest
 from egretrouter.core.weights import VersionReference
 from egretrouter.standins import Outage
 
@@ -245,3 +248,24 @@
         assert agent.service.manifest_content(version.manifest_digest)
         agent.memory.drop(version.manifest_digest)
         await wait_until(lambda: not agent.service.manifest_content(version.manifest_digest))
+
+
+class TestClosedChannels:
+    """Guard against a copy that ends without a word as the channel to a peer is closed."""
+
+    async def test_manifest_of_a_peer_is_missing_then(
+        self, world: CopyWorld, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        asked = asyncio.Event()
+
+        async def hang(*_: Any) -> None:
+            asked.set()
+            await asyncio.Event().wait()
+
+        monkeypatch.setattr(CopyAgent, "FetchManifest", hang)
+        agent, peer = await world.add("a", "b")
+        transfers = agent.service._transfers
+        reading = asyncio.create_task(transfers.manifest_from_peer(peer.address, Digest("0" * 64)))
+        await asked.wait()
+        await agent._channels.discard(peer.address)
+        assert await reading == b""
