Let an isolated member watch the store on the product's own path

The last member of a zone of five or more takes itself for isolated and declares nobody dead, so two lost members could stay its zone's watchers for good, and it applied no new generation.

Change: membership reports when its isolation begins or ends, and an isolated member watches the store whoever ranks first. It still declares nobody dead.

Evidence: test_isolated_process_watches_whoever_ranks_first and test_last_member_reports_its_isolation_and_the_end_of_it need what the change adds; without it the first has no field to set, and no report came.

--- a/egretrouter/core/configuration/_messages.py
+++ b/egretrouter/core/configuration/_messages.py
@@ -47,6 +47,8 @@
     """Replace the list of live members of the zone, this process included."""
 
     members: tuple[InstanceId, ...]
+    is_isolated: bool = False
+    """Whether no other member answers this process, so that it can't tell who of them lives."""
 
 
 class StoreUnresponsive(msgspec.Struct, frozen=True, kw_only=True):
--- a/egretrouter/core/configuration/_state.py
+++ b/egretrouter/core/configuration/_state.py
@@ -191,7 +191,8 @@
     ) -> list[ConfigurationCommand]:
         self._members = message.members
         commands = self._survey_first_peers()
-        is_watcher = self._instance_id in select_watchers(self._zone, message.members)
+        elected = self._instance_id in select_watchers(self._zone, message.members)
+        is_watcher = elected or message.is_isolated
         if is_watcher == self._watching:
             return commands
         self._watching = is_watcher
--- a/egretrouter/core/membership/_membership.py
+++ b/egretrouter/core/membership/_membership.py
@@ -124,12 +124,18 @@
             "zones": sorted(s.zone for s in self._summaries.summaries(0.0)),
         }
 
+    @property
+    def is_isolated(self) -> bool:
+        """Return whether no other member of the zone answers this one."""
+        return self._view.is_isolated
+
     def handle(self, message: MembershipMessage, *, now_seconds: float) -> list[MembershipCommand]:
         """Handle one message and return the resulting commands."""
+        was_isolated = self.is_isolated
         commands = self._detect_pause(now_seconds)
         commands += self._dispatch(message, now_seconds=now_seconds)
         changed = self._view.take_changed()
-        if changed:
+        if changed or self.is_isolated is not was_isolated:
             commands.append(MembersChanged(changed=changed))
         return commands
 
--- a/egretrouter/core/membership/_messages.py
+++ b/egretrouter/core/membership/_messages.py
@@ -61,7 +61,7 @@
 
 
 class MembersChanged(msgspec.Struct, frozen=True, kw_only=True):
-    """Report the members whose status, address or facts changed."""
+    """Report the members whose status, address or facts changed, none if isolation did."""
 
     changed: tuple[Member, ...]
 
--- a/egretrouter/daemons/_control.py
+++ b/egretrouter/daemons/_control.py
@@ -254,7 +254,9 @@
     def _publish_members(self) -> None:
         own = self.membership.own.instance_id
         members = (own, *(member.instance_id for member in self.membership.members()))
-        self._dispatch_to_configuration(ZoneMembersChanged(members=members))
+        self._dispatch_to_configuration(
+            ZoneMembersChanged(members=members, is_isolated=self.membership.is_isolated)
+        )
         for listener in self.on_members:
             listener()
 
--- a/tests/test_configuration_state.py
+++ b/tests/test_configuration_state.py
@@ -122,6 +122,15 @@
         send(state, *parts(5, request.digests))
         assert state.generation == 5
 
+    def test_isolated_process_watches_whoever_ranks_first(self) -> None:
+        """The last member of its zone counted two lost ones as the watchers."""
+        state = make()
+        first, *_ = select_watchers(ZONE, PEERS)
+        assert first != PEERS[0]
+        members = ZoneMembersChanged(members=PEERS, is_isolated=True)
+        assert StartWatch() in send(state, members)
+        assert StopWatch() in send(state, ZoneMembersChanged(members=PEERS))
+
     def test_survey_ends_without_an_unresponsive_peer(self) -> None:
         state = make()
         asked = send(state, ZoneMembersChanged(members=PEERS), StoreUnresponsive())[-1].source
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -277,6 +277,23 @@
         zone.is_partitioned = lambda a, b: False
         return zone.run_until(zone.views_agree, limit_seconds=120) is not None
 
+    def test_last_member_reports_its_isolation_and_the_end_of_it(self) -> None:
+        zone = settled_zone(12)
+        last = next(iter(zone.nodes))
+        reports = []
+
+        def record(name: InstanceId, command: MembershipCommand) -> None:
+            if name == last and isinstance(command, MembersChanged):
+                reports.append(zone.nodes[last].is_isolated)
+
+        zone.on_command = record
+        zone.is_partitioned = lambda a, b: True
+        zone.run(10)
+        assert reports[-1]
+        zone.is_partitioned = lambda a, b: False
+        zone.run(10)
+        assert not reports[-1]
+
     def test_a_paused_member_declares_nobody_dead(self) -> None:
         assert self.count_deaths_after_pause(Membership) == 0
 
