Bound the framing of answers on connections that are used again

What callers saw: nothing yet; found by a test for the report on endless bytes. A store, an origin or an engine that sends empty lines or the extension of a chunk without end was read for the whole time limit of the call, at the rate of the link: only connections of a single answer were closed for that.

Cause: received bytes were counted over a connection, so those that carry many answers were left out.

Change: they are counted from each request, on all connections, also those of the product's own path to its object API and origin.

--- a/egretrouter/daemons/_endpoint.py
+++ b/egretrouter/daemons/_endpoint.py
@@ -60,7 +60,7 @@
     # A request on a connection that the endpoint is closing may be lost without an error, so each
     # call opens its own connection.
     connector = aiohttp.TCPConnector(force_close=True, limit=0)
-    check_answers(connector, single=True)
+    check_answers(connector)
     return aiohttp.ClientSession(
         connector=connector,
         trace_configs=[trace],
--- a/egretrouter/daemons/_process.py
+++ b/egretrouter/daemons/_process.py
@@ -30,6 +30,7 @@
 from egretrouter.daemons._peers import PeersServicer
 from egretrouter.daemons._status import StatusService
 from egretrouter.protocol import egretrouter_pb2_grpc as pb_grpc
+from egretrouter.transport import check_answers
 from egretrouter.transport._rpc import (
     ChannelPool,
     PeerSecurity,
@@ -154,9 +155,9 @@
     async def open_platform(self) -> None:
         """Create the clients of the platform."""
         platform = self.settings.platform
-        self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=PLATFORM_CONNECTIONS)
-        )
+        connector = aiohttp.TCPConnector(limit=PLATFORM_CONNECTIONS)
+        check_answers(connector)
+        self.session = aiohttp.ClientSession(connector=connector)
         self.store_budgets = StoreBudgets(rng=random.Random(self.rng.random()))
         self._object_store = HttpObjectStore(
             self.session,
--- a/egretrouter/direct/_sockets.py
+++ b/egretrouter/direct/_sockets.py
@@ -40,7 +40,7 @@
         socket_factory=_open_socket,
         happy_eyeballs_delay=None,
     )
-    check_answers(connector, single=not reuse_connections)
+    check_answers(connector)
     return aiohttp.ClientSession(
         connector=connector,
         cookie_jar=aiohttp.DummyCookieJar(),
