Share a router's memory among the answers that it holds

Cause: each answer was bounded, not their sum. Each was collected, joined, copied and handed to the connection as a whole.

Change: AnswerMemory shares what the settings say of the memory (memory_bytes, new) among all answers over 64 KiB, until their callers have them. One for which there is no room is read on later, so its engine waits; room for a whole one is kept for the first, so that one always ends. Large answers are passed on part by part as they came.

--- a/egretrouter/direct/_active_call.py
+++ b/egretrouter/direct/_active_call.py
@@ -14,6 +14,7 @@
     Workspace,
 )
 from egretrouter.core.identifiers import EndpointId
+from egretrouter.direct._answer_memory import AnswerHold
 
 
 class ActiveCall(msgspec.Struct, kw_only=True):
@@ -29,6 +30,8 @@
     deadline_seconds: float
     progress: DirectCall
     cutter: EventSplitter
+    hold: AnswerHold
+    """The memory that the call's answer takes."""
     tried: set[EndpointId] = msgspec.field(default_factory=set)
     next_choice: Choice | None = None
     """The endpoint for which the call has left a silent one."""
--- a/egretrouter/direct/_admission.py
+++ b/egretrouter/direct/_admission.py
@@ -15,6 +15,7 @@
     choose_service,
 )
 from egretrouter.direct._active_call import ActiveCall
+from egretrouter.direct._answer_memory import AnswerHold
 from egretrouter.direct._refusals import Refusal, check_header_size, read_body
 from egretrouter.direct._shared_state import SharedStateService
 
@@ -31,7 +32,12 @@
         """The longest deadline that callers have set, by route."""
 
     async def admit(
-        self, request: web.BaseRequest, headers: CallHeaders, *, arrived_seconds: float
+        self,
+        request: web.BaseRequest,
+        headers: CallHeaders,
+        *,
+        hold: AnswerHold,
+        arrived_seconds: float,
     ) -> ActiveCall:
         """Read a request and return its call.
 
@@ -69,6 +75,7 @@
             deadline_seconds=deadline,
             progress=DirectCall(route),
             cutter=EventSplitter(last_id=headers.resume_after),
+            hold=hold,
         )
 
     def _is_late(self, route: Route, headers: CallHeaders) -> bool:
--- a/egretrouter/direct/_callers.py
+++ b/egretrouter/direct/_callers.py
@@ -32,13 +32,14 @@
 from egretrouter.direct._active_call import ActiveCall
 from egretrouter.direct._admission import CallAdmission
 from egretrouter.direct._answer_facts import AnswerFacts
+from egretrouter.direct._answer_memory import AnswerHold, AnswerMemory
 from egretrouter.direct._choices import EndpointChoices
 from egretrouter.direct._logs import log_event
 from egretrouter.direct._metrics import CallMetrics
 from egretrouter.direct._news_service import NewsService
 from egretrouter.direct._part_guard import PartGuard, PartHeld
 from egretrouter.direct._refusals import Refusal
-from egretrouter.direct._responses import CallResponder
+from egretrouter.direct._responses import CallResponder, LargeResponse
 from egretrouter.direct._sends import OpenAnswer, OutgoingCall, Sender, SendError
 from egretrouter.direct._shared_state import SharedStateService
 from egretrouter.direct._start_limits import StartLimits
@@ -68,9 +69,11 @@
         metrics: CallMetrics,
         news: NewsService,
         guard: PartGuard,
+        answer_memory: AnswerMemory,
         rng: random.Random,
     ) -> None:
         self.in_progress = 0
+        self._answer_memory = answer_memory
         self._state = state
         self._placement = placement
         self._budget = budget
@@ -110,12 +113,22 @@
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handle one request and return the response."""
+        with self._answer_memory.hold() as hold:
+            response = await self._handle(request, hold)
+            if self.draining and not response.prepared:
+                # A caller that was not told may have sent its next request already.
+                response.force_close()
+            if isinstance(response, LargeResponse):
+                await response.send(request)
+        return response
+
+    async def _handle(self, request: web.BaseRequest, hold: AnswerHold) -> web.StreamResponse:
         arrived = time.monotonic()
         self.in_progress += 1
         headers = CallHeaders(call_id=request.headers.get("X-Request-Id", ""))
         try:
             headers = self._dialect.read_call(request.headers)
-            call = await self._admission.admit(request, headers, arrived_seconds=arrived)
+            call = await self._admission.admit(request, headers, hold=hold, arrived_seconds=arrived)
             self._time_limits.check(call)
             if call.service.engine is not None:
                 self._placement.record_arrival(now_seconds=arrived)
@@ -130,9 +143,6 @@
             raise
         finally:
             self.in_progress -= 1
-        if self.draining and not response.prepared:
-            # A caller that was not told may have sent its next request already.
-            response.force_close()
         return response
 
     async def _run(self, call: ActiveCall) -> web.StreamResponse:
@@ -275,7 +285,7 @@
         streams = call.route.kind is CallKind.STREAM
         if streams and answer.status == 200 and answer.is_event_stream:
             return await self._stream(call, choice, answer)
-        complete = await answer.read_all()
+        complete = await answer.read_all(call.hold)
         if complete.status >= 500:
             reason = f"the endpoint answered {complete.status}"
             raise SendError(SendOutcome.FAILED, reason, complete=complete)
--- a/egretrouter/direct/_responses.py
+++ b/egretrouter/direct/_responses.py
@@ -1,13 +1,16 @@
 """Answer callers, with what an endpoint sent or with an error."""
 
 import time
+from collections import deque
 
 from aiohttp import web
+from multidict import CIMultiDict
 
 from egretrouter.backends import CallDialect, CallHeaders
 from egretrouter.core.direct import NextStep
 from egretrouter.core.errors import Outcome
 from egretrouter.direct._active_call import ActiveCall
+from egretrouter.direct._answer_memory import SMALL_ANSWER_BYTES
 from egretrouter.direct._logs import log_event
 from egretrouter.direct._metrics import CallMetrics
 from egretrouter.direct._refusals import Refusal, problem_answer
@@ -15,6 +18,22 @@
 from egretrouter.direct._shared_state import SharedStateService
 
 
+class LargeResponse(web.StreamResponse):
+    """Send a large answer part by part, so that no second copy of it waits for the caller."""
+
+    def __init__(self, complete: CompleteAnswer, *, headers: CIMultiDict[str]) -> None:
+        super().__init__(status=complete.status, headers=headers)
+        self.content_length = complete.size_bytes
+        self._parts = deque(complete.parts)
+
+    async def send(self, request: web.BaseRequest) -> None:
+        """Send the answer as fast as the caller reads it."""
+        await self.prepare(request)
+        while self._parts:
+            await self.write(self._parts.popleft())
+        await self.write_eof()
+
+
 class CallResponder:
     """Build the responses of one router, and record how calls ended."""
 
@@ -35,11 +54,10 @@
             # did not state.
             return self.end_call(call, NextStep.FAIL, 502, f"the endpoint answered {status}")
         self.record_finished(call, str(status))
-        return web.Response(
-            status=status,
-            body=complete.content,
-            headers=self._dialect.response_headers(complete.headers),
-        )
+        headers = self._dialect.response_headers(complete.headers)
+        if complete.size_bytes > SMALL_ANSWER_BYTES:
+            return LargeResponse(complete, headers=headers)
+        return web.Response(status=status, body=b"".join(complete.parts), headers=headers)
 
     async def write(self, call: ActiveCall, answer: OpenAnswer, data: bytes) -> None:
         """Send the caller some of an endpoint's stream, and the head of the response before it."""
--- a/egretrouter/direct/_router.py
+++ b/egretrouter/direct/_router.py
@@ -20,6 +20,7 @@
     RepeatBudget,
 )
 from egretrouter.core.identifiers import InstanceId, ZoneId
+from egretrouter.direct._answer_memory import AnswerMemory, answers_limit_bytes
 from egretrouter.direct._callers import CallerHandler
 from egretrouter.direct._logs import log_event
 from egretrouter.direct._metrics import CallMetrics
@@ -76,6 +77,7 @@
             placement=self.placement,
             budget=self.budget,
             sender=Sender(self._session, dialect),
+            answer_memory=AnswerMemory(limit_bytes=answers_limit_bytes(settings.memory_bytes)),
             dialect=dialect,
             metrics=self.metrics,
             news=self.news,
--- a/egretrouter/direct/_sends.py
+++ b/egretrouter/direct/_sends.py
@@ -10,8 +10,7 @@
 from egretrouter.backends import AnswerHeaders, CallDialect, send_once
 from egretrouter.core.direct import SendOutcome
 from egretrouter.core.errors import EgretrouterError
-
-MAX_ANSWER_BYTES = 16 * 1024 * 1024
+from egretrouter.direct._answer_memory import MAX_ANSWER_BYTES, AnswerHold
 
 
 class SendError(EgretrouterError):
@@ -40,7 +39,9 @@
 
     status: int
     headers: CIMultiDict[str]
-    content: bytes
+    parts: list[bytes]
+    """The content as it arrived; joining a large one would take its memory twice."""
+    size_bytes: int
 
 
 class OutgoingCall(msgspec.Struct, kw_only=True):
@@ -68,17 +69,25 @@
         """Return whether the answer is a stream of server-sent events."""
         return self._response.content_type == "text/event-stream"
 
-    async def read_all(self) -> CompleteAnswer:
-        """Read the complete answer.
+    async def read_all(self, hold: AnswerHold) -> CompleteAnswer:
+        """Read the complete answer, as fast as there is room for it.
 
         Raises SendError if it breaks off or is too large.
         """
-        content = bytearray()
+        parts: list[bytes] = []
+        size_bytes = 0
+        # The memory of an earlier send of the call is free.
+        hold.release()
         while data := await self.read_available(stall_seconds=None):
-            content += data
-            if len(content) > MAX_ANSWER_BYTES:
+            size_bytes += len(data)
+            if size_bytes > MAX_ANSWER_BYTES:
                 raise SendError(SendOutcome.BROKEN, "the answer is too large")
-        return CompleteAnswer(status=self.status, headers=self.headers, content=bytes(content))
+            await hold.grow(len(data))
+            parts.append(data)
+        hold.end_reading()
+        return CompleteAnswer(
+            status=self.status, headers=self.headers, parts=parts, size_bytes=size_bytes
+        )
 
     async def read_available(self, *, stall_seconds: float | None) -> bytes:
         """Return the content that has arrived, or no bytes at the end of the answer.
--- a/egretrouter/direct/_settings.py
+++ b/egretrouter/direct/_settings.py
@@ -53,6 +53,8 @@
     heartbeat_ms: int = 1000
     """How often endpoints renew their registration."""
     link_bits_per_second: float
+    memory_bytes: float = 256e6
+    """How much memory the process may use."""
     bounds: Bounds
 
     @property
