--- a/egretrouter/direct/_agent.py
+++ b/egretrouter/direct/_agent.py
@@ -329,9 +329,8 @@
 
     def _ensure_copy(self, model: ModelName, version: int) -> None:
         key = (model, version)
-        if key in self._active_copies or not self._restarts.may_start(
-            key, now_seconds=time.monotonic()
-        ):
+        may_start = self._restarts.may_start(key, now_seconds=time.monotonic())
+        if key in self._active_copies or not may_start:
             return
         self._active_copies.add(key)
         self._paused.discard(key)
@@ -347,7 +346,7 @@
 
     def _handle_failed_copy(self, digest: Digest, reason: str) -> None:
         """Forget a version's manifest, which may be wrong, and copy the version again later."""
-        for key in [k for k, manifest in self._manifests.items() if manifest.digest == digest]:
+        for key in self._copies_of(digest):
             log_event("weights:copy_failed", model=key[0], version=key[1], error=reason)
             del self._manifests[key]
             self._paused.discard(key)
@@ -397,9 +396,12 @@
 
     def _record_complete(self, digest: Digest) -> None:
         self._complete.add(digest)
-        for key, manifest in self._manifests.items():
-            if manifest.digest == digest:
-                self._restarts.record_success(key)
+        for key in self._copies_of(digest):
+            self._restarts.record_success(key)
+
+    def _copies_of(self, digest: Digest) -> list[tuple[ModelName, int]]:
+        """Return the models and versions whose manifest has a digest."""
+        return [key for key, manifest in self._manifests.items() if manifest.digest == digest]
 
     async def _load_version(self, model: ModelName, version: int, state: EngineState) -> None:
         manifest = self._manifests[model, version]
--- a/tests/test_weights_messages.py
+++ b/tests/test_weights_messages.py
@@ -7,6 +7,7 @@
 from benchmarks.copy_loop import make_peers
 from egretrouter.core.errors import CorruptedChunkError, ManifestMismatchError, WeightMemoryError
 from egretrouter.core.identifiers import ChunkIndex, Digest, InstanceId, ModelName, VersionName
+from egretrouter.core.limits import Backoff
 from egretrouter.core.weights import (
     FETCHING_STATES,
     ORIGIN,
@@ -21,6 +22,7 @@
     CopyCompleted,
     CopyHalted,
     CopyMessage,
+    CopyRestarts,
     CopySettings,
     CopyState,
     FetchChunk,
@@ -141,6 +143,23 @@
         assert self.quarantines([True] * 6 + [False] + [True] * 3) == [2.0, 4.0, 2.0]
 
 
+class TestRestarts:
+    """Guard against a failed copy that never starts again, or starts without end."""
+
+    def test_starts_are_delayed_up_to_a_bound(self) -> None:
+        restarts: CopyRestarts[str] = CopyRestarts(
+            Backoff(Random(1), base_seconds=0.3, limit_seconds=4.0)
+        )
+        assert restarts.may_start("v2", now_seconds=0.0)
+        for _ in range(40):
+            restarts.record_failure("v2", now_seconds=10.0)
+            assert restarts.may_start("v2", now_seconds=14.0)
+            assert restarts.may_start("v3", now_seconds=10.0)
+        assert not restarts.may_start("v2", now_seconds=10.0)
+        restarts.record_success("v2")
+        assert restarts.may_start("v2", now_seconds=10.0)
+
+
 class TestVerification:
     """Guard against weights that are partial, mixed or different from those pinned."""
 
