--- a/review/world_2.py
+++ b/review/world_2.py
@@ -335,7 +335,9 @@
 
     async def _serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
         self._writers.add(writer)
-        with contextlib.suppress(ConnectionError, asyncio.IncompleteReadError, TimeoutError):
+        # asyncio cancels this when the case ends, and would print it as an error.
+        ended = (ConnectionError, asyncio.IncompleteReadError, asyncio.CancelledError)
+        with contextlib.suppress(*ended):
             while True:
                 head = await reader.readuntil(b"\r\n\r\n")
                 arrival = parse_request(head)
@@ -746,6 +748,10 @@
 
     async def run() -> bool:
         world = World(folder, memory_mb=memory_mb)
+        task = asyncio.current_task()
+        assert task is not None
+        # A case that is told to stop ends its processes too.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
         try:
             async with asyncio.timeout(limit_s):
                 await world.store.start()
@@ -757,8 +763,8 @@
 
     try:
         broken = asyncio.run(run())
-    except (CannotRunError, OSError) as error:
-        print(f"could not run: {error}", file=sys.stderr)
+    except (CannotRunError, OSError, asyncio.CancelledError) as error:
+        print(f"could not run: {error!r}", file=sys.stderr)
         sys.exit(2)
     print("the rule was broken" if broken else "the rule held")
     sys.exit(1 if broken else 0)
