--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Checks that what review/world_2.py and the cases 6 to 10 need is there. Their stand-ins are Python
+# Checks that what review/world_2.py and the cases 6 to 9 need is there. Their stand-ins are Python
 # and use only the libraries of the deploy file's build, so there is nothing to compile.
 folder=$(cd "$(dirname "$0")" && pwd) || exit 2
 cd "$folder/.." || exit 2
