Count the grace after an outage of the store from the outage's end

Cause: each process kept "the store failed me" until its own next success and took that for an outage that has just ended. Processes list by turns, so for all but one that success may be any time away. A process that stood in for lost ones 11 s later listed "after an outage", kept the missing endpoint for 2 s, and told its peers, each of which began 2 s of its own. The other way round, a process that met no failure in the outage and lists first after it dropped every endpoint whose registration had expired.

Change: StoreOutages replaces the three memories. An outage is a time without an answer to any process, long enough for registrations to expire, in which calls failed; answers and their ages are in greetings already, failures are the process's own and members that lose the store. The grace is counted from the first answer after it, and a state that is passed on carries what is left of it. As it no longer begins with a process's own listing, it has 1 s more, in which renewals reach all processes. Tests that passed the flag after_outage pass the grace, or record the outage, with the same bounds.

--- a/egretrouter/core/direct/__init__.py
+++ b/egretrouter/core/direct/__init__.py
@@ -103,6 +103,7 @@
 from egretrouter.core.direct._routes import RouteIndex, choose_service
 from egretrouter.core.direct._served_shares import ServedShares
 from egretrouter.core.direct._state_order import StoreRevision
+from egretrouter.core.direct._store_outages import StoreOutages
 from egretrouter.core.direct._switch import Replica, WeightSwitch
 from egretrouter.core.direct._transit_times import TransitTimes
 from egretrouter.core.direct._waiting_calls import WaitingCalls
@@ -190,6 +191,7 @@
     "SendOutcome",
     "ServedShares",
     "Service",
+    "StoreOutages",
     "StoreRevision",
     "Target",
     "TransitTimes",
--- a/egretrouter/core/direct/_directory.py
+++ b/egretrouter/core/direct/_directory.py
@@ -2,13 +2,10 @@
 
 from collections.abc import Iterable
 
-from egretrouter.core.direct._departures import Departures
+from egretrouter.core.direct._departures import RENEWAL_SECONDS, Departures
 from egretrouter.core.direct._records import Endpoint, EndpointState
 from egretrouter.core.identifiers import EndpointId, ServiceName
 
-# Registrations that expired during an outage of the store are renewed within about this time.
-LAPSE_GRACE_SECONDS = 2.0
-
 
 class EndpointDirectory:
     """Store the registered endpoints, with a grace period after an outage of the store."""
@@ -24,31 +21,33 @@
         self,
         endpoints: Iterable[Endpoint],
         *,
-        after_outage: bool,
+        grace_seconds: float = 0.0,
         restored: bool = False,
         now_seconds: float,
     ) -> bool:
         """Replace all entries, and return whether others are registered than before.
 
-        After an outage, missing endpoints are kept for a grace period. If the store was restored
-        from a copy, so are those that may have registered since, and those that left since stay so.
+        After an outage, missing endpoints are kept for the grace period that is left. If the store
+        was restored from a copy, so are those that may have registered since, and those that left
+        since stay so.
         """
         if restored:
             self._departures.hold(self._endpoints.values(), now_seconds=now_seconds)
             self._expires_seconds.clear()
+            grace_seconds = RENEWAL_SECONDS
         registered = self._endpoints.keys() - self._expires_seconds.keys()
         found = self._departures.correct(endpoints, now_seconds=now_seconds)
         kept = {}
         for endpoint_id, endpoint in self._endpoints.items():
             if endpoint_id in found:
                 continue
-            in_grace = after_outage or restored or endpoint_id in self._expires_seconds
+            in_grace = grace_seconds > 0.0 or endpoint_id in self._expires_seconds
             if in_grace and endpoint.state is EndpointState.READY:
                 kept[endpoint_id] = endpoint
             else:
                 self._departures.record(endpoint, now_seconds=now_seconds)
         self._expires_seconds = {
-            endpoint_id: self._expires_seconds.get(endpoint_id, now_seconds + LAPSE_GRACE_SECONDS)
+            endpoint_id: self._expires_seconds.get(endpoint_id, now_seconds + grace_seconds)
             for endpoint_id in kept
         }
         self._endpoints = {**kept, **found}
@@ -94,10 +93,9 @@
         """Return the endpoints in the store's list, without those kept for a grace period."""
         return [e for e in self._endpoints.values() if e.endpoint_id not in self._expires_seconds]
 
-    @property
-    def in_grace(self) -> bool:
-        """Return whether missing endpoints are kept for a grace period."""
-        return bool(self._expires_seconds)
+    def grace_left_seconds(self, *, now_seconds: float) -> float:
+        """Return for how long missing endpoints are still kept."""
+        return max(0.0, max(self._expires_seconds.values(), default=now_seconds) - now_seconds)
 
     def newest_at(self, address: str) -> Endpoint | None:
         """Return the most recently started endpoint at an address."""
--- a/egretrouter/core/direct/_fleet.py
+++ b/egretrouter/core/direct/_fleet.py
@@ -73,6 +73,7 @@
         self._changed: list[FleetMember] = []
         self._has_news = False
         """Whether a change arrived that was not relayed yet."""
+        self._has_lost_store = False
 
     def update_own(self, **changes: object) -> None:
         """Change this process's own record, so that it overrides what others have."""
@@ -109,6 +110,11 @@
         changed, self._changed = self._changed, []
         return changed
 
+    def take_lost_store(self) -> bool:
+        """Return whether the store stopped answering a known member since the last call."""
+        lost, self._has_lost_store = self._has_lost_store, False
+        return lost
+
     def handle_greeting(self, greeting: Greeting, *, now_seconds: float) -> list[SendGreeting]:
         """Record what a greeting says, and return the greetings to send in response."""
         sender = greeting.sender
@@ -163,6 +169,8 @@
             if member.health is not MemberHealth.ALIVE:
                 # A report comes without what the member says of itself.
                 member = msgspec.structs.replace(entry.member, health=member.health)
+        if member.store_lost and not entry.member.store_lost:
+            self._has_lost_store = True
         entry.member, entry.changed_seconds = member, now_seconds
         self._has_news = True
         if member.health is MemberHealth.ALIVE:
--- a/egretrouter/direct/_fleet_service.py
+++ b/egretrouter/direct/_fleet_service.py
@@ -91,6 +91,8 @@
         )
         self.revisions: Callable[[], Revisions] = Revisions
         self.on_revisions: list[Callable[[FleetMember, Revisions], None]] = []
+        self.on_store_lost: list[Callable[[], None]] = []
+        """Called when another process announces that the store stopped answering it."""
         self.on_load: list[Callable[[str, LoadReport], None]] = []
         self.on_news: list[Callable[[NewsNote], None]] = []
         self._settings = settings
@@ -236,6 +238,9 @@
         greeting = note.greeting
         self._greet(self.fleet.handle_greeting(greeting, now_seconds=time.monotonic()))
         self._log_changes()
+        if self.fleet.take_lost_store():
+            for on_store_lost in self.on_store_lost:
+                on_store_lost()
         self.eras.hear(greeting.revisions.era, source=greeting.sender.instance_id)
         for on_revisions in self.on_revisions:
             on_revisions(greeting.sender, greeting.revisions)
--- a/egretrouter/direct/_peer_exchange.py
+++ b/egretrouter/direct/_peer_exchange.py
@@ -48,6 +48,9 @@
     def seen_revision(self, kind: StateKind) -> StoreRevision:
         """Return the store's revision up to which all changes of a kind have been applied."""
 
+    def record_store_answer(self, *, asked_seconds: float) -> None:
+        """Record that the store answered a call of some process, made at asked_seconds or later."""
+
     def apply_peer_state(
         self, state: SharedState, peer: FleetMember, *, asked_seconds: float
     ) -> None:
@@ -121,8 +124,10 @@
         if self._name_ages.needs_round_trip(peer, peer_revisions):
             self._fleet.request_greeting(peer)
         self.spread_proof()
-        self._state.listing_turns.record(
-            listed_seconds=sent_seconds - peer_revisions.listed_age_seconds
+        listed_seconds = sent_seconds - peer_revisions.listed_age_seconds
+        self._state.listing_turns.record(listed_seconds=listed_seconds)
+        self._state.record_store_answer(
+            asked_seconds=max(listed_seconds, self._name_ages.newest_seconds())
         )
         for kind in self._kinds:
             if not self._is_behind(kind, peer_revisions):
--- a/egretrouter/direct/_peer_state.py
+++ b/egretrouter/direct/_peer_state.py
@@ -42,8 +42,8 @@
     configuration: RoutingTable | None = None
     endpoints: tuple[Endpoint, ...] | None = None
     endpoints_revision: StoreRevision = StoreRevision()
-    endpoints_in_grace: bool = False
-    """Whether endpoints that are missing may still register again after an outage of the store."""
+    endpoints_grace_seconds: float | None = None
+    """For how long missing endpoints may still register again; None outside of such a time."""
     weights: tuple[NamedVersion, ...] | None = None
     evacuations: tuple[Evacuation, ...] | None = None
     evacuations_revision: StoreRevision = StoreRevision()
--- a/egretrouter/direct/_shared_state.py
+++ b/egretrouter/direct/_shared_state.py
@@ -26,6 +26,7 @@
     Revisions,
     RouteIndex,
     RoutingTable,
+    StoreOutages,
     StoreRevision,
     WeightTargets,
     WeightVersion,
@@ -73,6 +74,7 @@
         self.on_resumed: list[Callable[[], None]] = []
         """Called after the machine was suspended, as timers leave that time out."""
         self.listing_turns = ListingTurns(started_seconds=boot_seconds())
+        self._outages = StoreOutages(renewal_interval_seconds=settings.heartbeat_ms / 1000)
         self._fleet = fleet
         self._store_watch = StoreWatchService(
             self,
@@ -83,6 +85,7 @@
             history_seconds=settings.store_history_seconds,
             rng=rng,
         )
+        fleet.on_store_lost.append(self._record_lost_store)
         self._kinds = kinds
         self._loaded_kinds: set[StateKind] = set()
         self._endpoints_revision = StoreRevision()
@@ -153,13 +156,27 @@
         for listener in self.on_resumed:
             listener()
 
+    def record_store_answer(self, *, asked_seconds: float) -> None:
+        """Record that the store answered a call of some process, made at asked_seconds or later."""
+        now = boot_seconds()
+        if self._outages.record_answer(asked_seconds=asked_seconds, heard_seconds=now):
+            grace = self._outages.grace_left_seconds(now_seconds=now)
+            log_event("store:outage_ended", grace_seconds=round(grace, 3))
+
+    def record_store_failure(self, *, asked_seconds: float) -> None:
+        """Record that a call to the store of asked_seconds of the boot clock failed now."""
+        self._outages.record_failure(asked_seconds=asked_seconds, failed_seconds=boot_seconds())
+
+    def _record_lost_store(self) -> None:
+        """Record that the store stopped answering another process."""
+        self.record_store_failure(asked_seconds=boot_seconds())
+
+    def _grace_seconds(self) -> float:
+        """Return for how long endpoints that are missing may still register again."""
+        return self._outages.grace_left_seconds(now_seconds=boot_seconds())
+
     def apply_listing(
-        self,
-        kind: StateKind,
-        listing: StateListing,
-        *,
-        after_outage: bool,
-        asked_seconds: float,
+        self, kind: StateKind, listing: StateListing, *, asked_seconds: float
     ) -> None:
         """Apply a listing of all objects of a kind."""
         seen = self._seen_revisions[kind]
@@ -172,7 +189,7 @@
         # Names between this listing and the last one known may have been replaced by later ones.
         named_seconds = self._name_ages.newest_seconds()
         if kind is StateKind.ENDPOINTS:
-            if self._replace_by_listing(listing, after_outage=after_outage):
+            if self._replace_by_listing(listing):
                 # A removal leaves no object with a newer revision.
                 self._endpoints_revision = listing.revision
             else:
@@ -192,9 +209,9 @@
         if self.revisions() != before:
             self._fleet.gossip_update()
 
-    def _replace_by_listing(self, listing: StateListing, *, after_outage: bool) -> bool:
+    def _replace_by_listing(self, listing: StateListing) -> bool:
         listed = [item for item in listing.items if isinstance(item, Endpoint)]
-        changed = self._replace_endpoints(listed, listing.revision, after_outage=after_outage)
+        changed = self._replace_endpoints(listed, listing.revision)
         # Only a missing entry may come back after an outage; a malformed one names no engine.
         for name in listing.malformed:
             self.directory.remove(EndpointId(name), now_seconds=time.monotonic())
@@ -202,9 +219,7 @@
             self._notify_endpoints_changed()
         return changed
 
-    def _replace_endpoints(
-        self, endpoints: Iterable[Endpoint], revision: StoreRevision, *, after_outage: bool
-    ) -> bool:
+    def _replace_endpoints(self, endpoints: Iterable[Endpoint], revision: StoreRevision) -> bool:
         """Replace the endpoints, and return whether others are registered than before."""
         kind = StateKind.ENDPOINTS
         restored = self._is_restored(kind, revision)
@@ -212,7 +227,7 @@
             log_event("endpoints:restored", revision=revision, seen=self._seen_revisions[kind])
         changed = self.directory.replace(
             endpoints,
-            after_outage=after_outage,
+            grace_seconds=self._grace_seconds(),
             restored=restored,
             now_seconds=time.monotonic(),
         )
@@ -326,11 +341,10 @@
             state.endpoints is not None
             and state.endpoints_revision > self._seen_revisions[StateKind.ENDPOINTS]
         ):
-            self._replace_endpoints(
-                state.endpoints,
-                state.endpoints_revision,
-                after_outage=state.endpoints_in_grace,
-            )
+            if state.endpoints_grace_seconds is not None:
+                left = state.endpoints_grace_seconds
+                self._outages.extend_grace(left, now_seconds=boot_seconds())
+            self._replace_endpoints(state.endpoints, state.endpoints_revision)
             self._loaded_kinds.add(StateKind.ENDPOINTS)
             self._seen_revisions[StateKind.ENDPOINTS] = state.endpoints_revision
             self._endpoints_revision = state.endpoints_revision
@@ -373,12 +387,20 @@
             configuration=table if StateKind.CONFIGURATION in kinds else None,
             endpoints=tuple(self.directory.registered_endpoints()) if has_endpoints else None,
             endpoints_revision=self._endpoints_revision,
-            endpoints_in_grace=StateKind.ENDPOINTS in kinds and self.directory.in_grace,
+            endpoints_grace_seconds=self._grace_to_pass_on() if has_endpoints else None,
             weights=self._name_ages.export_names() if StateKind.WEIGHTS in loaded else None,
             evacuations=self.evacuations.export() if has_evacuations else None,
             evacuations_revision=self.evacuations.revision if has_evacuations else StoreRevision(),
         )
 
+    def _grace_to_pass_on(self) -> float | None:
+        """Return for how long peers may keep endpoints that are missing here, None if not at all.
+
+        The time that is left ends at the same moment in every process that hears of it.
+        """
+        kept_seconds = self.directory.grace_left_seconds(now_seconds=time.monotonic())
+        return max(kept_seconds, self._grace_seconds()) or None
+
     def snapshot(self) -> dict[str, Any]:
         """Return the state for the state dump."""
         return {
--- a/egretrouter/direct/_store_watch.py
+++ b/egretrouter/direct/_store_watch.py
@@ -63,13 +63,14 @@
     def is_loaded(self, kind: StateKind) -> bool:
         """Return whether a kind was loaded from the store or a peer."""
 
+    def record_store_answer(self, *, asked_seconds: float) -> None:
+        """Record that the store answered a call of asked_seconds of the boot clock, or later."""
+
+    def record_store_failure(self, *, asked_seconds: float) -> None:
+        """Record that a call to the store of asked_seconds of the boot clock failed now."""
+
     def apply_listing(
-        self,
-        kind: StateKind,
-        listing: StateListing,
-        *,
-        after_outage: bool,
-        asked_seconds: float,
+        self, kind: StateKind, listing: StateListing, *, asked_seconds: float
     ) -> None:
         """Apply all objects of a kind, as they were at asked_seconds of the boot clock or later."""
 
@@ -141,7 +142,6 @@
         await self._wait_for_peers(kind)
         failures = 0
         revision: StoreRevision | None = None
-        outage = False
         while not self.should_stop:
             if self._sink.is_loaded(kind) and not self.is_watcher(kind):
                 revision = None
@@ -149,20 +149,20 @@
                 continue
             try:
                 if revision is None:
-                    revision = await self._list(kind, after_outage=outage)
-                    outage = False
+                    revision = await self._list(kind)
                 changes = await self._watch_from(kind, revision)
             except HistoryGoneError as error:
                 log_event("store:history_gone", kind=kind.value, error=str(error))
                 revision = None
             except BackendError as error:
                 failures += 1
+                self._sink.record_store_failure(asked_seconds=boot_seconds())
                 self._record_failure()
                 log_event("store:lost", kind=kind.value, failures=failures, error=str(error))
                 # After one failure the watch continues from its last revision. After more, the
-                # store may have been unavailable and registrations may have expired.
+                # changes since then may be too many to be watched.
                 if failures > 1:
-                    revision, outage = None, True
+                    revision = None
                 delay = min(RETRY_FIRST_SECONDS * 2.0 ** (failures - 1), RETRY_LIMIT_SECONDS)
                 await self.sleep(delay * (0.5 + self._rng.random()))
             else:
@@ -225,7 +225,6 @@
         period = POLL_SECONDS
         # Names are listed more often, by _poll_names.
         kinds = [kind for kind in self._kinds if kind is not StateKind.WEIGHTS]
-        failed: set[StateKind] = set()
         while not self.should_stop:
             await self.sleep(max(POLL_STEP_SECONDS, self._seconds_until_due(period, rank=0)))
             is_loaded = all(self._sink.is_loaded(kind) for kind in self._kinds)
@@ -239,8 +238,7 @@
             if rank > 0 and not turns.newest_is_own:
                 self._log_stand_in(rank, now_seconds=asked)
             started = time.monotonic()
-            failed = await self._poll_kinds(kinds, failed)
-            if failed:
+            if not await self._poll_kinds(kinds):
                 await self.sleep(_retry_limit_seconds(rank) * self._rng.random())
                 continue
             listing_seconds = time.monotonic() - started
@@ -260,35 +258,27 @@
             listing_age_seconds=round(age, 3) if math.isfinite(age) else None,
         )
 
-    async def _poll_kinds(
-        self, kinds: Iterable[StateKind], failed: set[StateKind]
-    ) -> set[StateKind]:
-        """List kinds, of which some failed the last time, and return those that failed now.
+    async def _poll_kinds(self, kinds: Iterable[StateKind]) -> bool:
+        """List kinds, and return whether the store answered for all of them.
 
         Evacuations are not listed while a listing of another kind proves that the store still has
         the revision at which they were last listed.
         """
-        failed_now: set[StateKind] = set()
+        failures = 0
         newest: StoreRevision | None = None
         for kind in kinds:
             unchanged = newest is not None and newest == self._evacuations_listed
             if kind is StateKind.EVACUATIONS and unchanged:
                 continue
-            revision = await self._poll_kind(kind, failed)
-            if revision is None:
-                failed_now.add(kind)
+            try:
+                revision = await self._list(kind)
+            except BackendError as error:
+                failures += 1
+                self._record_failure()
+                log_event("store:poll_failed", kind=kind.value, error=str(error))
             else:
                 newest = revision if newest is None else max(newest, revision)
-        return failed_now
-
-    async def _poll_kind(self, kind: StateKind, failed: set[StateKind]) -> StoreRevision | None:
-        """List a kind, whose last listing may have failed; return None if that fails."""
-        try:
-            return await self._list(kind, after_outage=kind in failed)
-        except BackendError as error:
-            self._record_failure()
-            log_event("store:poll_failed", kind=kind.value, error=str(error))
-            return None
+        return not failures
 
     async def _poll_names(self) -> None:
         """List the names of versions often in one process of the fleet.
@@ -309,7 +299,7 @@
             if age < patience:
                 continue
             try:
-                await self._list(StateKind.WEIGHTS, after_outage=False)
+                await self._list(StateKind.WEIGHTS)
             except BackendError as error:
                 log_event("store:poll_failed", kind=StateKind.WEIGHTS.value, error=str(error))
                 await self.sleep(_retry_limit_seconds(rank) * (0.5 + self._rng.random()))
@@ -325,7 +315,7 @@
         if self._names_age() < NAMES_SECONDS:
             return
         try:
-            await self._list(StateKind.WEIGHTS, after_outage=True)
+            await self._list(StateKind.WEIGHTS)
         except BackendError as error:
             log_event("store:poll_failed", kind=StateKind.WEIGHTS.value, error=str(error))
 
@@ -340,9 +330,13 @@
             now_seconds=boot_seconds(),
         )
 
-    async def _list(self, kind: StateKind, *, after_outage: bool) -> StoreRevision:
+    async def _list(self, kind: StateKind) -> StoreRevision:
         asked = boot_seconds()
-        listing = await self._store.list_state(kind)
+        try:
+            listing = await self._store.list_state(kind)
+        except BackendError:
+            self._sink.record_store_failure(asked_seconds=asked)
+            raise
         eras = self._fleet.eras
         eras.hear(listing.revision.era, source="store")
         if eras.is_past(listing.revision.era):
@@ -350,7 +344,7 @@
                 f"the listing at {listing.revision} is older than era {eras.newest}"
             )
         self._record_success()
-        self._sink.apply_listing(kind, listing, after_outage=after_outage, asked_seconds=asked)
+        self._sink.apply_listing(kind, listing, asked_seconds=asked)
         if kind is StateKind.EVACUATIONS:
             self._evacuations_listed = listing.revision
         return listing.revision
@@ -366,6 +360,7 @@
         # This call may be the process's first since the outage began, without a failure before it.
         if self._sink.is_loaded(StateKind.WEIGHTS) and self._names_age() >= NAMES_STAND_IN_SECONDS:
             self.add_future(self._list_names_after_outage())
+        self._sink.record_store_answer(asked_seconds=boot_seconds())
         self._failures = 0
         self._set_store_lost(False)
 
@@ -381,7 +376,7 @@
             if not self._fleet.fleet.own.store_lost:
                 continue
             try:
-                await self._list(StateKind.WEIGHTS, after_outage=True)
+                await self._list(StateKind.WEIGHTS)
             except BackendError as error:
                 log_event("store:poll_failed", kind=StateKind.WEIGHTS.value, error=str(error))
 
--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -6,9 +6,14 @@
 from collections.abc import Callable
 from contextlib import ExitStack
 
+from egretrouter.direct._boot_clock import boot_seconds
+from egretrouter.direct._shared_state import SharedStateService
+
 RESERVED_PORTS = range(20_000, 32_000)
 """Ports that the kernel assigns to nobody, because its own range begins above them."""
 
+OUTAGE_SECONDS = 10.0
+
 
 async def wait_until(condition: Callable[[], bool]) -> None:
     """Wait until a condition holds; fail after 10 seconds."""
@@ -36,3 +41,9 @@
             except OSError:
                 continue
             return ports
+
+
+def end_outage(state: SharedStateService) -> None:
+    """Let an outage of the store end just now, in which registrations may have expired."""
+    state.record_store_failure(asked_seconds=boot_seconds())
+    state.record_store_answer(asked_seconds=boot_seconds() + OUTAGE_SECONDS)
--- a/tests/shared_state_world.py
+++ b/tests/shared_state_world.py
@@ -6,6 +6,7 @@
 import time
 from collections import Counter
 from collections.abc import Iterable
+from enum import Enum
 from types import SimpleNamespace
 from typing import Any
 
@@ -16,6 +17,8 @@
 from egretrouter.backends import StateChanges, StateEvent, StateKind, StateListing
 from egretrouter.core.direct import (
     CallKind,
+    Endpoint,
+    EndpointState,
     Evacuation,
     FleetMember,
     FleetRole,
@@ -26,7 +29,14 @@
     WeightVersion,
 )
 from egretrouter.core.errors import BackendUnavailableError, MalformedAnswerError
-from egretrouter.core.identifiers import InstanceId, ModelName, RegionId, ServiceName, ZoneId
+from egretrouter.core.identifiers import (
+    EndpointId,
+    InstanceId,
+    ModelName,
+    RegionId,
+    ServiceName,
+    ZoneId,
+)
 from egretrouter.direct import (
     _evacuation_state,
     _fleet_service,
@@ -81,6 +91,17 @@
     )
 
 
+class Outage(Enum):
+    """List how the store fails all calls."""
+
+    BUSY = "busy"
+    """Rejects each call at once."""
+    SILENT = "silent"
+    """Never answers a call that arrives meanwhile."""
+    HELD = "held"
+    """Answers a call that still waits once the outage is over."""
+
+
 class FleetStore:
     """Hold one configuration and one model's version, and answer calls over the network."""
 
@@ -90,6 +111,9 @@
         self.names: list[tuple[int, WeightVersion]] = []
         self.zones: list[tuple[int, ZoneId, bool]] = []
         """When evacuations of zones began, or ended."""
+        self.registrations: list[tuple[int, EndpointId, Endpoint | None]] = []
+        """When endpoints registered or renewed, and when their entries were removed."""
+        self.outage: Outage | None = None
         self.era = 0
         """Rises when the store comes back from a copy."""
         self.served_bytes = 0
@@ -109,6 +133,8 @@
         self._sizes: dict[int, int] = {}
         self._loop = loop
         self._changed = asyncio.Event()
+        self._recovered = asyncio.Event()
+        self._recovered.set()
 
     def publish(self, table: RoutingTable) -> None:
         """Write a configuration, of which every watch learns."""
@@ -135,6 +161,49 @@
         self._changed = asyncio.Event()
         return self._loop.time()
 
+    def register(self, name: str) -> None:
+        """Register an endpoint, or renew its registration."""
+        endpoint = Endpoint(
+            endpoint_id=EndpointId(name),
+            service=ServiceName("engines"),
+            address="10.9.0.1:80",
+            zone=ZoneId("z0"),
+            state=EndpointState.READY,
+            slots=1,
+        )
+        self._write_registration(endpoint.endpoint_id, endpoint)
+
+    def deregister(self, name: str) -> None:
+        """Remove the entry of an endpoint, which left or did not renew it."""
+        self._write_registration(EndpointId(name), None)
+
+    def _write_registration(self, name: EndpointId, endpoint: Endpoint | None) -> None:
+        self.revision += 1
+        self.registrations.append((self.revision, name, endpoint))
+        self._sizes[self.revision] = NAME_BYTES
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def fail(self, outage: Outage) -> None:
+        """Answer no call until the outage is over, and cut off the watches that wait."""
+        self.outage = outage
+        self._recovered.clear()
+        self._changed.set()
+        self._changed = asyncio.Event()
+
+    def recover(self) -> None:
+        """Answer calls again."""
+        self.outage = None
+        self._recovered.set()
+
+    async def wait_out(self) -> None:
+        """Let a call take part in an outage; raise BackendUnavailableError if it is rejected."""
+        if self.outage is Outage.BUSY:
+            raise BackendUnavailableError("the store rejects all calls")
+        if self.outage is Outage.SILENT:
+            await asyncio.Event().wait()
+        await self._recovered.wait()
+
     def restore(self, revision: int) -> None:
         """Come back from a copy that was made at a revision, without later evacuations."""
         self.era += 1
@@ -148,6 +217,8 @@
                 StateEvent(name=z, revision=r, item=Evacuation(zone=z) if begins else None)
                 for r, z, begins in self.zones
             ]
+        if kind is StateKind.ENDPOINTS:
+            return [StateEvent(name=n, revision=r, item=i) for r, n, i in self.registrations]
         changes: dict[StateKind, list[Any]] = {
             StateKind.CONFIGURATION: self.tables,
             StateKind.WEIGHTS: self.names,
@@ -172,6 +243,10 @@
                     await self._changed.wait()
             except TimeoutError:
                 return
+            if self.outage is not None:
+                return
+            if self.outage is not None:
+                return
 
 
 class ProcessStore:
@@ -186,6 +261,7 @@
 
     async def list_state(self, kind: StateKind) -> StateListing:
         await self._wait_if_stuck()
+        await self._wait_out(self.CALL_TIMEOUT_SECONDS)
         self._store.listings[self._address] += 1
         if kind in self._store.malformed_kinds:
             raise MalformedAnswerError("the listing can't be read")
@@ -210,7 +286,9 @@
         if self._address in self._store.silent_watches:
             await asyncio.sleep(wait_seconds)
             return StateChanges(events=(), revision=after_revision)
+        await self._wait_out(wait_seconds + 3.0)
         await self._store.wait_for_change(kind, after, wait_seconds)
+        await self._wait_out(wait_seconds + 3.0)
         found = [event for event in self._store.events(kind) if event.revision > after]
         revision = StoreRevision(self._store.era, self._store.revision)
         await self._call(found, wait_seconds + 3.0)
@@ -220,6 +298,13 @@
         if self._address in self._store.stuck:
             await asyncio.Event().wait()
 
+    async def _wait_out(self, timeout_seconds: float) -> None:
+        try:
+            async with asyncio.timeout(timeout_seconds):
+                await self._store.wait_out()
+        except TimeoutError as error:
+            raise BackendUnavailableError("the store did not answer in time") from error
+
     async def _call(self, found: list[StateEvent], timeout_seconds: float) -> None:
         try:
             async with asyncio.timeout(timeout_seconds):
--- a/tests/test_direct_core.py
+++ b/tests/test_direct_core.py
@@ -241,24 +241,24 @@
 
     def test_missing_entries_stay_for_a_grace_period_after_an_outage(self) -> None:
         directory = EndpointDirectory()
-        directory.replace([endpoint("i-1"), endpoint("i-2")], after_outage=False, now_seconds=0)
-        directory.replace([endpoint("i-1")], after_outage=True, now_seconds=10)
+        directory.replace([endpoint("i-1"), endpoint("i-2")], now_seconds=0)
+        directory.replace([endpoint("i-1")], grace_seconds=2.0, now_seconds=10)
         assert len(directory.ready_endpoints(ServiceName("s"))) == 2
         assert directory.expire(now_seconds=11) == []
         assert directory.expire(now_seconds=12.1) == [EndpointId("i-2")]
 
     def test_next_listing_ends_the_grace_period(self) -> None:
         directory = EndpointDirectory()
-        directory.replace([endpoint("i-1"), endpoint("i-2")], after_outage=False, now_seconds=0)
-        directory.replace([endpoint("i-1")], after_outage=True, now_seconds=10)
-        directory.replace([endpoint("i-1")], after_outage=False, now_seconds=11)
+        directory.replace([endpoint("i-1"), endpoint("i-2")], now_seconds=0)
+        directory.replace([endpoint("i-1")], grace_seconds=2.0, now_seconds=10)
+        directory.replace([endpoint("i-1")], now_seconds=11)
         assert len(directory.ready_endpoints(ServiceName("s"))) == 2
         assert directory.expire(now_seconds=12.1) == [EndpointId("i-2")]
 
     def test_missing_entries_are_removed_immediately_without_an_outage(self) -> None:
         directory = EndpointDirectory()
-        directory.replace([endpoint("i-1")], after_outage=False, now_seconds=0)
-        directory.replace([], after_outage=False, now_seconds=1)
+        directory.replace([endpoint("i-1")], now_seconds=0)
+        directory.replace([], now_seconds=1)
         assert directory.all_endpoints() == []
 
     def test_draining_endpoint_is_not_ready(self) -> None:
--- a/tests/test_odd_entries.py
+++ b/tests/test_odd_entries.py
@@ -14,6 +14,7 @@
 from egretrouter.backends import StateKind
 from egretrouter.core.direct import Endpoint, StoreRevision
 from egretrouter.core.errors import MalformedAnswerError
+from tests.helpers import end_outage
 from tests.odd_entries import (
     ODD_ENTRIES,
     UNREAD_ODDITIES,
@@ -269,9 +270,8 @@
         raw.items[KIND] = [stored(b'"i-0"', b"null", revision=b"99")]
         raw.revision = 99
         listing = await store.list_state(StateKind.ENDPOINTS)
-        state.apply_listing(
-            StateKind.ENDPOINTS, listing, after_outage=True, asked_seconds=time.monotonic()
-        )
+        end_outage(state)
+        state.apply_listing(StateKind.ENDPOINTS, listing, asked_seconds=time.monotonic())
         # The entry that is missing may still come back.
         assert [e.endpoint_id for e in state.directory.all_endpoints()] == ["i-1"]
 
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -17,12 +17,12 @@
     StoreRevision,
     WeightVersion,
 )
-from egretrouter.core.direct._directory import LAPSE_GRACE_SECONDS
+from egretrouter.core.direct._store_outages import LAPSE_GRACE_SECONDS
 from egretrouter.core.errors import MalformedAnswerError
 from egretrouter.core.identifiers import EndpointId, ModelName, ServiceName, ZoneId
 from egretrouter.direct import _store_watch
 from egretrouter.direct._router import DirectRouter
-from tests.helpers import wait_until
+from tests.helpers import end_outage, wait_until
 from tests.platform_fleet import PlatformFleet
 from tests.platform_standins import StoreStandin, configuration, registration
 from tests.platform_world import PlatformWorld
@@ -169,7 +169,6 @@
         world.router.shared_state.apply_listing(
             StateKind.ENDPOINTS,
             StateListing(items=(), revision=late, content_revision=late),
-            after_outage=False,
             asked_seconds=time.monotonic(),
         )
         world.router.shared_state.apply_changes(
@@ -214,10 +213,10 @@
         first, second = (router.shared_state for router in fleet.routers[:2])
         revision = StoreRevision(1, 10**6)
         left = [e for e in first.directory.all_endpoints() if e.endpoint_id == "i-1"]
+        end_outage(first)
         first.apply_listing(
             StateKind.ENDPOINTS,
             StateListing(items=tuple(left), revision=revision, content_revision=revision),
-            after_outage=True,
             asked_seconds=time.monotonic(),
         )
         state = first.export_state({StateKind.ENDPOINTS})
@@ -315,7 +314,7 @@
     ) -> None:
         self.directory.replace(
             [*(endpoint(name) for name in names), *but],
-            after_outage=outage,
+            grace_seconds=LAPSE_GRACE_SECONDS if outage else 0.0,
             restored=restored,
             now_seconds=at,
         )
