Take only statuses from 200 to 599 for an endpoint's answer

Callers got statuses 600 to 999 as answers of an endpoint, and, where such a head had the header of a refusal, were told that the call has not run. Status 000 was no answer, but what its head said of the endpoint (leaving, a pause) was believed.

Cause: the check had the lower end only, stood twice, and came after the header of a refusal and after the dialect had read the head.

Change: core/http_statuses.py names the statuses; the sender and the agent's client ask it before anything else of the head is read.

--- a/egretrouter/daemons/_endpoint.py
+++ b/egretrouter/daemons/_endpoint.py
@@ -9,6 +9,7 @@
 from egretrouter.backends import send_once
 from egretrouter.core.calls import AnswerData, AnswerHead
 from egretrouter.core.errors import CallNotRunError, CallUnknownError
+from egretrouter.core.http_statuses import is_final_status
 from egretrouter.core.identifiers import CallId, Digest
 from egretrouter.protocol import egretrouter_pb2 as pb
 from egretrouter.transport import HOP_BY_HOP_HEADERS, check_answers
@@ -109,6 +110,8 @@
                 trace_request_ctx=on_connected,
                 middlewares=(send_once(),),
             ) as response:
+                if not is_final_status(response.status):
+                    raise EndpointFailedError(f"the endpoint answered {response.status}")
                 await self._raise_if_not_held(response, Digest(call.version_digest))
                 async for part in _read_answer(response, call.version_digest):
                     yield part
@@ -147,9 +150,6 @@
 async def _read_answer(
     response: aiohttp.ClientResponse, version_digest: str
 ) -> AsyncIterator[AnswerHead | AnswerData]:
-    if response.status < 200:
-        # A caller would take the next answer on its connection as the rest of this one.
-        raise EndpointFailedError(f"the endpoint answered {response.status}")
     answered_digest = response.headers.get(DIGEST_HEADER)
     if version_digest and answered_digest is not None and answered_digest != version_digest:
         raise OtherVersionError(
--- a/egretrouter/direct/_sends.py
+++ b/egretrouter/direct/_sends.py
@@ -15,6 +15,7 @@
     EventTooLargeError,
     StreamMismatchError,
 )
+from egretrouter.core.http_statuses import is_final_status
 from egretrouter.direct._answer_memory import MAX_ANSWER_BYTES, AnswerHold
 
 # How much of a stream is read at once.
@@ -163,6 +164,11 @@
             raise SendError(SendOutcome.NOT_SENT, describe_error(error)) from error
         except (aiohttp.ClientError, OSError, ValueError) as error:
             raise SendError(SendOutcome.BROKEN, describe_error(error)) from error
+        if not is_final_status(response.status):
+            # Nothing that such a head says is believed. After an interim answer, a caller would
+            # take the next answer on its connection as the rest of this one.
+            response.close()
+            raise SendError(SendOutcome.BROKEN, f"the endpoint answered {response.status}")
         answer = self._dialect.read_answer(response.status, response.headers)
         try:
             _check_answer(call, response, answer)
@@ -189,9 +195,6 @@
         raise SendError(
             SendOutcome.REJECTED, f"the endpoint rejected with {response.status}", answer=answer
         )
-    if response.status < 200:
-        # A caller would take the next answer on its connection as the rest of this one.
-        raise SendError(SendOutcome.BROKEN, f"the endpoint answered {response.status}")
     if not answer.has_receipt:
         raise SendError(SendOutcome.BROKEN, f"status {response.status} without a receipt")
     if "Content-Encoding" in response.headers:
