Leave suspensions out of the outages of the store

A router that was suspended while an endpoint left could send it calls once it goes on, for as long as the grace after an outage.

Cause: the time without answers was taken by the clock that counts suspensions, in which the store answered others; one call that fails as the machine goes on then looks like an outage.

Change: the time is taken by the monotonic clock.

Measured: TestSuspendedListing failed before, and passes now.

--- a/egretrouter/direct/_shared_state.py
+++ b/egretrouter/direct/_shared_state.py
@@ -160,14 +160,17 @@
 
     def record_store_answer(self, *, asked_seconds: float) -> None:
         """Record that the store answered a call of some process, made at asked_seconds or later."""
-        now = boot_seconds()
-        if self._outages.record_answer(asked_seconds=asked_seconds, heard_seconds=now):
+        now = time.monotonic()
+        asked = _to_monotonic(asked_seconds)
+        if self._outages.record_answer(asked_seconds=asked, heard_seconds=now):
             grace = self._outages.grace_left_seconds(now_seconds=now)
             log_event("store:outage_ended", grace_seconds=round(grace, 3))
 
     def record_store_failure(self, *, asked_seconds: float) -> None:
         """Record that a call to the store of asked_seconds of the boot clock failed now."""
-        self._outages.record_failure(asked_seconds=asked_seconds, failed_seconds=boot_seconds())
+        self._outages.record_failure(
+            asked_seconds=_to_monotonic(asked_seconds), failed_seconds=time.monotonic()
+        )
 
     def _record_lost_store(self) -> None:
         """Record that the store stopped answering another process."""
@@ -175,7 +178,7 @@
 
     def _grace_seconds(self) -> float:
         """Return for how long endpoints that are missing may still register again."""
-        return self._outages.grace_left_seconds(now_seconds=boot_seconds())
+        return self._outages.grace_left_seconds(now_seconds=time.monotonic())
 
     def apply_listing(
         self, kind: StateKind, listing: StateListing, *, asked_seconds: float
@@ -354,7 +357,7 @@
         ):
             if state.endpoints_grace_seconds is not None:
                 left = state.endpoints_grace_seconds
-                self._outages.extend_grace(left, now_seconds=boot_seconds())
+                self._outages.extend_grace(left, now_seconds=time.monotonic())
             self._replace_endpoints(state.endpoints, state.endpoints_revision)
             self._loaded_kinds.add(StateKind.ENDPOINTS)
             self._seen_revisions[StateKind.ENDPOINTS] = state.endpoints_revision
@@ -425,3 +428,11 @@
                 for kind, seen in self._seen_revisions.items()
             },
         }
+
+
+def _to_monotonic(boot_time_seconds: float) -> float:
+    """Return a time of the boot clock by the monotonic clock, which leaves suspensions out.
+
+    The store may answer others while this process is suspended, so that is no outage of it.
+    """
+    return time.monotonic() - (boot_seconds() - boot_time_seconds)
--- a/tests/test_suspended_machines.py
+++ b/tests/test_suspended_machines.py
@@ -6,6 +6,9 @@
 
 import pytest
 
+from egretrouter.backends import StateKind, StateListing
+from egretrouter.core.direct import StoreRevision
+from egretrouter.direct._boot_clock import boot_seconds
 from tests.version_world import VERSION_MS, VersionWorld
 
 Suspend = Callable[[float], None]
@@ -63,3 +66,20 @@
         suspend(VERSION_MS / 1000)
         assert await call == 502
         assert engine.begun == []
+
+
+class TestSuspendedListing:
+    """Guard against a router that takes its suspension for an outage of the store."""
+
+    async def test_endpoint_that_left_is_kept_after_a_suspension(
+        self, world: VersionWorld, suspend: Suspend
+    ) -> None:
+        await world.start_versions(1)
+        state = world.router.shared_state
+        suspend(30.0)
+        state.record_store_failure(asked_seconds=boot_seconds())
+        state.record_store_answer(asked_seconds=boot_seconds())
+        revision = StoreRevision(1, 10**6)
+        listing = StateListing(items=(), revision=revision, content_revision=revision)
+        state.apply_listing(StateKind.ENDPOINTS, listing, asked_seconds=boot_seconds())
+        assert state.directory.all_endpoints() == []
