--- a/review/world_3.py
+++ b/review/world_3.py
@@ -73,13 +73,13 @@
         self._listener: asyncio.Server | None = None
         self._server: web.Server | None = None
 
-    async def start(self, host: str = "127.0.0.1") -> Self:
-        """Begin to listen."""
+    async def start(self, host: str = "127.0.0.1", port: int = 0) -> Self:
+        """Begin to listen, at a free port if none is given."""
         loop = asyncio.get_running_loop()
         self._server = web.Server(
             self.handle, access_log=None, handler_cancellation=True, keepalive_timeout=60.0
         )
-        self._listener = await loop.create_server(self._server, host, 0)
+        self._listener = await loop.create_server(self._server, host, port, reuse_address=True)
         self.address = f"{host}:{self._listener.sockets[0].getsockname()[1]}"
         return self
 
